Simulator: the real machines under seeded faults, with checkers that look from outside

Network loss, delay, order and cuts; slow, stalled and torn disks; clock jumps, freezes, crashes alone and together; two operators racing.

--- /dev/null
+++ b/internal/process/sim/checks.go
@@ -0,0 +1,160 @@
+package sim
+
+import (
+	"fmt"
+
+	"applequay/internal/process/register"
+)
+
+// CheckRegister: the operators' calls are those of one compare-and-set
+// register, taken one after the other. Every value has its own name, so it is
+// enough that each mark has one writer, that what is read was written, that no
+// call sees a mark older than one known before it began, and that a write that
+// was refused is never seen.
+//
+//	breaches := sim.CheckRegister(ops)
+func CheckRegister(ops []*Op) []string {
+	var breaches []string
+	breach := func(format string, args ...any) { breaches = append(breaches, fmt.Sprintf(format, args...)) }
+	byMark := map[int64]string{}
+	writes := map[string]*Op{}
+	for _, op := range ops {
+		if op.Kind == "set" {
+			writes[op.Name] = op
+		}
+	}
+	see := func(op *Op, mark int64, name string) {
+		if mark == 0 {
+			return
+		}
+		if old, ok := byMark[mark]; ok && old != name {
+			breach("mark %d was seen as %s and as %s", mark, old, name)
+		}
+		byMark[mark] = name
+		write, ok := writes[name]
+		switch {
+		case !ok:
+			breach("mark %d: nobody wrote %s", mark, name)
+		case write.Began > op.Ended:
+			breach("mark %d: %s was seen before it was written", mark, name)
+		case write.Answered && (write.Fate == register.FateNone || write.Fate == register.FateStale):
+			breach("mark %d: %s was refused and is there all the same", mark, name)
+		case write.Expected >= 0 && write.Expected != mark-1:
+			breach("mark %d: %s expected %d", mark, name, write.Expected)
+		}
+	}
+	for _, op := range ops {
+		if !op.Answered || op.Fate == register.FateNone || op.Fate == register.FateUnknown {
+			continue
+		}
+		switch {
+		case op.Kind == "set" && op.Fate == register.FateDone:
+			see(op, op.Mark, op.Name)
+		case op.Kind == "set" && op.Expected == op.Mark:
+			breach("%s was called stale at the mark %d that it expected", op.Name, op.Mark)
+		default:
+			see(op, op.Mark, op.Found)
+		}
+		for _, before := range ops {
+			known := before.Answered && (before.Fate == register.FateDone || before.Fate == register.FateStale)
+			if known && before.Ended < op.Began && op.Mark < before.Mark {
+				breach("a call that began at %d saw mark %d, after mark %d was known at %d", op.Began, op.Mark, before.Mark, before.Ended)
+			}
+			if known && before != op && before.Ended < op.Began && op.Kind == "set" && op.Fate == register.FateDone && op.Mark <= before.Mark {
+				breach("%s got mark %d, after mark %d was known", op.Name, op.Mark, before.Mark)
+			}
+		}
+	}
+	return breaches
+}
+
+// CheckForce: no front's mark falls while it lives, and an acknowledged policy
+// is in effect at every connected front within the time allowed. Calm says
+// whether nothing hindered a front from a moment on.
+//
+//	breaches := sim.CheckForce(ops, force, fronts, 2000, calm)
+func CheckForce(ops []*Op, force []InForce, fronts []string, withinMs int64, calm func(front string, from, to int64) bool) []string {
+	var breaches []string
+	last := map[string]InForce{}
+	for _, one := range force {
+		if old, ok := last[one.Front]; ok && old.Life == one.Life && one.Mark <= old.Mark {
+			breaches = append(breaches, fmt.Sprintf("%d: %s went from mark %d to %d", one.At, one.Front, old.Mark, one.Mark))
+		}
+		last[one.Front] = one
+	}
+	for _, op := range ops {
+		if op.Kind != "set" || !op.Answered || op.Fate != register.FateDone {
+			continue
+		}
+		for _, front := range fronts {
+			if !calm(front, op.Ended, op.Ended+withinMs) {
+				continue
+			}
+			taken := false
+			for _, one := range force {
+				taken = taken || (one.Front == front && one.Mark >= op.Mark && one.At <= op.Ended+withinMs)
+			}
+			if !taken {
+				breaches = append(breaches, fmt.Sprintf("%d: mark %d is not in effect at %s %d ms after it was acknowledged", op.Ended, op.Mark, front, withinMs))
+			}
+		}
+	}
+	return breaches
+}
+
+// CheckLeaving: a worker that is leaving gets no new orders once the time is up.
+//
+//	breaches := world.CheckLeaving(3000)
+func (w *World) CheckLeaving(withinMs int64) []string {
+	var breaches []string
+	for _, one := range w.facts.orders {
+		var since int64 = -1
+		for _, change := range w.facts.leaving[one.Worker] {
+			if change.at <= one.At {
+				since = -1
+				if change.leaving {
+					since = change.at
+				}
+			}
+		}
+		if since >= 0 && one.Op == "load" && one.At > since+withinMs {
+			breaches = append(breaches, fmt.Sprintf("%d: %s, leaving since %d, was told to load %s", one.At, one.Worker, since, one.Item))
+		}
+	}
+	return breaches
+}
+
+// Breaches runs every checker over what the world's workers, fronts and
+// operators saw.
+//
+//	if breaches := world.Breaches(); len(breaches) > 0 { ... }
+func (w *World) Breaches() []string {
+	var out []string
+	out = append(out, CheckOwners(w.facts.orders, 3000)...)
+	out = append(out, CheckRoom(w.facts.orders)...)
+	for _, window := range []int64{1000, 3000, 5000} {
+		out = append(out, CheckRate(w.facts.loads, w.Shape.StoreMbPerS, window)...)
+	}
+	out = append(out, CheckRegister(w.facts.ops)...)
+	out = append(out, CheckForce(w.facts.ops, w.facts.force, nil, 2000, nil)...)
+	return append(out, w.CheckLeaving(3000)...)
+}
+
+// Waits sums up how long requests were held from a moment on: how many were
+// served, how many still wait, and since when the oldest does.
+//
+//	served, waiting, oldestMs := world.Waits(60000)
+func (w *World) Waits(from int64) (taken []int64, waiting int, oldestMs int64) {
+	for _, one := range w.facts.waits {
+		if one.at >= from {
+			taken = append(taken, one.took)
+		}
+	}
+	for _, f := range w.fronts {
+		for _, since := range f.waiting {
+			waiting++
+			oldestMs = max(oldestMs, w.now-since)
+		}
+	}
+	return taken, waiting, oldestMs
+}
--- /dev/null
+++ b/internal/process/sim/front.go
@@ -0,0 +1,182 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/mark/policy"
+	"applequay/internal/process/linework"
+	"applequay/internal/process/news"
+	"applequay/internal/process/register"
+)
+
+// front is a front machine: the real lineman, and a switchboard that holds
+// requests and notes what it hears.
+type front struct {
+	node
+	zone    string
+	line    *linework.Line
+	board   node
+	answers map[int64]func(register.Outcome)
+	nextAsk int64
+	heard   *news.Board
+	mark    int64
+	rooms   map[string]wire.WorkerNews
+	items   map[string]policy.Item
+	waiting map[string]int64 // item to the moment it was first asked for
+	served  map[string]int64 // item to how long it took
+}
+
+func (w *World) newFront(name, addr, zone string) *front {
+	f := &front{zone: zone}
+	f.node = node{world: w, name: name, addr: addr}
+	f.hear = func(from string, body wire.Record) { f.perform(f.line.Hear(f.clock(), from, body)) }
+	f.tick = func() { f.perform(f.line.Tick(f.clock(), w.now+f.wallMs)) }
+	f.board = node{world: w, name: "s" + name[1:], addr: strings.Replace(addr, ":1", ":2", 1), id: "s" + name}
+	f.board.hear = f.fed
+	f.board.tick = f.report
+	w.nodes[addr] = &f.node
+	w.nodes[f.board.addr] = &f.board
+	return f
+}
+
+func (f *front) start() {
+	w := f.world
+	f.life++
+	f.up, f.frozenTo = true, 0
+	f.board.life++
+	f.board.up = true
+	f.id = fmt.Sprintf("%s~%x", f.name, w.random.Int63()&0xffffff)
+	f.offsetMs = w.random.Int63n(100000) - w.now
+	f.answers, f.heard, f.mark = map[int64]func(register.Outcome){}, news.NewBoard(), 0
+	f.rooms, f.items = map[string]wire.WorkerNews{}, map[string]policy.Item{}
+	f.waiting, f.served = map[string]int64{}, map[string]int64{}
+	seeds := []string{}
+	for i := range w.Shape.Cores {
+		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
+	}
+	f.line = linework.New(f.clock(), linework.Boot{
+		ID: f.id, Name: f.name, Addr: f.addr, Zone: f.zone, Born: w.now + 1 + f.wallMs, Switchboard: f.board.addr, Seeds: append(seeds[:2:2], "10.0.1.1:1"),
+		Partitions: 12, LeaseMs: w.Shape.LeaseMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs,
+	}, rand.New(rand.NewSource(w.random.Int63())))
+	f.every(w.Shape.TickMs)
+	f.board.every(100)
+}
+
+func (f *front) perform(out wire.Outputs) {
+	for _, send := range out.Sends {
+		if strings.Contains(send.To, ":") {
+			f.world.send(&f.node, send.To, send.Kind, send.Body)
+		} else {
+			f.world.sendID(&f.node, f.line.Addr, send)
+		}
+	}
+	for _, answer := range out.Answers {
+		if told, ok := f.answers[answer.Call]; ok {
+			delete(f.answers, answer.Call)
+			told(answer.Body.(register.Outcome))
+		}
+	}
+}
+
+// fed takes what the lineman feeds its switchboard.
+func (f *front) fed(_ string, body wire.Record) {
+	told, ok := body.(*wire.News)
+	if !ok {
+		return
+	}
+	w := f.world
+	for _, topic := range told.Topics {
+		if !f.heard.Put(topic) {
+			continue
+		}
+		switch {
+		case topic.Name == "policy":
+			table, _, _ := policy.Parse(topic.Body, topic.Step)
+			f.items, f.mark = table.Items, topic.Step
+			w.facts.inForce(w.now, f, topic.Step)
+		case strings.HasPrefix(topic.Name, "homes/"):
+			var room wire.WorkerNews
+			if room.Unmarshal(topic.Body) == nil {
+				f.rooms[room.Worker] = room
+			}
+		}
+	}
+	for item, since := range f.waiting {
+		if f.holds(item) {
+			f.served[item] = w.now - since
+			delete(f.waiting, item)
+			w.facts.served(w.now, w.now-since)
+		}
+	}
+}
+
+// holds tells whether a request for an item could go somewhere.
+func (f *front) holds(item string) bool {
+	base := f.items[item].Base
+	for _, room := range f.rooms {
+		has := func(name string) bool {
+			return slices.ContainsFunc(room.Loaded, func(l wire.Loaded) bool { return l.Item == name && l.Ready })
+		}
+		if !room.Dark && !room.Leaving && has(item) && (base == "" || has(base)) {
+			return true
+		}
+	}
+	return false
+}
+
+// report asks the lineman for what it knows and tells it what is held.
+func (f *front) report() {
+	w := f.world
+	w.send(&f.board, f.addr, wire.KindSubscribe, &wire.Subscribe{Have: f.heard.Have(nil)})
+	told := &wire.Report{}
+	for item := range f.waiting {
+		told.Wants = append(told.Wants, wire.Want{Item: item, Held: 1, Weight: 1})
+	}
+	slices.SortFunc(told.Wants, func(a, b wire.Want) int { return strings.Compare(a.Item, b.Item) })
+	for name, room := range f.rooms {
+		for _, held := range room.Loaded {
+			if _, mine := f.served[held.Item]; mine && w.random.Intn(20) == 0 {
+				told.Uses = append(told.Uses, wire.Use{Worker: name, Item: held.Item, Count: 1, Weight: 1})
+			}
+		}
+	}
+	slices.SortFunc(told.Uses, func(a, b wire.Use) int { return strings.Compare(a.Item+a.Worker, b.Item+b.Worker) })
+	if len(told.Wants)+len(told.Uses) > 0 {
+		w.send(&f.board, f.addr, wire.KindReport, told)
+	}
+}
+
+// Ask makes callers at a front ask for an item; a request that finds no holder
+// is held there.
+//
+//	world.Ask(0, "m7")
+func (w *World) Ask(front int, item string) {
+	f := w.fronts[front]
+	if !f.up || f.mark == 0 {
+		return
+	}
+	if _, waits := f.waiting[item]; waits || f.holds(item) {
+		return
+	}
+	f.waiting[item] = w.now
+}
+
+// CrashFront kills lineman and switchboard of a front; Restart follows after a
+// while.
+//
+//	world.CrashFront(0, 2000)
+func (w *World) CrashFront(at int, ms int64) {
+	f := w.fronts[at]
+	if !f.up {
+		return
+	}
+	w.note("%s crashes for %d", f.name, ms)
+	f.up, f.board.up = false, false
+	f.life++
+	f.board.life++
+	w.after(ms, f.start)
+}
--- /dev/null
+++ b/internal/process/sim/plan.go
@@ -0,0 +1,131 @@
+package sim
+
+import "fmt"
+
+// Faults is a run full of breakdowns, drawn from the seed; it ends calm, and
+// then everything must be served again.
+//
+//	world := sim.Faults(sim.Brilleverk(), 7)
+func Faults(shape Shape, seed int64) *World {
+	w := New(shape, seed)
+	ann, ben := w.NewOperator("ann"), w.NewOperator("ben")
+	w.At(4000, func() { ann.Set(-1) })
+	last := int64(60000)
+	for at := int64(5000); at < last+20000; at += 200 {
+		w.At(at, func() { w.Ask(w.random.Intn(len(w.fronts)), w.item()) })
+	}
+	for _, one := range []*Operator{ann, ben} {
+		for at := int64(6000); at < last; at += 300 + w.random.Int63n(3000) {
+			w.At(at, func() {
+				if w.random.Intn(4) == 0 {
+					one.Set(-1)
+				} else {
+					one.Get(func(mark int64) { one.Set(mark) })
+				}
+			})
+		}
+	}
+	for at := int64(9000); at < last; at += 500 + w.random.Int63n(6000) {
+		w.At(at, w.fault)
+	}
+	w.At(last, w.Heal)
+	w.At(last+15000, func() { ann.Get(nil) })
+	w.Run(last + 25000)
+	return w
+}
+
+func (w *World) item() string {
+	if w.random.Intn(3) == 0 {
+		return fmt.Sprintf("a%d", w.random.Intn(w.Shape.Adapters))
+	}
+	return fmt.Sprintf("m%d", w.random.Intn(w.Shape.Models))
+}
+
+// Heal ends all that hinders: every machine is up and every link whole.
+//
+//	world.Heal()
+func (w *World) Heal() {
+	w.note("all is healed")
+	w.cut = map[[2]string]bool{}
+	w.loss, w.delay = w.Shape.LossPercent, 2
+	for i, e := range w.cores {
+		e.slowMs, e.stallTo, e.disk.full = 0, 0, false
+		w.Restart(i, false)
+	}
+}
+
+// up counts the core machines that work and have their disk.
+func (w *World) upCores() int {
+	count := 0
+	for _, e := range w.cores {
+		if e.up {
+			count++
+		}
+	}
+	return count
+}
+
+// fault causes one breakdown. No more than one core machine's disk is lost in
+// a run, since more is beyond what the core is meant to bear.
+func (w *World) fault() {
+	core := w.random.Intn(len(w.cores))
+	e := w.cores[core]
+	switch w.random.Intn(12) {
+	case 0, 1:
+		w.Crash(core, w.random.Intn(2) == 0)
+		w.after(200+w.random.Int63n(8000), func() { w.Restart(core, false) })
+	case 2:
+		w.Freeze(core, 500+w.random.Int63n(9000))
+	case 3:
+		w.note("%s disk slow", e.name)
+		e.slowMs = w.random.Int63n(600)
+	case 4:
+		w.note("%s disk stalls", e.name)
+		e.stallTo = w.now + w.random.Int63n(6000)
+	case 5:
+		w.cutSome()
+	case 6:
+		w.KillWorker(w.random.Intn(len(w.workers)), w.random.Int63n(5000))
+	case 7:
+		one := w.workers[w.random.Intn(len(w.workers))].name
+		w.Leave(one, true)
+		w.after(4000+w.random.Int63n(8000), func() { w.Leave(one, false) })
+	case 8:
+		w.CrashFront(w.random.Intn(len(w.fronts)), w.random.Int63n(5000))
+	case 9:
+		e.wallMs = w.random.Int63n(7200000) - 3600000
+		w.note("%s clock set by %d", e.name, e.wallMs)
+	case 10:
+		w.note("all core machines lose power")
+		for i := range w.cores {
+			w.Crash(i, true)
+			w.after(500+w.random.Int63n(1500), func() { w.Restart(i, false) })
+		}
+	case 11:
+		w.loss, w.delay = w.random.Intn(20), 1+w.random.Int63n(40)
+		w.note("links lose %d in 100 and take %d", w.loss, w.delay)
+		w.after(4000, func() { w.loss, w.delay = w.Shape.LossPercent, 2 })
+	}
+}
+
+// cutSome cuts one core machine off, or splits the core, one way or both.
+func (w *World) cutSome() {
+	side := map[string]bool{}
+	for _, e := range w.cores {
+		side[e.addr] = w.random.Intn(2) == 0
+	}
+	both := w.random.Intn(2) == 0
+	w.note("core split %v both ways %v", side, both)
+	for _, one := range w.cores {
+		for _, other := range w.cores {
+			if side[one.addr] && !side[other.addr] {
+				w.Cut(one.addr, other.addr, true)
+				w.Cut(other.addr, one.addr, both)
+			}
+		}
+	}
+	w.after(1000+w.random.Int63n(8000), func() {
+		w.note("cuts end")
+		w.cut = map[[2]string]bool{}
+	})
+}
--- /dev/null
+++ b/internal/process/sim/sim_test.go
@@ -0,0 +1,44 @@
+package sim
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// SIM_SEEDS=from-to runs other seeds, SIM_SHOW=1 prints the histories.
+func seeds(c *qt.C, from, to int64) (int64, int64) {
+	if text := os.Getenv("SIM_SEEDS"); text != "" {
+		one, other, ok := strings.Cut(text, "-")
+		c.Assert(ok, qt.IsTrue)
+		var err error
+		from, err = strconv.ParseInt(one, 10, 64)
+		c.Assert(err, qt.IsNil)
+		to, err = strconv.ParseInt(other, 10, 64)
+		c.Assert(err, qt.IsNil)
+	}
+	return from, to
+}
+
+func TestFaults(t *testing.T) {
+	c := qt.New(t)
+	from, to := seeds(c, 1, 3)
+	for _, shape := range []Shape{Brilleverk(), Krizanka()} {
+		for seed := from; seed <= to; seed++ {
+			c.Run(shape.Name+"/"+strconv.FormatInt(seed, 10), func(c *qt.C) {
+				c.Parallel()
+				w := Faults(shape, seed)
+				breaches := w.Breaches()
+				if len(breaches) > 0 || os.Getenv("SIM_SHOW") != "" {
+					c.Logf("%s", strings.Join(w.History, "\n"))
+				}
+				c.Check(breaches, qt.HasLen, 0)
+				c.Check(len(w.facts.orders) > 20, qt.IsTrue, qt.Commentf("%d orders", len(w.facts.orders)))
+				c.Check(len(w.facts.waits) > 20, qt.IsTrue, qt.Commentf("%d served", len(w.facts.waits)))
+			})
+		}
+	}
+}
