Testdesk: both deployments as real processes, with callers, faults and checkers

Machines have loopback addresses of their own and speak from them, so links can be cut or made thin by proxies.

--- a/cmd/exchange/main.go
+++ b/cmd/exchange/main.go
@@ -58,14 +58,14 @@
 	}
 	epoch := time.Now()
 	core := frame.New(1, frame.Boot{
-		ID: found.Identity, Name: settings.Name, Addr: settings.Listen, Zone: settings.Zone, Born: epoch.UnixMilli(), Outward: settings.Listen,
+		ID: found.Identity, Name: settings.Name, Addr: settings.Advertise, Zone: settings.Zone, Born: epoch.UnixMilli(), Outward: settings.Listen,
 		Core: settings.Core, Seeds: settings.Seeds, Partitions: settings.Partitions,
 		LeaseMs: settings.LeaseMs, PollMs: settings.PollMs, ProbeMs: settings.ProbeMs, CallMs: settings.CallMs,
 	}, rand.New(rand.NewSource(epoch.UnixNano())), &snapshot, found.Writes)
 
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	cable := trunk.New(work, found.Identity, settings.Listen, time.Duration(settings.LeaseMs)*time.Millisecond/4)
+	cable := trunk.New(work, found.Identity, settings.Advertise, settings.Listen, time.Duration(settings.LeaseMs)*time.Millisecond/4)
 	writer := position.NewWriter(kept, settings.LogKb<<10, func() []byte { return wire.Encode(core.Snapshot()) })
 	control := position.New(position.Options{Machine: core, Self: found.Identity, Cable: cable, Log: log, Writer: writer, Epoch: epoch, Tick: time.Duration(settings.TickMs) * time.Millisecond})
 	clerk := orders.New(work, settings.Directory, time.Duration(settings.PollMs)*time.Millisecond*2)
--- a/cmd/extension/main.go
+++ b/cmd/extension/main.go
@@ -18,8 +18,8 @@
 )
 
 type settings struct {
-	name, listen, role, record string
-	roomMb, pieceMs            int64
+	name, listen, role, recordFile string
+	roomMb, pieceMs                int64
 }
 
 func main() {
@@ -28,7 +28,7 @@
 	set.StringVar(&s.name, "name", "w1", "name of this worker")
 	set.StringVar(&s.listen, "listen", "127.0.0.1:7800", "address, IP:port")
 	set.StringVar(&s.role, "role", "model", "model or app")
-	set.StringVar(&s.record, "record", "", "file to which all that happens is appended, JSON lines")
+	set.StringVar(&s.recordFile, "record", "", "file to which all that happens is appended, JSON lines")
 	set.Int64Var(&s.roomMb, "room-mb", 1000, "room for models")
 	set.Int64Var(&s.pieceMs, "piece-ms", 20, "time between pieces")
 	if err := ff.Parse(set, os.Args[1:]); err != nil {
@@ -36,8 +36,8 @@
 	}
 	log := boot.Log("extension", s.name)
 	out := os.Stdout
-	if s.record != "" {
-		file, err := os.OpenFile(s.record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if s.recordFile != "" {
+		file, err := os.OpenFile(s.recordFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
 			log.Error("record", zap.Error(err))
 			os.Exit(boot.ExitFault)
--- a/cmd/extension/serve.go
+++ b/cmd/extension/serve.go
@@ -20,6 +20,7 @@
 	pieces    int64
 }
 
+// asked is the body of a request for pieces.
 type asked struct {
 	Model   string `json:"model"`
 	Adapter string `json:"adapter"`
@@ -85,6 +86,7 @@
 func Piece(run, tag string, at int64) string { return fmt.Sprintf("%s|%s|%d", tag, run, at) }
 
 func (w *worker) begin(s *state, ask asked, path string) started {
+	w.record(entry{Event: "came", Tag: ask.Tag, Path: path})
 	item := ask.Model
 	if ask.Adapter != "" {
 		item = ask.Adapter
@@ -144,6 +146,7 @@
 	_ = json.Unmarshal(body, &ask)
 	key := r.Header.Get(cord.HeaderKey)
 	done := on(w, func(s *state) booking {
+		w.record(entry{Event: "came", Key: key, Tag: ask.Tag, Path: r.URL.Path})
 		if old, ok := s.booked[key]; ok && key != "" {
 			w.record(entry{Event: "again", Key: key, Tag: ask.Tag})
 			return old
--- a/cmd/extension/worker.go
+++ b/cmd/extension/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -38,6 +39,7 @@
 // run is the thread that owns the state.
 func (w *worker) run(ctx context.Context) {
 	s := &state{items: map[string]*held{}, runs: map[string]run{}, booked: map[string]booking{}}
+	w.remember(s)
 	w.record(entry{Event: "start", RoomMb: w.roomMb})
 	for {
 		select {
@@ -49,6 +51,24 @@
 	}
 }
 
+// remember reads the bookings of earlier lives: an application has its own
+// disk.
+func (w *worker) remember(s *state) {
+	file, err := os.Open(w.recordFile)
+	if err != nil {
+		return
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var e entry
+		if json.Unmarshal(lines.Bytes(), &e) == nil && e.Event == "booked" {
+			s.nextRun++
+			s.booked[e.Key] = booking{number: s.nextRun, tag: e.Tag}
+		}
+	}
+}
+
 // on runs a step on the state's thread and waits for it.
 func on[T any](w *worker, step func(*state) T) T {
 	back := make(chan T, 1)
--- a/cmd/lineman/main.go
+++ b/cmd/lineman/main.go
@@ -36,13 +36,13 @@
 	epoch := time.Now()
 	id := standing.Identity(settings.Name)
 	line := linework.New(1, linework.Boot{
-		ID: id, Name: settings.Name, Addr: settings.Listen, Zone: settings.Zone, Outward: settings.Listen, Born: epoch.UnixMilli(),
+		ID: id, Name: settings.Name, Addr: settings.Advertise, Zone: settings.Zone, Outward: settings.Listen, Born: epoch.UnixMilli(),
 		Switchboard: settings.Switchboard, Seeds: settings.Seeds, Partitions: settings.Partitions,
 		LeaseMs: settings.LeaseMs, ProbeMs: settings.ProbeMs, CallMs: settings.CallMs,
 	}, rand.New(rand.NewSource(epoch.UnixNano())))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	cable := trunk.New(work, id, settings.Listen, time.Duration(settings.LeaseMs)*time.Millisecond/4)
+	cable := trunk.New(work, id, settings.Advertise, settings.Listen, time.Duration(settings.LeaseMs)*time.Millisecond/4)
 	control := position.New(position.Options{Machine: line, Self: id, Cable: cable, Log: log, Epoch: epoch, Tick: time.Duration(settings.TickMs) * time.Millisecond})
 	router := mux.NewRouter()
 	router.Handle("/trunk", cable.Handler(control.Deliver)).Methods("POST")
--- a/cmd/switchboard/main.go
+++ b/cmd/switchboard/main.go
@@ -35,7 +35,7 @@
 func run(ctx context.Context, settings *boot.Boot, log *zap.Logger) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	cable := trunk.New(work, standing.Identity(settings.Name), settings.Listen, time.Second)
+	cable := trunk.New(work, standing.Identity(settings.Name), settings.Listen, settings.Listen, time.Second)
 	plugs := plugboard.New(settings.Lineman, cable)
 	limits := cord.LimitsFor(settings.Slots, settings.BodyKb<<10, time.Duration(settings.HoldMs)*time.Millisecond)
 	board := cord.New(limits, line.New(limits.Avoid/2), plugs, time.Now())
--- a/internal/connection/trunk/trunk.go
+++ b/internal/connection/trunk/trunk.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -45,11 +46,17 @@
 	Counts     *Counts
 }
 
-// New makes a trunk for a node; wait is how long a small batch may take.
+// New makes a trunk for a node that others reach at addr and that listens at
+// listen; wait is how long a small batch may take.
 //
-//	cable := trunk.New(ctx, "c1~7f", "127.0.0.1:7100", time.Second)
-func New(ctx context.Context, self, addr string, wait time.Duration) *Trunk {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+//	cable := trunk.New(ctx, "c1~7f", settings.Advertise, settings.Listen, time.Second)
+func New(ctx context.Context, self, addr, listen string, wait time.Duration) *Trunk {
+	dialer := &net.Dialer{Timeout: wait}
+	if host, _, err := net.SplitHostPort(listen); err == nil {
+		// A machine speaks from the address that it listens on.
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
+	}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: &http.Client{Transport: transport}, wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
--- a/internal/process/boot/boot.go
+++ b/internal/process/boot/boot.go
@@ -14,11 +14,11 @@
 
 // Boot holds the settings of every program; each asks for those it needs.
 type Boot struct {
-	Name, Zone, Listen, Callers, Lineman, Switchboard, Data, Directory, Settings string
-	Seeds, Core                                                                  []string
-	LeaseMs, ProbeMs, PollMs, CallMs, TickMs, Partitions                         int64
-	SyncFloorMs, LogKb, HoldMs, DrainMs, BodyKb, Slots                           int64
-	seeds, core                                                                  string
+	Name, Zone, Listen, Advertise, Callers, Lineman, Switchboard, Data, Directory, Settings string
+	Seeds, Core                                                                             []string
+	LeaseMs, ProbeMs, PollMs, CallMs, TickMs, Partitions                                    int64
+	SyncFloorMs, LogKb, HoldMs, DrainMs, BodyKb, Slots                                      int64
+	seeds, core                                                                             string
 }
 
 // Part names a group of settings that a program takes.
@@ -77,6 +77,9 @@
 
 func (b *Boot) addresses(parts Part) []address {
 	all := []address{{"listen", &b.Listen, true, "address for other processes and operators, IP:port"}}
+	if parts&PartNode != 0 {
+		all = append(all, address{"advertise", &b.Advertise, false, "address at which others reach this process, if not listen"})
+	}
 	if parts&PartDisk != 0 {
 		all = append(all, address{"directory", &b.Directory, true, "address of the platform's worker list, IP:port"})
 	}
@@ -116,6 +119,9 @@
 	if err := ff.Parse(set, args, ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.JSONParser)); err != nil {
 		return nil, []string{err.Error()}
 	}
+	if b.Advertise == "" {
+		b.Advertise = b.Listen
+	}
 	return b, b.faults(parts, set)
 }
 
--- /dev/null
+++ b/internal/process/fleet/world.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"applequay/internal/process/orders"
+)
+
+// World is one deployment, running.
+type World struct {
+	Shape     Shape
+	Dir, Bin  string
+	ctx       context.Context
+	cancel    context.CancelFunc
+	links     *links
+	procs     map[string]*process
+	names     []string
+	seeds     []string
+	listed    []orders.Listed
+	Cores     []string
+	Fronts    []string
+	client    *http.Client
+	Notes     []Note
+	directory string
+	subs      int
+}
+
+// Note is something the desk did or saw, for the checkers.
+type Note struct {
+	TimeMs int64  `json:"t"`
+	Event  string `json:"event"`
+	Name   string `json:"name,omitempty"`
+	Mark   int64  `json:"mark,omitempty"`
+	Why    string `json:"why,omitempty"`
+}
+
+func (w *World) note(event, name string, mark int64, why string) {
+	w.Notes = append(w.Notes, Note{TimeMs: time.Now().UnixMilli(), Event: event, Name: name, Mark: mark, Why: why})
+}
+
+func (w *World) addr(group, number, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", w.Shape.Net, group, number, port)
+}
+
+// Groups of machine addresses; public ones lead through the links.
+const (
+	groupCore = iota + 1
+	groupFront
+	groupWorker
+	groupApp
+	groupPublicCore
+	groupPublicFront
+	groupPlatform
+)
+
+// New lays a deployment out in a folder; nothing runs yet.
+//
+//	world := fleet.New(fleet.Small(), dir, bin)
+func New(shape Shape, dir, bin string) (*World, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &World{Shape: shape, Dir: dir, Bin: bin, ctx: ctx, cancel: cancel, links: newLinks(shape.LinkKbPerS), procs: map[string]*process{}, client: &http.Client{Timeout: 8 * time.Second}}
+	w.directory = w.addr(groupPlatform, 1, 7900)
+	w.add("directory", "directory", "-listen", w.directory)
+	for i := range shape.Cores {
+		w.seeds = append(w.seeds, w.addr(groupPublicCore, i+1, 7100))
+	}
+	core := strings.Join(w.seeds, ",")
+	for i := range shape.Cores {
+		if err := w.AddCore(fmt.Sprintf("c%d", i+1), i+1, core); err != nil {
+			return nil, err
+		}
+	}
+	for i := range shape.Fronts {
+		lineman, public := w.addr(groupFront, i+1, 7200), w.addr(groupPublicFront, i+1, 7200)
+		if err := w.links.relay(ctx, public, lineman); err != nil {
+			return nil, err
+		}
+		plugs := w.addr(groupFront, i+1, 7300)
+		w.add(fmt.Sprintf("l%d", i+1), "lineman", "-name", fmt.Sprintf("l%d", i+1), "-zone", fmt.Sprintf("z%d", i%shape.Zones), "-listen", lineman, "-advertise", public, "-switchboard", plugs, "-seeds", strings.Join(w.seeds[:min(3, len(w.seeds))], ","), "-lease-ms", fmt.Sprint(shape.LeaseMs))
+		w.add(fmt.Sprintf("s%d", i+1), "switchboard", "-name", fmt.Sprintf("s%d", i+1), "-listen", plugs, "-callers", w.addr(groupFront, i+1, 7400), "-lineman", lineman)
+		w.Fronts = append(w.Fronts, w.addr(groupFront, i+1, 7400))
+	}
+	for i := range shape.Workers {
+		w.AddWorker(i+1, false)
+	}
+	for i := range shape.Apps {
+		w.AddWorker(i+1, true)
+	}
+	return w, nil
+}
+
+// AddCore lays out a core machine; its number gives its address.
+//
+//	err := world.AddCore("c9", 9, "")
+func (w *World) AddCore(name string, number int, core string) error {
+	private, public := w.addr(groupCore, number, 7100), w.addr(groupPublicCore, number, 7100)
+	if err := w.links.relay(w.ctx, public, private); err != nil {
+		return err
+	}
+	args := []string{"-name", name, "-zone", fmt.Sprintf("z%d", number%w.Shape.Zones), "-listen", private, "-advertise", public, "-seeds", strings.Join(w.seeds[:min(3, len(w.seeds))], ","),
+		"-core", core, "-data", filepath.Join(w.Dir, "data-"+name), "-directory", w.directory, "-sync-floor-ms", fmt.Sprint(w.Shape.SyncMs), "-lease-ms", fmt.Sprint(w.Shape.LeaseMs)}
+	w.add(name, "exchange", args...)
+	w.Cores = append(w.Cores, name)
+	return nil
+}
+
+// AddWorker lays out a worker and puts it in the platform's list.
+//
+//	world.AddWorker(4, false)
+func (w *World) AddWorker(number int, app bool) {
+	name, pool, role, group := fmt.Sprintf("w%d", number), "llm", "model", groupWorker
+	if app {
+		name, pool, role, group = fmt.Sprintf("b%d", number), "app", "app", groupApp
+	}
+	addr := w.addr(group, number, 7800)
+	w.add(name, "extension", "-name", name, "-listen", addr, "-role", role, "-room-mb", fmt.Sprint(w.Shape.RoomMb), "-piece-ms", fmt.Sprint(w.Shape.PieceMs), "-record", filepath.Join(w.Dir, name+".rec"))
+	w.listed = append(w.listed, orders.Listed{Name: name, Addr: addr, Zone: fmt.Sprintf("z%d", number%w.Shape.Zones), Pool: pool, RoomMb: w.Shape.RoomMb})
+}
+
+func (w *World) add(name, program string, args ...string) {
+	w.procs[name] = &process{name: name, program: program, args: args, log: filepath.Join(w.Dir, name+".log")}
+	w.names = append(w.names, name)
+}
+
+// Start starts processes; with no names, all that are not running.
+//
+//	err := world.Start("c1", "c2")
+func (w *World) Start(names ...string) error {
+	if len(names) == 0 {
+		names = w.names
+	}
+	for _, name := range names {
+		if p := w.procs[name]; !p.up() {
+			if err := p.start(w.Bin); err != nil {
+				return oops.Wrapf(err, "starting %s", name)
+			}
+			w.note("start", name, 0, "")
+		}
+	}
+	return nil
+}
+
+// Kill ends processes at once.
+//
+//	world.Kill("c1")
+func (w *World) Kill(names ...string) {
+	for _, name := range names {
+		w.note("kill", name, 0, "")
+		w.procs[name].kill()
+	}
+}
+
+// Close ends everything the world started.
+//
+//	defer world.Close()
+func (w *World) Close() {
+	for _, name := range slices.Backward(w.names) {
+		w.procs[name].kill()
+	}
+	w.cancel()
+}
+
+func (w *World) call(method, url string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(w.ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	answer, err := w.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	told, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, told, err
+}
+
+// List gives the platform's list to the directory.
+//
+//	err := world.List()
+func (w *World) List() error {
+	body, err := json.Marshal(map[string]any{"workers": w.listed})
+	if err != nil {
+		return err
+	}
+	status, told, err := w.call(http.MethodPut, "http://"+w.directory+"/workers", body)
+	if err != nil || status != http.StatusOK {
+		return oops.Wrapf(err, "the directory answered %d %s", status, told)
+	}
+	return nil
+}
+
+// Leave marks a worker as leaving, or no longer.
+//
+//	err := world.Leave("w3", true)
+func (w *World) Leave(name string, leaving bool) error {
+	w.listed = slices.Clone(w.listed)
+	for at := range w.listed {
+		if w.listed[at].Name == name {
+			w.listed[at].Leaving = leaving
+		}
+	}
+	err := w.List()
+	w.note("leaving", name, map[bool]int64{true: 1}[leaving], "")
+	return err
+}
+
+// ReadLog returns a process's log, for failures' messages.
+//
+//	text := world.ReadLog("c1")
+func (w *World) ReadLog(name string) string {
+	body, err := os.ReadFile(w.procs[name].log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
