Register: a read whose copies differ goes on when one exchange is away

Cause: since phases repeat themselves, the query phase did too; with one of three exchanges silent and the other two differing it waited for the third until the call ran out. Ruled out: ballots (no prepare was ever sent). Now a query that is not over in its time goes on to prepare and accept, which mends. TestReadsMend failed before (the read did not end) and passes.

--- a/internal/process/register/proposer.go
+++ b/internal/process/register/proposer.go
@@ -196,8 +196,6 @@
 	}
 }
 
-func (p *Proposer) majority() int { return len(p.core.Seats)/2 + 1 }
-
 func (p *Proposer) seated(id string) bool {
 	for _, seat := range p.core.Seats {
 		if seat.ID == id {
@@ -226,7 +224,7 @@
 				o.fate = FateUnknown
 			}
 			p.finish(&out, o, Outcome{Key: o.key, Fate: o.fate})
-		case now >= o.phaseEnds && o.phase == phaseWait:
+		case now >= o.phaseEnds && (o.phase == phaseWait || o.phase == phaseQuery):
 			out.Add(p.begin(now, o))
 		case now >= o.phaseEnds:
 			o.phaseEnds = now + p.limits.PhaseMs
--- a/internal/process/register/rounds.go
+++ b/internal/process/register/rounds.go
@@ -210,6 +210,8 @@
 	p.finish(out, o, outcome)
 }
 
+func (p *Proposer) majority() int { return len(p.core.Seats)/2 + 1 }
+
 func sortedOps(ops map[int64]*operation) []int64 {
 	keys := make([]int64, 0, len(ops))
 	for op := range ops {
