Core set: that a set is swept is learnt, so the next change can begin

Cause: the proposer took up a core set only when its epoch rose; the note that the set was swept has the same epoch, so after the first change of a member the steward swept for ever and no newcomer was let in.

--- a/internal/process/register/proposer.go
+++ b/internal/process/register/proposer.go
@@ -109,7 +109,7 @@
 //
 //	proposer.Learn(core)
 func (p *Proposer) Learn(core wire.CoreSet) {
-	if core.Epoch > p.core.Epoch {
+	if core.Epoch > p.core.Epoch || (core.Epoch == p.core.Epoch && core.Swept) {
 		p.core = core
 	}
 }
--- a/internal/process/sim/exchange.go
+++ b/internal/process/sim/exchange.go
@@ -213,3 +213,13 @@
 	w.note("%s freezes for %d", w.cores[core].name, ms)
 	w.cores[core].frozenTo = w.now + ms
 }
+
+// AddCore brings a new, empty core machine into the world.
+//
+//	fresh := world.AddCore("c9", "10.0.0.9:1")
+func (w *World) AddCore(name, addr string) *exchange {
+	e := w.newExchange(name, addr)
+	w.cores = append(w.cores, e)
+	e.start()
+	return e
+}
--- /dev/null
+++ b/internal/process/sim/scenarios_test.go
@@ -0,0 +1,196 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/register"
+)
+
+// steady is a world where traffic and a policy are going.
+func steady(shape Shape, seed int64, until int64) *World {
+	w := New(shape, seed)
+	ann := w.NewOperator("ann")
+	w.At(4000, func() { ann.Set(-1) })
+	for at := int64(5000); at < 120000; at += 400 {
+		w.At(at, func() { w.Ask(w.random.Intn(len(w.fronts)), w.item()) })
+	}
+	w.Run(until)
+	return w
+}
+
+func (w *World) coreAt(at int) wire.CoreSet { return w.cores[at].core.Page(w.cores[at].clock()).Core }
+
+func seated(core wire.CoreSet, id string) bool {
+	return slices.ContainsFunc(core.Seats, func(s wire.Seat) bool { return s.ID == id })
+}
+
+func each(c *qt.C, run func(c *qt.C, shape Shape)) {
+	for _, shape := range []Shape{Brilleverk(), Krizanka()} {
+		c.Run(shape.Name, func(c *qt.C) {
+			c.Parallel()
+			run(c, shape)
+		})
+	}
+}
+
+func calm(c *qt.C, w *World) {
+	breaches := w.Breaches()
+	if len(breaches) > 0 {
+		c.Logf("%s", strings.Join(w.History, "\n"))
+	}
+	c.Check(breaches, qt.HasLen, 0)
+}
+
+// A machine that comes back with an empty disk is a new identity; it takes the
+// old one's seat, one change at a time, and then makes up the majority.
+func TestLostDisk(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 11, 12000)
+		old := w.cores[1].id
+		w.Crash(1, true)
+		w.Run(13000)
+		w.Restart(1, true)
+		w.Run(40000)
+		core := w.coreAt(0)
+		c.Check(core.Seats, qt.HasLen, shape.Cores)
+		c.Check(core.Swept, qt.IsTrue)
+		c.Check(seated(core, old), qt.IsFalse)
+		c.Check(seated(core, w.cores[1].id), qt.IsTrue)
+		w.Crash(0, true)
+		done := false
+		ben := w.NewOperator("ben")
+		for at := int64(41000); at < 50000; at += 500 {
+			w.At(at, func() { ben.Get(func(int64) { done = true }) })
+		}
+		w.Run(52000)
+		c.Check(done, qt.IsTrue, qt.Commentf("the new one carries weight"))
+		calm(c, w)
+	})
+}
+
+// A core machine is replaced by an empty one at a new address.
+func TestReplacedCore(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 12, 12000)
+		gone := w.cores[0].id
+		w.Crash(0, true)
+		fresh := w.AddCore("c9", "10.0.0.9:1")
+		w.Run(60000)
+		core := w.coreAt(1)
+		c.Check(core.Seats, qt.HasLen, shape.Cores)
+		c.Check(core.Swept, qt.IsTrue)
+		c.Check(seated(core, gone), qt.IsFalse)
+		c.Check(seated(core, fresh.id), qt.IsTrue)
+		calm(c, w)
+	})
+}
+
+// All machines lose power and come back: within 12 s requests are served.
+func TestPowerOfAll(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 13, 20000)
+		for at := range w.cores {
+			w.Crash(at, true)
+		}
+		for at := range w.fronts {
+			w.CrashFront(at, 500)
+		}
+		for at := range w.workers {
+			w.KillWorker(at, 500)
+		}
+		w.Run(20500)
+		for at := range w.cores {
+			w.Restart(at, false)
+		}
+		w.Run(32500)
+		taken, waiting, _ := w.Waits(20500)
+		c.Check(len(taken) > waiting, qt.IsTrue, qt.Commentf("%d served, %d wait", len(taken), waiting))
+		calm(c, w)
+	})
+}
+
+// An owner freezes past its grant with orders in flight, and wakes.
+func TestFrozenOwner(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 14, 10000)
+		for at := range w.cores {
+			w.Freeze(at, 7000)
+			w.Run(w.now + 12000)
+		}
+		c.Check(len(w.facts.orders) > 20, qt.IsTrue)
+		calm(c, w)
+	})
+}
+
+// The core is split in two, then cut off from all fronts: marks stay, nothing
+// is lost, and what was acknowledged on either side holds.
+func TestSplitCore(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 15, 10000)
+		ann, ben := w.NewOperator("ann2"), w.NewOperator("ben2")
+		for at := int64(10000); at < 40000; at += 700 {
+			w.At(at, func() { ann.Get(ann.Set); ben.Set(-1) })
+		}
+		half := len(w.cores) / 2
+		for _, one := range w.cores[:half] {
+			for _, other := range w.cores[half:] {
+				w.Cut(one.addr, other.addr, true)
+				w.Cut(other.addr, one.addr, true)
+			}
+		}
+		w.Run(20000)
+		w.Heal()
+		w.Run(24000)
+		for _, e := range w.cores {
+			for _, f := range w.fronts {
+				w.Cut(e.addr, f.addr, true)
+				w.Cut(f.addr, e.addr, true)
+			}
+		}
+		w.CrashFront(0, 500)
+		w.Run(30000)
+		c.Check(w.fronts[0].mark > 0, qt.IsTrue, qt.Commentf("a restarted front learns from its peers"))
+		w.Heal()
+		w.Run(45000)
+		calm(c, w)
+	})
+}
+
+// An acknowledged policy outlives the machine that acknowledged it, and is in
+// force everywhere within two seconds.
+func TestAcknowledgedThenKilled(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 16, 12000)
+		e := w.cores[0]
+		var mark int64
+		for turn := range 6 {
+			name := fmt.Sprintf("kay-%d", turn)
+			op := w.facts.begin(w.now, "set", name, -1)
+			e.nextAsk++
+			e.answers[e.nextAsk] = func(outcome register.Outcome) {
+				w.facts.end(w.now, op, outcome, nameOf(outcome.Value))
+				mark = outcome.Value.Mark
+				w.Crash(0, true)
+			}
+			e.perform(e.core.Change(e.clock(), e.nextAsk, "policy", -1, w.Body(name)))
+			w.Run(w.now + 8000)
+			for _, f := range w.fronts {
+				c.Check(f.mark >= mark, qt.IsTrue, qt.Commentf("%s has %d of %d", f.name, f.mark, mark))
+			}
+			w.Restart(0, false)
+			w.Run(w.now + 2000)
+		}
+		fronts := []string{}
+		for _, f := range w.fronts {
+			fronts = append(fronts, f.name)
+		}
+		c.Check(CheckForce(w.facts.ops, w.facts.force, fronts, 2000, func(string, int64, int64) bool { return true }), qt.HasLen, 0)
+		calm(c, w)
+	})
+}
