Recovery after a loss of power serves sooner; leaving is heeded on reading it

Causes, found with TestPowerOfAll: after a restart each turn of the store waited a period of the largest model from the moment of taking up, though nothing was loaded since the process began; a turn stayed taken until the next regular look at its worker (500 ms); and loads that nobody waited for any more went before those that were waited for. Spans of openings were told as moments of another machine's clock. Ruled out: the quiet lease after a start (3.2 s, needed) and claims (all 12 partitions were owned 0.3 s after it). Now a turn's period counts from the process's start; workers are looked at when a load should be done; items ask again while they are wanted, and what was not asked for lately goes without being loaded; an exchange that reads the mark stops its own orders at once.

--- a/cmd/subscriber/calls.go
+++ b/cmd/subscriber/calls.go
@@ -108,6 +108,9 @@
 			body, _ = json.Marshal(map[string]any{"model": item[0], "adapter": item[1], "tag": sent, "pieces": calls.Pieces, "prompt": prompt})
 		}
 		line := Line{Event: "stream", Path: calls.Path, Tag: sent, Front: c.front(), Shot: shot}
+		if run != "" {
+			line.Tag = fmt.Sprintf("%s/%d", sent, shot)
+		}
 		wait := c.streamOnce(&line, body, sent, &run, &next, calls.Pieces)
 		if next > 0 && first == 0 {
 			first = time.Since(came).Milliseconds()
--- a/internal/process/fleet/proxy.go
+++ b/internal/process/fleet/proxy.go
@@ -27,7 +27,15 @@
 
 // relay serves one node: what comes to its public address goes to its own.
 func (l *links) relay(ctx context.Context, public, private string) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", public)
+	var listener net.Listener
+	var err error
+	// The address may still be held by a world that is just being closed.
+	for range 40 {
+		if listener, err = (&net.ListenConfig{}).Listen(ctx, "tcp", public); err == nil {
+			break
+		}
+		<-time.After(50 * time.Millisecond)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/process/fleet/report.go
+++ b/internal/process/fleet/report.go
@@ -54,8 +54,11 @@
 		}
 		if call.Why != "" {
 			why := call.Why
-			if at := strings.Index(why, ": dial"); at > 0 {
+			switch {
+			case strings.Contains(why, "dial tcp"):
 				why = "no connection"
+			case strings.Contains(why, "://"):
+				why = why[strings.LastIndex(why, ": ")+2:]
 			}
 			figures.Whys[why]++
 		}
--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -53,6 +53,7 @@
 	steward    steward
 	timers     map[string]int64
 	unheld     map[int64]int64
+	took       map[int64]bool
 	leaving    bool
 	stalled    bool
 	events     int64
@@ -78,7 +79,7 @@
 		board:    news.NewBoard(),
 		view:     &partition.View{Policy: policy.Empty(), Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Owners: map[int64]wire.Owner{}, Count: boot.Partitions},
 		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, marks: map[string]int64{},
-		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{},
+		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
 		founding: newFounding(),
 	}
 	f.replay(snapshot, writes)
--- a/internal/process/frame/owners.go
+++ b/internal/process/frame/owners.go
@@ -144,8 +144,12 @@
 		f.holder.Drop(move.Partition)
 		return
 	}
-	resumed := state.Input > 0
-	f.owned[move.Partition] = partition.New(now, state, f.view, partition.LimitsFor(f.boot.LeaseMs, f.boot.PollMs), f.boot.ID, resumed)
+	resumed, quiet := state.Input > 0, now
+	if resumed && !f.took[move.Partition] {
+		quiet = f.StartedMs
+	}
+	f.took[move.Partition] = true
+	f.owned[move.Partition] = partition.New(now, state, f.view, partition.LimitsFor(f.boot.LeaseMs, f.boot.PollMs), f.boot.ID, resumed, quiet)
 }
 
 // May tells whether an order may still leave, and until when: grants can run
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -51,13 +51,13 @@
 	if !f.founded() {
 		return
 	}
-	rank := int64(0)
+	every := f.boot.PollMs
 	for _, seat := range f.proposer.Core().Seats {
 		if standing, _ := f.members.Standing(seat.ID); standing == wire.StandingWell && seat.ID < f.boot.ID {
-			rank++
+			every = 2 * f.boot.PollMs
 		}
 	}
-	if f.due(now, "platform", f.boot.PollMs*(1+rank)) {
+	if f.due(now, "platform", every) {
 		out.Send("platform", wire.KindOrder, &wire.Order{Op: "list", Seq: f.marks[DirectoryKey]})
 	}
 }
@@ -68,6 +68,7 @@
 //	out := core.Platform(now, 4, list)
 func (f *Frame) Platform(now, mark int64, list *wire.WorkerList) wire.Outputs {
 	var out wire.Outputs
+	f.heed(list)
 	body := wire.Encode(list)
 	kept, _ := f.board.Get(DirectoryKey)
 	if mark != f.marks[DirectoryKey] || (mark > 0 && string(kept.Body) == string(body)) {
@@ -84,6 +85,22 @@
 	return f.settle(now, out)
 }
 
+// heed stops orders to workers that are leaving as soon as this node reads so;
+// it does not wait for the register, which slow disks may hold up.
+func (f *Frame) heed(list *wire.WorkerList) {
+	for _, worker := range list.Workers {
+		if kept, ok := f.view.Workers[worker.Name]; ok && worker.Leaving && !kept.Leaving {
+			next := map[string]wire.Worker{}
+			for name, one := range f.view.Workers {
+				next[name] = one
+			}
+			kept.Leaving = true
+			next[worker.Name] = kept
+			f.view.Workers = next
+		}
+	}
+}
+
 func (f *Frame) writeName() string { return fmt.Sprintf("%s#%x", f.boot.ID, f.random.Int63()) }
 
 // Change runs an operator's compare-and-set; the outcome answers the call.
--- a/internal/process/partition/items.go
+++ b/internal/process/partition/items.go
@@ -37,6 +37,7 @@
 			item.Weight = max(item.Weight, told.Weight)
 			if told.Opening {
 				item.OpenMs, item.Copies = now+told.UntilMs, max(item.Copies, told.Copies)
+				p.askAgain(now, e, &item, 0)
 			} else {
 				item.WantedMs, item.Held = now, told.Held
 			}
@@ -58,8 +59,8 @@
 		}
 		if at < 0 {
 			item.Homes = append(item.Homes, wire.HomeState{Worker: told.Worker, State: state, Ask: told.Ask, SinceMs: now})
-		} else if item.Homes[at].State != state {
-			item.Homes[at].State, item.Homes[at].SinceMs = state, now
+		} else {
+			item.Homes[at].State = state
 		}
 	case wire.VerdictGone:
 		if at >= 0 {
@@ -86,6 +87,7 @@
 	if _, known := p.view.Policy.Items[item.Name]; !known || !p.wanted(now, *item) || now < item.RetryMs {
 		return
 	}
+	p.askAgain(now, e, item, p.limits.LeaseMs)
 	kept := 0
 	for _, home := range item.Homes {
 		if home.State == homeKept {
@@ -108,18 +110,33 @@
 		item.NextAsk++
 		home := wire.HomeState{Worker: chosenWorker, State: homeAsked, Ask: item.NextAsk<<16 | p.state.Fence&0xffff, SinceMs: now}
 		item.Homes = append(item.Homes, home)
-		p.askHome(e, item.Name, *item, home)
+		p.askHome(now, e, item.Name, *item, home)
 	}
 }
 
-func (p *Partition) askHome(e *effects, name string, item wire.ItemState, home wire.HomeState) {
+// askAgain repeats what was asked for as long as it is wanted, so that workers'
+// keys can tell what is waited for from what is not any more. With no age it
+// repeats all.
+func (p *Partition) askAgain(now int64, e *effects, item *wire.ItemState, age int64) {
+	for at := range item.Homes {
+		home := &item.Homes[at]
+		if age == 0 || (home.State != homeKept && now-home.SinceMs >= age) {
+			home.SinceMs = now
+			p.askHome(now, e, item.Name, *item, *home)
+		}
+	}
+}
+
+// askHome asks a worker's key for a home; how long an opening still lasts is
+// told as a span, since clocks differ.
+func (p *Partition) askHome(now int64, e *effects, name string, item wire.ItemState, home wire.HomeState) {
 	known, ok := p.view.Policy.Items[name]
 	if !ok {
 		return
 	}
 	p.say(e, wire.KindHomeAsk, WorkerKey(home.Worker), &wire.HomeAsk{
 		Item: name, Base: known.Base, SizeMb: known.SizeMb, BaseSizeMb: p.view.Policy.Items[known.Base].SizeMb,
-		Weight: max(item.Weight, 1), UntilMs: max(item.OpenMs, 0), Ask: home.Ask,
+		Weight: max(item.Weight, 1), UntilMs: max(item.OpenMs-now, 0), Ask: home.Ask,
 	})
 }
 
--- a/internal/process/partition/orders.go
+++ b/internal/process/partition/orders.go
@@ -22,7 +22,7 @@
 			}
 			continue
 		}
-		if last, ok := p.polled[name]; ok && now-last < p.limits.PollMs {
+		if last, ok := p.polled[name]; ok && now-last < p.pause(now, name, last) {
 			continue
 		}
 		if last, ok := p.heard[name]; (ok && now-last > p.limits.DarkMs) || (!ok && now-p.since > p.limits.DarkMs) {
@@ -40,6 +40,28 @@
 	}
 }
 
+// pause is how long to wait after a look at a worker. Its turn of the store is
+// held until a load is seen to be done, so it is looked at just then, and often
+// for a while.
+func (p *Partition) pause(now int64, name string, last int64) int64 {
+	for _, task := range p.state.Tasks {
+		sent := p.sentAt[taskKey(task)]
+		if task.Worker != name || task.Op != "load" || sent == 0 {
+			continue
+		}
+		done := sent + task.SizeMb*1000/max(task.MbPerS, 1)
+		if now >= done && now < done+4*p.limits.PollMs {
+			if last < done {
+				return 0
+			}
+			return p.limits.PollMs / 8
+		}
+	}
+	return p.limits.PollMs
+}
+
+func taskKey(task wire.Task) string { return fmt.Sprintf("t%d", task.ID) }
+
 // orderTo is the receiver of orders: the daemon hands them to the worker.
 const orderTo = "worker"
 
@@ -59,7 +81,7 @@
 func (p *Partition) dispatch(now int64, out *wire.Outputs) {
 	for _, task := range p.state.Tasks {
 		worker, listed := p.view.Workers[task.Worker]
-		key := fmt.Sprintf("t%d", task.ID)
+		key := taskKey(task)
 		if !listed || worker.Leaving || now < task.NotBeforeMs || !p.mayOrder(now, task.Worker) || (p.sentAt[key] > 0 && now-p.sentAt[key] < 2*p.limits.PollMs) {
 			continue
 		}
--- a/internal/process/partition/partition.go
+++ b/internal/process/partition/partition.go
@@ -57,13 +57,14 @@
 }
 
 // New takes up a partition under a fence. Resumed says that the state is this
-// node's own under the same fence, so that nobody else was owner in between.
+// node's own under the same fence, so that nobody else was owner in between;
+// quiet is the last moment at which turns may have been taken.
 //
-//	owned := partition.New(now, state, view, limits, "c1~7f", resumed)
-func New(now int64, state *wire.PartitionState, view *View, limits Limits, self string, resumed bool) *Partition {
+//	owned := partition.New(now, state, view, limits, "c1~7f", resumed, startedMs)
+func New(now int64, state *wire.PartitionState, view *View, limits Limits, self string, resumed bool, quiet int64) *Partition {
 	p := &Partition{state: state, view: view, limits: limits, resumed: resumed, self: self, since: now,
 		looked: map[string]int64{}, polled: map[string]int64{}, heard: map[string]int64{}, sentAt: map[string]int64{}, acked: map[string]int64{}, askers: map[string]map[string]bool{}, published: map[string][]byte{}}
-	p.refresh(now)
+	p.refresh(now, quiet)
 	return p
 }
 
@@ -72,20 +73,26 @@
 //	snapshot.Partitions = append(snapshot.Partitions, *owned.State())
 func (p *Partition) State() *wire.PartitionState { return p.state }
 
-// refresh replaces times of an earlier process, which mean nothing now. What
-// the store's turns were doing is unknown: each waits a whole period.
-func (p *Partition) refresh(now int64) {
-	period := p.view.Policy.Store.PaceMs(p.view.Policy.LargestMb())
-	for i := range p.state.Store.Turns {
-		p.state.Store.Turns[i].FreeMs = now + period
+// refresh replaces times of an earlier process, which mean nothing now. When a
+// turn of the store was last given is unknown: it waits its load's whole period.
+func (p *Partition) refresh(now, quiet int64) {
+	for i, turn := range p.state.Store.Turns {
+		p.state.Store.Turns[i].FreeMs = quiet + p.view.Policy.Store.PaceMs(max(turn.SizeMb, 1))
 	}
 	for name, item := range p.state.Items {
-		item.WantedMs, item.RetryMs = min(item.WantedMs, now), min(item.RetryMs, now)
+		item.WantedMs, item.RetryMs, item.OpenMs = 0, 0, 0
+		for i := range item.Homes {
+			item.Homes[i].SinceMs = now
+		}
 		p.state.Items[name] = item
 	}
 	for name, worker := range p.state.Workers {
 		for i := range worker.Residents {
-			worker.Residents[i].UsedMs, worker.Residents[i].SinceMs = now, now
+			kept := &worker.Residents[i]
+			kept.UsedMs, kept.SinceMs, kept.UntilMs = now, now, 0
+			if kept.State == residentQueued || kept.State == residentAsked {
+				kept.UsedMs = now - 2*p.limits.LeaseMs - 1
+			}
 		}
 		worker.Known = false
 		p.state.Workers[name] = worker
--- a/internal/process/partition/partition_test.go
+++ b/internal/process/partition/partition_test.go
@@ -26,7 +26,7 @@
 	c.Assert(faults, qt.HasLen, 0)
 	r := &rig{c: c, now: 1000, view: &View{Policy: table, Count: 1, Owners: map[int64]wire.Owner{}, Rooms: map[string]wire.WorkerNews{},
 		Workers: map[string]wire.Worker{"w1": {Name: "w1", Addr: "w1:1", Pool: "llm", RoomMb: 900}}}}
-	r.p = New(r.now, NewState(0, "c1", fence), r.view, LimitsFor(3200, 500), "c1", resumed)
+	r.p = New(r.now, NewState(0, "c1", fence), r.view, LimitsFor(3200, 500), "c1", resumed, r.now)
 	return r
 }
 
--- a/internal/process/partition/seen.go
+++ b/internal/process/partition/seen.go
@@ -89,7 +89,7 @@
 	}
 	worker.OtherMb = max(seen.UsedMb-known, 0)
 	for _, asked := range pending {
-		p.askedHome(now, e, worker, &wire.HomeAsk{Item: asked.Item, Base: asked.Base, SizeMb: asked.SizeMb, BaseSizeMb: p.view.Policy.Items[asked.Base].SizeMb, Weight: asked.Weight, UntilMs: asked.UntilMs, Ask: asked.Ask})
+		p.askedHome(now, e, worker, &wire.HomeAsk{Item: asked.Item, Base: asked.Base, SizeMb: asked.SizeMb, BaseSizeMb: p.view.Policy.Items[asked.Base].SizeMb, Weight: asked.Weight, UntilMs: max(asked.UntilMs-now, 0), Ask: asked.Ask})
 	}
 }
 
--- a/internal/process/partition/step.go
+++ b/internal/process/partition/step.go
@@ -136,7 +136,7 @@
 		e := &effects{}
 		for _, home := range p.state.Items[name].Homes {
 			if Of(WorkerKey(home.Worker), p.view.Count) == partition {
-				p.askHome(e, name, p.state.Items[name], home)
+				p.askHome(now, e, name, p.state.Items[name], home)
 			}
 		}
 		p.logSaid(out, itemPrefix+name, e)
--- a/internal/process/partition/workers.go
+++ b/internal/process/partition/workers.go
@@ -56,7 +56,7 @@
 			p.saw(now, e, &worker, told)
 		}
 	}
-	p.advance(e, &worker)
+	p.advance(now, e, &worker)
 	e.step.Workers = append(e.step.Workers, worker)
 }
 
@@ -64,33 +64,19 @@
 	return slices.IndexFunc(worker.Residents, func(r wire.Resident) bool { return r.Item == item })
 }
 
-// booked is the room spoken for: all but what is on its way out.
-func booked(worker *wire.WorkerState) int64 {
-	sum := worker.OtherMb
-	for _, kept := range worker.Residents {
-		if kept.State != residentLeaving && kept.State != residentPending {
-			sum += kept.SizeMb
-		}
-	}
-	return sum
-}
-
-// filled is the room that is taken, or will be by orders already let go.
-func filled(worker *wire.WorkerState) int64 {
-	sum := worker.OtherMb
-	for _, kept := range worker.Residents {
-		if kept.State != residentQueued && kept.State != residentPending {
-			sum += kept.SizeMb
-		}
-	}
-	return sum
-}
-
 func (p *Partition) askedHome(now int64, e *effects, worker *wire.WorkerState, asked *wire.HomeAsk) {
-	fresh := wire.Resident{Item: asked.Item, Base: asked.Base, SizeMb: asked.SizeMb, State: residentQueued, Weight: asked.Weight, UsedMs: now, SinceMs: now, UntilMs: asked.UntilMs, Ask: asked.Ask}
+	fresh := wire.Resident{Item: asked.Item, Base: asked.Base, SizeMb: asked.SizeMb, State: residentQueued, Weight: asked.Weight, UsedMs: now, SinceMs: now, UntilMs: now + asked.UntilMs, Ask: asked.Ask}
+	base := resident(worker, asked.Base)
+	if at := resident(worker, asked.Item); at >= 0 && worker.Residents[at].State == residentQueued && asked.Base != "" && base < 0 {
+		// Its model went, so both are asked for anew.
+		worker.Residents = slices.Delete(worker.Residents, at, at+1)
+	}
 	if at := resident(worker, asked.Item); at >= 0 && worker.Residents[at].State != residentLeaving {
 		kept := &worker.Residents[at]
-		kept.Ask, kept.Weight, kept.UsedMs = asked.Ask, max(kept.Weight, asked.Weight), now
+		if base >= 0 {
+			worker.Residents[base].UsedMs = now
+		}
+		kept.Ask, kept.Weight, kept.UsedMs, kept.UntilMs = asked.Ask, max(kept.Weight, asked.Weight), now, max(kept.UntilMs, now+asked.UntilMs)
 		p.tell(e, worker.Name, *kept, verdictOf(*kept), 0)
 		return
 	} else if at < 0 && !worker.Known && !worker.Left && !worker.Dark {
@@ -102,11 +88,11 @@
 		return
 	}
 	add := []wire.Resident{fresh}
-	if asked.Base != "" && resident(worker, asked.Base) < 0 {
-		base := fresh
-		base.Item, base.Base, base.SizeMb, base.Ask = asked.Base, "", asked.BaseSizeMb, 0
-		add = []wire.Resident{base, fresh}
-	} else if at := resident(worker, asked.Base); asked.Base != "" && worker.Residents[at].State == residentLeaving {
+	if asked.Base != "" && base < 0 {
+		model := fresh
+		model.Item, model.Base, model.SizeMb, model.Ask = asked.Base, "", asked.BaseSizeMb, 0
+		add = []wire.Resident{model, fresh}
+	} else if asked.Base != "" && worker.Residents[base].State == residentLeaving {
 		p.tell(e, worker.Name, fresh, wire.VerdictRefused, p.limits.RetryMs)
 		return
 	}
@@ -122,62 +108,6 @@
 	p.tell(e, worker.Name, fresh, wire.VerdictComing, 0)
 }
 
-// makeWay finds room: what is least weighted and longest unused goes first.
-// What came lately, what an opening still needs and models of adapters that
-// stay are kept.
-func (p *Partition) makeWay(now int64, e *effects, worker *wire.WorkerState, need int64, asked wire.Resident) bool {
-	short := booked(worker) + need - worker.RoomMb
-	if short <= 0 {
-		return true
-	}
-	order := make([]int, 0, len(worker.Residents))
-	for at, kept := range worker.Residents {
-		idle := now-kept.UsedMs >= p.limits.IdleMs
-		open := kept.UntilMs > now && kept.Weight >= asked.Weight
-		if kept.State == residentReady && kept.Item != asked.Base && now-kept.SinceMs >= p.limits.KeepMs && !open && (idle || kept.Weight < asked.Weight) {
-			order = append(order, at)
-		}
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		one, other := worker.Residents[a], worker.Residents[b]
-		if one.Weight != other.Weight && (now-one.UsedMs < p.limits.IdleMs || now-other.UsedMs < p.limits.IdleMs) {
-			return int(one.Weight - other.Weight)
-		}
-		return int(one.UsedMs - other.UsedMs)
-	})
-	going := map[int]bool{}
-	for _, at := range order {
-		if short <= 0 {
-			break
-		}
-		needed := false
-		for other, kept := range worker.Residents {
-			needed = needed || (kept.Base == worker.Residents[at].Item && kept.State != residentLeaving && !going[other])
-		}
-		if !needed {
-			going[at] = true
-			short -= worker.Residents[at].SizeMb
-		}
-	}
-	if short > 0 {
-		return false
-	}
-	for _, at := range order {
-		if going[at] {
-			p.sendOff(now, e, worker, at)
-		}
-	}
-	return true
-}
-
-// sendOff orders an unload, after the fronts had time to hear of it.
-func (p *Partition) sendOff(now int64, e *effects, worker *wire.WorkerState, at int) {
-	kept := &worker.Residents[at]
-	kept.State, kept.SinceMs = residentLeaving, now
-	p.order(e, worker, wire.Task{Op: "unload", Item: kept.Item, Base: kept.Base, SizeMb: kept.SizeMb, NotBeforeMs: now + p.limits.NoticeMs})
-	p.tell(e, worker.Name, *kept, wire.VerdictGone, 0)
-}
-
 func (p *Partition) order(e *effects, worker *wire.WorkerState, task wire.Task) {
 	worker.Seq++
 	task.ID = p.state.NextTask + int64(len(e.step.Tasks)) + 1
@@ -185,11 +115,25 @@
 	e.step.Tasks = append(e.step.Tasks, task)
 }
 
+// wantedStill tells whether something not yet loaded is still waited for: items
+// ask again for as long as it is.
+func (p *Partition) wantedStill(now int64, kept wire.Resident) bool {
+	return kept.UntilMs > now || now-kept.UsedMs <= 2*p.limits.LeaseMs
+}
+
 // advance asks for permits, heaviest first, for what has room and its model.
-func (p *Partition) advance(e *effects, worker *wire.WorkerState) {
+// What nobody waits for any more goes without having been loaded.
+func (p *Partition) advance(now int64, e *effects, worker *wire.WorkerState) {
 	if worker.Left || worker.Dark || !worker.Known {
 		return
 	}
+	worker.Residents = slices.DeleteFunc(worker.Residents, func(kept wire.Resident) bool {
+		gone := kept.State == residentQueued && !p.wantedStill(now, kept)
+		if gone {
+			p.tell(e, worker.Name, kept, wire.VerdictGone, 0)
+		}
+		return gone
+	})
 	order := make([]int, 0, len(worker.Residents))
 	for at, kept := range worker.Residents {
 		if kept.State == residentQueued {
@@ -217,6 +161,9 @@
 // permitted turns a permit into a load order, or gives it back.
 func (p *Partition) permitted(now int64, e *effects, worker *wire.WorkerState, given *wire.PermitGiven) {
 	at := slices.IndexFunc(worker.Residents, func(r wire.Resident) bool { return r.State == residentAsked && r.Turn == given.Ask })
+	if at >= 0 && !p.wantedStill(now, worker.Residents[at]) {
+		worker.Residents[at].State, at = residentQueued, -1
+	}
 	if at < 0 || worker.Left || worker.Dark {
 		if !slices.ContainsFunc(worker.Residents, func(r wire.Resident) bool { return r.State == residentLoading && r.Turn == given.Ask }) {
 			p.say(e, wire.KindPermitBack, StoreKey, &wire.PermitBack{Worker: worker.Name, Turn: given.Turn, Ask: given.Ask})
--- a/internal/process/sim/front.go
+++ b/internal/process/sim/front.go
@@ -137,8 +137,13 @@
 		told.Wants = append(told.Wants, wire.Want{Item: item, Held: 1, Weight: 1})
 	}
 	slices.SortFunc(told.Wants, func(a, b wire.Want) int { return strings.Compare(a.Item, b.Item) })
-	for name, room := range f.rooms {
-		for _, held := range room.Loaded {
+	names := make([]string, 0, len(f.rooms))
+	for name := range f.rooms {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for _, held := range f.rooms[name].Loaded {
 			if _, mine := f.served[held.Item]; mine && w.random.Intn(20) == 0 {
 				told.Uses = append(told.Uses, wire.Use{Worker: name, Item: held.Item, Count: 1, Weight: 1})
 			}
--- a/internal/process/sim/sim_test.go
+++ b/internal/process/sim/sim_test.go
@@ -42,3 +42,11 @@
 		}
 	}
 }
+
+// The same seed gives the same history, so that a breach can be replayed.
+func TestSameSeedSameHistory(t *testing.T) {
+	c := qt.New(t)
+	one, other := Faults(Brilleverk(), 3), Faults(Brilleverk(), 3)
+	c.Assert(one.History, qt.DeepEquals, other.History)
+	c.Assert(one.Counts, qt.DeepEquals, other.Counts)
+}
