Leaving workers: an old list that is written late does not undo what was read

Ruled out: the poll (c2 read the list every second). Now what a node read last of leaving workers stays on top of the register's list until it reads otherwise.

--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -54,6 +54,8 @@
 	timers     map[string]int64
 	unheld     map[int64]int64
 	took       map[int64]bool
+	listed     wire.WorkerList
+	leavers    map[string]bool
 	leaving    bool
 	stalled    bool
 	events     int64
@@ -239,12 +241,3 @@
 	core := f.proposer.Core()
 	return seatOf(core.Seats, f.boot.ID) || seatOf(core.Joining, f.boot.ID)
 }
-
-func seatOf(seats []wire.Seat, id string) bool {
-	for _, seat := range seats {
-		if seat.ID == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/process/frame/learn.go
+++ b/internal/process/frame/learn.go
@@ -47,10 +47,8 @@
 	case key == DirectoryKey:
 		var list wire.WorkerList
 		if list.Unmarshal(value.Body) == nil {
-			f.view.Workers = map[string]wire.Worker{}
-			for _, worker := range list.Workers {
-				f.view.Workers[worker.Name] = worker
-			}
+			f.listed = list
+			f.viewWorkers()
 		}
 		f.board.Put(wire.Topic{Name: DirectoryKey, Step: value.Mark, Body: value.Body})
 	case strings.HasPrefix(key, ownerPrefix):
--- a/internal/process/frame/steward.go
+++ b/internal/process/frame/steward.go
@@ -117,3 +117,12 @@
 	out.Add(f.proposer.Mend(now, call, keys[0]))
 	return out
 }
+
+func seatOf(seats []wire.Seat, id string) bool {
+	for _, seat := range seats {
+		if seat.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -86,19 +86,25 @@
 }
 
 // heed stops orders to workers that are leaving as soon as this node reads so;
-// it does not wait for the register, which slow disks may hold up.
+// it does not wait for the register, which slow disks may hold up, and a list
+// that was read before and written later does not undo it.
 func (f *Frame) heed(list *wire.WorkerList) {
+	f.leavers = map[string]bool{}
 	for _, worker := range list.Workers {
-		if kept, ok := f.view.Workers[worker.Name]; ok && worker.Leaving && !kept.Leaving {
-			next := map[string]wire.Worker{}
-			for name, one := range f.view.Workers {
-				next[name] = one
-			}
-			kept.Leaving = true
-			next[worker.Name] = kept
-			f.view.Workers = next
-		}
+		f.leavers[worker.Name] = worker.Leaving
+	}
+	f.viewWorkers()
+}
+
+// viewWorkers shows the partitions the list kept in the register, and what was
+// read since of workers that leave.
+func (f *Frame) viewWorkers() {
+	next := map[string]wire.Worker{}
+	for _, worker := range f.listed.Workers {
+		worker.Leaving = worker.Leaving || f.leavers[worker.Name]
+		next[worker.Name] = worker
 	}
+	f.view.Workers = next
 }
 
 func (f *Frame) writeName() string { return fmt.Sprintf("%s#%x", f.boot.ID, f.random.Int63()) }
