Doctor: common faults found from any node; no majority is told at once

Members tell of disks, clocks, settings and partitions with their probes. Where members show that no majority stands, an operator's call is refused at once instead of after its time.

--- a/cmd/exchange/main.go
+++ b/cmd/exchange/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -91,6 +92,13 @@
 		clerk.Send(job)
 	}
 
+	control.FreePct = func() int64 {
+		var stat syscall.Statfs_t
+		if syscall.Statfs(settings.Data, &stat) != nil || stat.Blocks == 0 {
+			return 100
+		}
+		return int64(stat.Bavail * 100 / stat.Blocks)
+	}
 	router := mux.NewRouter()
 	router.Handle("/trunk", cable.Handler(control.Deliver)).Methods("POST")
 	desk.Routes(router, control, time.Duration(settings.CallMs)*time.Millisecond*2, stop)
--- a/internal/process/desk/desk.go
+++ b/internal/process/desk/desk.go
@@ -41,6 +41,7 @@
 	router.HandleFunc("/v1/members", d.members).Methods(http.MethodGet)
 	router.HandleFunc("/v1/core", d.core).Methods(http.MethodGet)
 	router.HandleFunc("/v1/standing", d.standing).Methods(http.MethodGet)
+	router.HandleFunc("/v1/doctor", d.doctor).Methods(http.MethodGet)
 	router.HandleFunc("/v1/drain", d.drained).Methods(http.MethodPost)
 }
 
@@ -141,6 +142,11 @@
 	}
 	body, faults, syntax := policy.Patch(current.Value.Body, patch)
 	if len(faults) > 0 {
+		if !syntax {
+			// What the change would make is checked too: all faults at once.
+			_, more, _ := policy.Parse(body, 0)
+			faults = append(faults, more...)
+		}
 		d.refuse(w, faults, syntax)
 		return
 	}
--- a/internal/process/desk/pages.go
+++ b/internal/process/desk/pages.go
@@ -127,11 +127,26 @@
 type Core struct {
 	Epoch   int64       `json:"epoch"`
 	Swept   bool        `json:"swept"`
-	Seats   []wire.Seat `json:"seats"`
-	Joining []wire.Seat `json:"joining"`
+	Seats   []Seat      `json:"seats"`
+	Joining []Seat      `json:"joining"`
 	Owners  []Owner     `json:"owners"`
 }
 
+// Seat is a member of the core set, by its identity.
+type Seat struct {
+	ID   string `json:"id"`
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+}
+
+func seatsOf(seats []wire.Seat) []Seat {
+	out := []Seat{}
+	for _, seat := range seats {
+		out = append(out, Seat{ID: seat.ID, Name: seat.Name, Addr: seat.Addr})
+	}
+	return out
+}
+
 // Owner is who owns a partition, and under which fence.
 type Owner struct {
 	Partition int64  `json:"partition"`
@@ -144,7 +159,7 @@
 	if page == nil {
 		return
 	}
-	out := Core{Epoch: page.Core.Epoch, Swept: page.Core.Swept, Seats: page.Core.Seats, Joining: page.Core.Joining, Owners: []Owner{}}
+	out := Core{Epoch: page.Core.Epoch, Swept: page.Core.Swept, Seats: seatsOf(page.Core.Seats), Joining: seatsOf(page.Core.Joining), Owners: []Owner{}}
 	for _, owner := range page.Owners {
 		out.Owners = append(out.Owners, Owner{Partition: owner.Partition, ID: owner.ID, Fence: owner.Fence})
 	}
--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -70,7 +70,7 @@
 //	core := frame.New(now, boot, random, snapshot, writes)
 func New(now int64, boot Boot, random *rand.Rand, snapshot *wire.Snapshot, writes []wire.Write) *Frame {
 	grants := grant.LimitsFor(boot.LeaseMs)
-	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "exchange", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{}}
+	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "exchange", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
 	f := &Frame{
 		boot: boot, random: random, StartedMs: now,
 		acceptor: register.NewAcceptor(),
--- a/internal/process/frame/page.go
+++ b/internal/process/frame/page.go
@@ -1,6 +1,9 @@
 package frame
 
 import (
+	"fmt"
+	"strings"
+
 	"applequay/internal/connection/wire"
 	"applequay/internal/mark/policy"
 	"applequay/internal/process/news"
@@ -21,6 +24,9 @@
 	Swept     int
 	Rounds    int64
 	Events    int64
+	// Seeds and Partitions are this node's own settings.
+	Seeds      []string
+	Partitions int64
 }
 
 // Page copies what may be shown; nothing in it is changed later.
@@ -29,7 +35,7 @@
 func (f *Frame) Page(now int64) Page {
 	page := Page{ID: f.boot.ID, Role: "exchange", Core: f.proposer.Core(), Policy: f.view.Policy, Marks: map[string]int64{}, Members: f.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
-		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds}
+		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
 	page.Events = f.events
 	for _, owned := range f.owned {
 		page.Events += owned.Steps
@@ -69,3 +75,24 @@
 //
 //	topic, ok := core.Board().Get("policy")
 func (f *Frame) Board() *news.Board { return f.board }
+
+// Fact notes a fact about this node that all others hear.
+//
+//	core.Fact("sync_ms", "12")
+func (f *Frame) Fact(name, fact string) { f.members.Set(name, fact) }
+
+// ownedFact lists the partitions on which this node may take turns.
+func (f *Frame) ownedFact(now int64) string {
+	var numbers []string
+	for _, hold := range f.holder.Owned(now) {
+		numbers = append(numbers, fmt.Sprint(hold.Partition))
+	}
+	return strings.Join(numbers, ",")
+}
+
+// SettingsFact sums up the settings in which all nodes must agree.
+//
+//	facts["settings"] = frame.SettingsFact(12, 3200, 200)
+func SettingsFact(partitions, leaseMs, probeMs int64) string {
+	return fmt.Sprintf("partitions %d lease-ms %d probe-ms %d", partitions, leaseMs, probeMs)
+}
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -22,6 +22,7 @@
 	f.ownersTick(now, &out)
 	f.newsTick(now, &out)
 	f.platformTick(now, &out)
+	f.members.Set("owned", f.ownedFact(now))
 	return f.settle(now, out)
 }
 
@@ -113,6 +114,9 @@
 //
 //	out := core.Change(now, call, frame.PolicyKey, 7, body)
 func (f *Frame) Change(now, call int64, key string, expected int64, body []byte) wire.Outputs {
+	if !f.members.Majority(f.proposer.Core().Seats) {
+		return register.Hopeless(call, key)
+	}
 	return f.settle(now, f.proposer.Change(now, call, key, expected, body, f.writeName()))
 }
 
@@ -120,6 +124,9 @@
 //
 //	out := core.Read(now, call, frame.PolicyKey)
 func (f *Frame) Read(now, call int64, key string) wire.Outputs {
+	if !f.members.Majority(f.proposer.Core().Seats) {
+		return register.Hopeless(call, key)
+	}
 	ballot, held := f.acceptor.Accepted(key)
 	return f.settle(now, f.proposer.Read(now, call, key, ballot, held))
 }
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -48,7 +48,7 @@
 //
 //	line := linework.New(now, boot, random)
 func New(_ int64, boot Boot, random *rand.Rand) *Line {
-	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "lineman", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{}}
+	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "lineman", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": frame.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
 	return &Line{
 		boot: boot, random: random,
 		members:  members.New(self, members.LimitsFor(boot.ProbeMs), random, boot.Seeds),
--- a/internal/process/linework/tick.go
+++ b/internal/process/linework/tick.go
@@ -6,6 +6,7 @@
 	"applequay/internal/connection/wire"
 	"applequay/internal/process/frame"
 	"applequay/internal/process/news"
+	"applequay/internal/process/register"
 )
 
 // Tick does all that time brings.
@@ -75,6 +76,9 @@
 //
 //	out := line.Change(now, call, frame.PolicyKey, 7, body)
 func (l *Line) Change(now, call int64, key string, expected int64, body []byte) wire.Outputs {
+	if !l.members.Majority(l.proposer.Core().Seats) {
+		return register.Hopeless(call, key)
+	}
 	return l.proposer.Change(now, call, key, expected, body, fmt.Sprintf("%s#%x", l.boot.ID, l.random.Int63()))
 }
 
@@ -82,6 +86,9 @@
 //
 //	out := line.Read(now, call, frame.PolicyKey)
 func (l *Line) Read(now, call int64, key string) wire.Outputs {
+	if !l.members.Majority(l.proposer.Core().Seats) {
+		return register.Hopeless(call, key)
+	}
 	return l.proposer.Read(now, call, key, wire.Ballot{}, nil)
 }
 
@@ -123,7 +130,7 @@
 //	page := line.Page(now)
 func (l *Line) Page(int64) frame.Page {
 	page := frame.Page{ID: l.boot.ID, Role: "lineman", Core: l.proposer.Core(), Policy: l.policy, Marks: map[string]int64{}, Members: l.members.All(),
-		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Rounds: l.proposer.Rounds}
+		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Rounds: l.proposer.Rounds, Seeds: l.boot.Seeds, Partitions: l.boot.Partitions}
 	for key, mark := range l.marks {
 		page.Marks[key] = mark
 	}
@@ -143,3 +150,8 @@
 //
 //	topic, ok := line.Board().Get("policy")
 func (l *Line) Board() *news.Board { return l.board }
+
+// Fact notes a fact about this node that all others hear.
+//
+//	line.Fact("clock_jump_ms", "3600000")
+func (l *Line) Fact(name, fact string) { l.members.Set(name, fact) }
--- a/internal/process/members/gossip.go
+++ b/internal/process/members/gossip.go
@@ -84,3 +84,31 @@
 		m.Mark++
 	}
 }
+
+// Standing returns how a member stands, and since when.
+//
+//	standing, sinceMs := picture.Standing("c2~51")
+func (m *Members) Standing(id string) (wire.Standing, int64) {
+	if id == m.self.ID {
+		return wire.Standing(m.self.Standing), 0
+	}
+	if kept, ok := m.table[id]; ok {
+		return wire.Standing(kept.member.Standing), kept.since
+	}
+	return wire.StandingRemoved, 0
+}
+
+// Majority tells whether a majority of the seats may be reached. While nothing
+// is known of a seat it counts as reachable.
+//
+//	if !picture.Majority(core.Seats) { ... }
+func (m *Members) Majority(seats []wire.Seat) bool {
+	standing := 0
+	for _, seat := range seats {
+		kept, known := m.table[seat.ID]
+		if !known || wire.Standing(kept.member.Standing) < wire.StandingRemoved {
+			standing++
+		}
+	}
+	return len(seats) > 0 && standing >= len(seats)/2+1
+}
--- a/internal/process/members/members.go
+++ b/internal/process/members/members.go
@@ -123,19 +123,6 @@
 	return kept.member.Addr, true
 }
 
-// Standing returns how a member stands, and since when.
-//
-//	standing, sinceMs := picture.Standing("c2~51")
-func (m *Members) Standing(id string) (wire.Standing, int64) {
-	if id == m.self.ID {
-		return wire.Standing(m.self.Standing), 0
-	}
-	if kept, ok := m.table[id]; ok {
-		return wire.Standing(kept.member.Standing), kept.since
-	}
-	return wire.StandingRemoved, 0
-}
-
 func (m *Members) ids() []string {
 	out := make([]string, 0, len(m.table))
 	for id := range m.table {
--- a/internal/process/position/position.go
+++ b/internal/process/position/position.go
@@ -25,6 +25,7 @@
 	Leave(now int64) wire.Outputs
 	Addr(id string) (string, bool)
 	Page(now int64) frame.Page
+	Fact(name, fact string)
 }
 
 // Position is one machine with its thread.
@@ -51,6 +52,12 @@
 	Special func(now int64, send wire.Send)
 	// Page is the newest page, made at every tick.
 	Page *Pages
+	// FreePct tells how much of the data folder's disk is free, if there is one.
+	FreePct  func() int64
+	lastWall int64
+	lastNow  int64
+	jumped   int64
+	looked   int64
 }
 
 // Options are what a position is made of.
@@ -121,6 +128,7 @@
 			now := p.Now()
 			p.perform(now, p.machine.Tick(now, time.Now().UnixMilli()))
 			p.watchDisk(now)
+			p.watchMachine(now)
 			p.Page.Store(p.machine.Page(now))
 		case call := <-p.calls:
 			now := p.Now()
@@ -203,21 +211,3 @@
 	p.pending, p.busy, p.busyAt = nil, true, p.Now()
 	p.writer.batches <- batch
 }
-
-// watchDisk lets grants go while the journal is stalled or full, and takes
-// them up again once it is not.
-func (p *Position) watchDisk(now int64) {
-	staller, ok := p.machine.(interface {
-		Stall(now int64, stalled bool) wire.Outputs
-		StallMs() int64
-	})
-	if !ok {
-		return
-	}
-	stalled := p.busy && now-p.busyAt > staller.StallMs()
-	if stalled != p.stalled {
-		p.stalled = stalled
-		p.log.Warn("journal stalled", zap.Bool("stalled", stalled))
-		p.perform(now, staller.Stall(now, stalled))
-	}
-}
--- a/internal/process/register/rounds.go
+++ b/internal/process/register/rounds.go
@@ -220,3 +220,11 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// Hopeless answers a call at once where no majority can be asked: it certainly
+// did nothing.
+//
+//	return register.Hopeless(call, "policy")
+func Hopeless(call int64, key string) wire.Outputs {
+	return wire.Outputs{Answers: []wire.Answer{{Call: call, Body: Outcome{Key: key, Fate: FateNone}}}}
+}
