Openings follow the middle one of all clocks

Cause: an owner judged an opening's moment by its own clock; with one core machine's clock five hours ahead its models were loaded hours early (and would be hours late with it behind). Ruled out: monotonic time, which grants and all other waits use. Probes carry the sender's clock; a node takes the middle of all it heard.

--- a/internal/process/desk/pages.go
+++ b/internal/process/desk/pages.go
@@ -125,11 +125,11 @@
 
 // Core is the core set and who owns which partition.
 type Core struct {
-	Epoch   int64       `json:"epoch"`
-	Swept   bool        `json:"swept"`
-	Seats   []Seat      `json:"seats"`
-	Joining []Seat      `json:"joining"`
-	Owners  []Owner     `json:"owners"`
+	Epoch   int64   `json:"epoch"`
+	Swept   bool    `json:"swept"`
+	Seats   []Seat  `json:"seats"`
+	Joining []Seat  `json:"joining"`
+	Owners  []Owner `json:"owners"`
 }
 
 // Seat is a member of the core set, by its identity.
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -13,7 +13,8 @@
 //	out := core.Tick(now, time.Now().UnixMilli())
 func (f *Frame) Tick(now, wallMs int64) wire.Outputs {
 	var out wire.Outputs
-	f.view.WallMs = wallMs
+	f.members.Clock(now, wallMs)
+	f.view.WallMs = f.members.Wall(now)
 	f.foundTick(now, &out)
 	out.Add(f.members.Tick(now))
 	out.Add(f.proposer.Tick(now))
--- a/internal/process/linework/tick.go
+++ b/internal/process/linework/tick.go
@@ -12,8 +12,9 @@
 // Tick does all that time brings.
 //
 //	out := line.Tick(now, wallMs)
-func (l *Line) Tick(now, _ int64) wire.Outputs {
+func (l *Line) Tick(now, wallMs int64) wire.Outputs {
 	var out wire.Outputs
+	l.members.Clock(now, wallMs)
 	out.Add(l.members.Tick(now))
 	out.Add(l.proposer.Tick(now))
 	if l.proposer.Core().Epoch == 0 && l.due(now, "found", l.boot.ProbeMs) {
--- a/internal/process/members/gossip.go
+++ b/internal/process/members/gossip.go
@@ -10,9 +10,11 @@
 	switch told := body.(type) {
 	case *wire.Probe:
 		m.merge(now, from, told.Members)
-		out.Send(from, wire.KindProbeAck, &wire.ProbeAck{Seq: told.Seq, Members: m.All()})
+		m.heardClock(now, from, told.WallMs)
+		out.Send(from, wire.KindProbeAck, &wire.ProbeAck{Seq: told.Seq, WallMs: now + m.offset, Members: m.All()})
 	case *wire.ProbeAck:
 		m.merge(now, from, told.Members)
+		m.heardClock(now, from, told.WallMs)
 		m.answered(now, &out, told)
 	case *wire.ProbeVia:
 		m.merge(now, from, told.Members)
@@ -33,7 +35,7 @@
 		kept.heardMs = now
 	}
 	if sent.forWhom != "" {
-		out.Send(sent.forWhom, wire.KindProbeAck, &wire.ProbeAck{Seq: sent.forSeq, Members: m.All()})
+		out.Send(sent.forWhom, wire.KindProbeAck, &wire.ProbeAck{Seq: sent.forSeq, WallMs: now + m.offset, Members: m.All()})
 	}
 }
 
--- a/internal/process/members/members.go
+++ b/internal/process/members/members.go
@@ -28,6 +28,9 @@
 	member  wire.Member
 	since   int64
 	heardMs int64
+	// offset is the member's wall clock less this node's monotonic one.
+	offset   int64
+	offsetAt int64
 }
 
 type probe struct {
@@ -49,6 +52,7 @@
 	probes  map[int64]*probe
 	nextSeq int64
 	probed  int64
+	offset  int64
 	Mark    int64
 }
 
@@ -161,7 +165,7 @@
 		for _, seed := range m.seeds {
 			if seed != m.self.Addr {
 				m.nextSeq++
-				out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, Members: m.All()})
+				out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.All()})
 			}
 		}
 	}
@@ -185,10 +189,10 @@
 	return ""
 }
 
-func (m *Members) send(_ int64, out *wire.Outputs, target string, sent *probe) {
+func (m *Members) send(now int64, out *wire.Outputs, target string, sent *probe) {
 	m.nextSeq++
 	m.probes[m.nextSeq] = sent
-	out.Send(target, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, Members: m.All()})
+	out.Send(target, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.All()})
 }
 
 // overdue asks others about those who did not answer, then suspects them.
--- a/internal/process/members/members_test.go
+++ b/internal/process/members/members_test.go
@@ -108,3 +108,20 @@
 	c.Check(r.standing("n1", "n3"), qt.Equals, wire.StandingLeaving)
 	c.Check(r.all["n1"].Alive(""), qt.HasLen, 3)
 }
+
+// One clock that jumps moves nothing, whoever's it is.
+func TestMiddleClock(t *testing.T) {
+	c := qt.New(t)
+	r := newRing(5)
+	wall := map[string]int64{"n0": 1_000_000, "n1": 1_000_040, "n2": 999_990, "n3": 1_000_010, "n4": 9_000_000}
+	for range 40 {
+		for id, one := range r.all {
+			one.Clock(r.now, wall[id]+r.now)
+		}
+		r.run(200)
+	}
+	for id, one := range r.all {
+		off := one.Wall(r.now) - r.now - 1_000_000
+		c.Check(off > -100 && off < 100, qt.IsTrue, qt.Commentf("%s is off by %d", id, off))
+	}
+}
--- a/internal/process/sim/operator.go
+++ b/internal/process/sim/operator.go
@@ -34,9 +34,12 @@
 	for i := range shape.Adapters {
 		adapters = append(adapters, object{"name": fmt.Sprintf("a%d", i), "model": fmt.Sprintf("m%d", i%shape.Models), "size_mb": 40})
 	}
+	if w.openings == nil {
+		w.openings = []any{}
+	}
 	body, err := json.Marshal(object{
 		"store": object{"mb_per_s": shape.StoreMbPerS, "turns": shape.Turns}, "kinds": []object{{"name": name, "weight": 1}},
-		"models": models, "adapters": adapters,
+		"models": models, "adapters": adapters, "openings": w.openings,
 		"services": []object{{"name": "drafts", "type": "model", "pool": "llm"}},
 		"routes":   []object{{"path": "/v1/draft", "service": "drafts", "kind": name}},
 	})
--- a/internal/process/sim/world.go
+++ b/internal/process/sim/world.go
@@ -102,6 +102,8 @@
 	History []string
 	facts   facts
 	Counts  Counts
+	// openings go into every policy that operators write.
+	openings []any
 }
 
 // Counts are what a run did.
