--- a/internal/process/sim/plan.go
+++ b/internal/process/sim/plan.go
@@ -6,7 +6,25 @@
 // then everything must be served again.
 //
 //	world := sim.Faults(sim.Brilleverk(), 7)
-func Faults(shape Shape, seed int64) *World {
+func Faults(shape Shape, seed int64) *World { return run(shape, seed, (*World).fault) }
+
+// Harder is Faults with disks that fill up or are lost, whole groups of
+// machines that go together, and one last breakdown after all was healed.
+//
+//	world := sim.Harder(sim.Krizanka(), 7)
+func Harder(shape Shape, seed int64) *World {
+	w := run(shape, seed, (*World).harder)
+	last := w.now
+	w.At(last, func() { w.Crash(w.random.Intn(len(w.cores)), true) })
+	ann := w.NewOperator("last")
+	for at := last + 1000; at < last+15000; at += 1000 {
+		w.At(at, func() { ann.Get(ann.Set) })
+	}
+	w.Run(last + 20000)
+	return w
+}
+
+func run(shape Shape, seed int64, fault func(*World)) *World {
 	w := New(shape, seed)
 	ann, ben := w.NewOperator("ann"), w.NewOperator("ben")
 	w.At(4000, func() { ann.Set(-1) })
@@ -26,7 +44,7 @@
 		}
 	}
 	for at := int64(9000); at < last; at += 500 + w.random.Int63n(6000) {
-		w.At(at, w.fault)
+		w.At(at, func() { fault(w) })
 	}
 	w.At(last, w.Heal)
 	w.At(last+15000, func() { ann.Get(nil) })
@@ -129,3 +147,54 @@
 		w.cut = map[[2]string]bool{}
 	})
 }
+
+// harder causes one breakdown more in three than fault does.
+func (w *World) harder() {
+	core := w.random.Intn(len(w.cores))
+	e := w.cores[core]
+	switch w.random.Intn(12) {
+	case 0:
+		w.note("%s disk is full", e.name)
+		e.disk.full = true
+		w.after(1000+w.random.Int63n(6000), func() {
+			w.note("%s disk has space again", e.name)
+			e.disk.full = false
+		})
+	case 1:
+		w.loseDisk(core)
+	case 2:
+		w.note("a zone's fronts and a core machine go together")
+		w.Crash(core, true)
+		w.after(500+w.random.Int63n(4000), func() { w.Restart(core, false) })
+		for at := range w.fronts {
+			if at%w.Shape.Zones == core%w.Shape.Zones {
+				w.CrashFront(at, 500+w.random.Int63n(3000))
+			}
+		}
+	case 3:
+		for at := range w.workers {
+			if w.random.Intn(2) == 0 {
+				w.KillWorker(at, w.random.Int63n(4000))
+			}
+		}
+	default:
+		w.fault()
+	}
+}
+
+// loseDisk replaces a core machine's disk by an empty one, unless another loss
+// is still being mended: two at once are more than the core is meant to bear.
+func (w *World) loseDisk(core int) {
+	for _, e := range w.cores {
+		set := e.core.Page(e.clock()).Core
+		seated := false
+		for _, seat := range set.Seats {
+			seated = seated || seat.ID == e.id
+		}
+		if !e.up || !set.Swept || !seated || len(set.Seats) != len(w.cores) {
+			return
+		}
+	}
+	w.Crash(core, true)
+	w.after(500+w.random.Int63n(3000), func() { w.Restart(core, true) })
+}
--- a/internal/process/sim/sim_test.go
+++ b/internal/process/sim/sim_test.go
@@ -23,14 +23,17 @@
 	return from, to
 }
 
-func TestFaults(t *testing.T) {
-	c := qt.New(t)
-	from, to := seeds(c, 4, 6)
+func TestFaults(t *testing.T) { plan(qt.New(t), 4, 6, Faults) }
+
+func TestHarder(t *testing.T) { plan(qt.New(t), 1, 2, Harder) }
+
+func plan(c *qt.C, from, to int64, run func(Shape, int64) *World) {
+	from, to = seeds(c, from, to)
 	for _, shape := range []Shape{Brilleverk(), Krizanka()} {
 		for seed := from; seed <= to; seed++ {
 			c.Run(shape.Name+"/"+strconv.FormatInt(seed, 10), func(c *qt.C) {
 				c.Parallel()
-				w := Faults(shape, seed)
+				w := run(shape, seed)
 				breaches := w.Breaches()
 				if len(breaches) > 0 || os.Getenv("SIM_SHOW") != "" {
 					c.Logf("%s", strings.Join(w.History, "\n"))
