Planned moves: a partition is handed over with its sealed state

Before, a drained exchange gave its grants back and the next owners started empty; a machine that was away never got its share back.

--- a/cmd/exchange/main.go
+++ b/cmd/exchange/main.go
@@ -108,11 +108,13 @@
 	standing.Journal(gauges, writer)
 	gauges.Routes(router)
 	go func() {
-		// SIGTERM: turns stop and the granters are told, so that the next owner
-		// need not wait for the grants to run out; then the rest stops.
+		// SIGTERM: partitions are handed over, what is left is given back and the
+		// members are told; then the rest stops.
 		<-ctx.Done()
 		control.Do(work, core.Leave)
-		time.Sleep(time.Duration(settings.ProbeMs) * time.Millisecond)
+		handOver(control, time.Duration(settings.LeaseMs)*time.Millisecond, time.Duration(settings.TickMs)*time.Millisecond)
+		control.Do(work, core.Gone)
+		<-time.After(time.Duration(settings.ProbeMs) * time.Millisecond)
 		cancel()
 	}()
 	limits := chief.Limits{Most: 5, Window: time.Minute, Pause: 200 * time.Millisecond}
@@ -122,3 +124,19 @@
 		chief.Child{Name: "pages", Run: boot.Serve(settings.Listen, router, time.Second)},
 	)
 }
+
+// handOver waits until all partitions are with their next owners, or too long.
+func handOver(control *position.Position, most, look time.Duration) {
+	ends := time.NewTimer(most)
+	defer ends.Stop()
+	for {
+		select {
+		case <-ends.C:
+			return
+		case <-time.After(2 * look):
+			if page := control.Page.Load(); page == nil || page.Moving == 0 {
+				return
+			}
+		}
+	}
+}
--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -37,7 +37,9 @@
 	KindAdoptRecord:    func() Record { return &AdoptRecord{} }, KindOrder: func() Record { return &Order{} },
 	KindSnapshot: func() Record { return &Snapshot{} }, KindWorkerNews: func() Record { return &WorkerNews{} },
 	KindWorkerList: func() Record { return &WorkerList{} }, KindOwner: func() Record { return &Owner{} },
-	KindCoreSet: func() Record { return &CoreSet{} },
+	KindCoreSet: func() Record { return &CoreSet{} }, KindSealRecord: func() Record { return &SealRecord{} },
+	KindHandover:      func() Record { return &Handover{} },
+	KindHandoverTaken: func() Record { return &HandoverTaken{} },
 }
 
 // Encode turns a record into bytes. A record that its own schema cannot hold
--- a/internal/connection/wire/kind.go
+++ b/internal/connection/wire/kind.go
@@ -57,6 +57,9 @@
 	KindWorkerList
 	KindOwner
 	KindCoreSet
+	KindSealRecord
+	KindHandover
+	KindHandoverTaken
 )
 
 // Verdict is what a worker's partition says to an item that asked for a home.
--- a/internal/connection/wire/kind_gen.go
+++ b/internal/connection/wire/kind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSet"
+const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTaken"
 
-var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533}
+var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576}
 
-const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoreset"
+const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertaken"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -69,9 +69,12 @@
 	_ = x[KindWorkerList-(42)]
 	_ = x[KindOwner-(43)]
 	_ = x[KindCoreSet-(44)]
+	_ = x[KindSealRecord-(45)]
+	_ = x[KindHandover-(46)]
+	_ = x[KindHandoverTaken-(47)]
 }
 
-var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet}
+var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:     KindNone,
@@ -119,6 +122,9 @@
 	_KindName[499:513]: KindWorkerList,
 	_KindName[513:522]: KindOwner,
 	_KindName[522:533]: KindCoreSet,
+	_KindName[533:547]: KindSealRecord,
+	_KindName[547:559]: KindHandover,
+	_KindName[559:576]: KindHandoverTaken,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -167,6 +173,9 @@
 	_KindLowerName[499:513]: KindWorkerList,
 	_KindLowerName[513:522]: KindOwner,
 	_KindLowerName[522:533]: KindCoreSet,
+	_KindLowerName[533:547]: KindSealRecord,
+	_KindLowerName[547:559]: KindHandover,
+	_KindLowerName[559:576]: KindHandoverTaken,
 }
 
 var _KindNames = []string{
@@ -215,6 +224,9 @@
 	_KindName[499:513],
 	_KindName[513:522],
 	_KindName[522:533],
+	_KindName[533:547],
+	_KindName[547:559],
+	_KindName[559:576],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -54,6 +54,10 @@
 	timers     map[string]int64
 	unheld     map[int64]int64
 	took       map[int64]bool
+	handed     map[int64]*wire.PartitionState
+	moving     map[int64]*handing
+	promised   map[int64]promise
+	Moves      int64
 	listed     wire.WorkerList
 	leavers    map[string]bool
 	leaving    bool
@@ -82,6 +86,7 @@
 		view:     &partition.View{Policy: policy.Empty(), Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Owners: map[int64]wire.Owner{}, Count: boot.Partitions},
 		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, marks: map[string]int64{},
 		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
+		handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
 		founding: newFounding(),
 	}
 	f.replay(snapshot, writes)
@@ -96,53 +101,6 @@
 	return value
 }
 
-func (f *Frame) replay(snapshot *wire.Snapshot, writes []wire.Write) {
-	for i := range snapshot.Registers {
-		f.acceptor.Replay(&snapshot.Registers[i])
-	}
-	for i := range snapshot.Partitions {
-		state := snapshot.Partitions[i]
-		f.kept[state.Partition] = &state
-	}
-	for _, write := range writes {
-		body, err := wire.Decode(write.Kind, write.Body)
-		if err != nil {
-			panic(err)
-		}
-		switch record := body.(type) {
-		case *wire.AcceptorRecord:
-			f.acceptor.Replay(record)
-		case *wire.AdoptRecord:
-			f.kept[record.Partition] = partition.NewState(record.Partition, record.Owner, record.Fence)
-		case *wire.Event:
-			state := f.kept[record.Partition]
-			event, err := wire.Decode(wire.Kind(record.Kind), record.Body)
-			if err != nil {
-				panic(err)
-			}
-			if state != nil && state.Fence == record.Fence {
-				partition.Apply(state, wire.Kind(record.Kind), event)
-				f.Recoveries++
-			}
-		}
-	}
-}
-
-// Snapshot is the whole durable state, for a checkpoint.
-//
-//	body := wire.Encode(core.Snapshot())
-func (f *Frame) Snapshot() *wire.Snapshot {
-	snapshot := &wire.Snapshot{Registers: f.acceptor.Snapshot()}
-	for number := range f.boot.Partitions {
-		if owned := f.owned[number]; owned != nil {
-			snapshot.Partitions = append(snapshot.Partitions, *owned.State())
-		} else if kept := f.kept[number]; kept != nil {
-			snapshot.Partitions = append(snapshot.Partitions, *kept)
-		}
-	}
-	return snapshot
-}
-
 // Hear takes a message from another process, or what a worker showed.
 //
 //	out := core.Hear(now, "c2~51", body)
@@ -175,6 +133,10 @@
 		}
 	case *wire.PostAck:
 		out = f.acked(now, told)
+	case *wire.Handover:
+		out = f.handedOver(from, told)
+	case *wire.HandoverTaken:
+		out = f.handoverTaken(now, from, told)
 	case *wire.Subscribe:
 		out.Send(from, wire.KindNews, f.board.Since(told, nil))
 	case *wire.News:
--- /dev/null
+++ b/internal/process/frame/moves.go
@@ -0,0 +1,210 @@
+package frame
+
+import (
+	"slices"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/partition"
+)
+
+// A planned move hands a partition over with its state. The owner seals the
+// state, which lasts before anything else is done: a sealed state never takes
+// turns again under its fence. It sends the state to the next owner, which
+// writes it down and says so; only then the grant is given back. The next owner
+// claims as ever, and if the register still names the sealed fence it takes the
+// state up under the next one. If the move fails, the old owner does the same.
+
+// handing is a move under way, at its old owner.
+type handing struct {
+	to          string
+	fence       int64
+	since, sent int64
+}
+
+// promise is a partition given away: not to be claimed back for a while.
+type promise struct {
+	to    string
+	until int64
+}
+
+// startMove seals a partition and begins to hand it to another node.
+func (f *Frame) startMove(now int64, out *wire.Outputs, number int64, to string) {
+	owned := f.mine(now, number)
+	if owned == nil || f.moving[number] != nil {
+		return
+	}
+	f.letGo(number)
+	state := f.kept[number]
+	state.Sealed = true
+	out.Write(wire.KindSealRecord, &wire.SealRecord{Partition: number, Fence: state.Fence})
+	f.moving[number] = &handing{to: to, fence: state.Fence, since: now}
+	f.Moves++
+	f.sendMove(now, out, number)
+}
+
+func (f *Frame) sendMove(now int64, out *wire.Outputs, number int64) {
+	handed := f.moving[number]
+	handed.sent = now
+	out.After(handed.to, wire.KindHandover, &wire.Handover{Partition: number, Fence: handed.fence, State: wire.Encode(f.kept[number])})
+}
+
+// movesTick repeats what was not taken, and gives up on what takes too long.
+func (f *Frame) movesTick(now int64, out *wire.Outputs) {
+	for number := range f.boot.Partitions {
+		handed := f.moving[number]
+		if handed == nil {
+			continue
+		}
+		_, held := f.holder.Mine(now, number)
+		standing, _ := f.members.Standing(handed.to)
+		switch {
+		case !held, standing != wire.StandingWell, now-handed.since > f.boot.LeaseMs:
+			delete(f.moving, number)
+			f.giveBack(out, number)
+		case now-handed.sent > f.boot.LeaseMs/8:
+			f.sendMove(now, out, number)
+		}
+	}
+	if !f.leaving && f.due(now, "balance", f.boot.LeaseMs) {
+		f.balance(now, out)
+	}
+}
+
+func (f *Frame) giveBack(out *wire.Outputs, number int64) {
+	back := f.holder.Release([]int64{number})
+	for _, seat := range f.proposer.Core().Seats {
+		out.Send(seat.ID, wire.KindGrantBack, back)
+	}
+}
+
+// balance moves one partition to the node that owns fewest, where the numbers
+// differ by two or more and all have stood well for a while.
+func (f *Frame) balance(now int64, out *wire.Outputs) {
+	core := f.proposer.Core()
+	if !core.Swept || len(f.moving) > 0 || f.stalled || now-f.StartedMs < 4*f.boot.LeaseMs {
+		return
+	}
+	load := map[string]int{}
+	for _, owner := range f.view.Owners {
+		load[owner.ID]++
+	}
+	target := ""
+	for _, seat := range core.Seats {
+		standing, since := f.members.Standing(seat.ID)
+		if standing != wire.StandingWell || (seat.ID != f.boot.ID && now-since < 2*f.boot.LeaseMs) {
+			return
+		}
+		if target == "" || load[seat.ID] < load[target] {
+			target = seat.ID
+		}
+	}
+	if target == "" || load[f.boot.ID]-load[target] < 2 {
+		return
+	}
+	for number := range f.boot.Partitions {
+		if f.mine(now, number) != nil {
+			f.startMove(now, out, number, target)
+			return
+		}
+	}
+}
+
+// handedOver takes a sealed state and says so once it lasts.
+func (f *Frame) handedOver(from string, told *wire.Handover) wire.Outputs {
+	var out wire.Outputs
+	if !f.seated() || f.leaving || f.stalled || told.Fence < f.view.Owners[told.Partition].Fence {
+		return out
+	}
+	if kept := f.handed[told.Partition]; kept == nil || kept.Fence != told.Fence {
+		state := &wire.PartitionState{}
+		if state.Unmarshal(told.State) != nil {
+			return out
+		}
+		f.handed[told.Partition] = state
+		out.Write(wire.KindHandover, told)
+	}
+	out.After(from, wire.KindHandoverTaken, &wire.HandoverTaken{Partition: told.Partition, Fence: told.Fence})
+	return out
+}
+
+func (f *Frame) handoverTaken(now int64, from string, told *wire.HandoverTaken) wire.Outputs {
+	var out wire.Outputs
+	handed := f.moving[told.Partition]
+	if handed == nil || handed.to != from || handed.fence != told.Fence {
+		return out
+	}
+	delete(f.moving, told.Partition)
+	f.promised[told.Partition] = promise{to: from, until: now + 2*f.boot.LeaseMs}
+	f.giveBack(&out, told.Partition)
+	return out
+}
+
+// wishMoved says who should own a partition by a move; false if by none.
+func (f *Frame) wishMoved(now, number int64) (string, bool) {
+	if given, ok := f.promised[number]; ok && now < given.until && f.view.Owners[number].ID == f.boot.ID {
+		return given.to, true
+	}
+	if kept := f.handed[number]; kept != nil && kept.Fence == f.view.Owners[number].Fence && kept.Owner == f.view.Owners[number].ID {
+		return f.boot.ID, true
+	}
+	return "", false
+}
+
+// source is the sealed state that may go on under the next fence, if the
+// register still names its owner and fence.
+func (f *Frame) source(number int64, owner wire.Owner) *wire.PartitionState {
+	for _, state := range []*wire.PartitionState{f.kept[number], f.handed[number]} {
+		if state != nil && state.Sealed && state.Owner == owner.ID && state.Fence == owner.Fence {
+			return state
+		}
+	}
+	return nil
+}
+
+// adoptState begins a partition under a new fence, from a sealed state or empty.
+func (f *Frame) adoptState(number, fence int64, owner string, from *wire.PartitionState) {
+	if from == nil {
+		f.kept[number] = partition.NewState(number, owner, fence)
+	} else {
+		f.kept[number] = partition.Inherit(from, owner, fence)
+	}
+	delete(f.handed, number)
+}
+
+// Leave begins to hand over all partitions, so that the next owners go on where
+// this one stops. Moving tells how many are still on their way.
+//
+//	out := core.Leave(now)
+func (f *Frame) Leave(now int64) wire.Outputs {
+	var out wire.Outputs
+	f.leaving = true
+	var others []string
+	for _, seat := range f.proposer.Core().Seats {
+		if standing, _ := f.members.Standing(seat.ID); seat.ID != f.boot.ID && standing == wire.StandingWell {
+			others = append(others, seat.ID)
+		}
+	}
+	slices.Sort(others)
+	turn := 0
+	for number := range f.boot.Partitions {
+		if len(others) > 0 && f.mine(now, number) != nil {
+			f.startMove(now, &out, number, others[turn%len(others)])
+			turn++
+		}
+	}
+	return out
+}
+
+// Gone stops all turns that are left, gives their grants back and tells the
+// members that this node leaves.
+//
+//	out := core.Gone(now)
+func (f *Frame) Gone(now int64) wire.Outputs {
+	var out wire.Outputs
+	f.leaving = true
+	f.moving = map[int64]*handing{}
+	f.members.Leave()
+	f.release(&out)
+	out.Add(f.members.Tick(now))
+	return out
+}
--- a/internal/process/frame/owners.go
+++ b/internal/process/frame/owners.go
@@ -25,6 +25,11 @@
 	limit := (f.boot.Partitions + int64(len(alive)) - 1) / int64(max(len(alive), 1))
 	var rest []int64
 	for number := range f.boot.Partitions {
+		if id, moved := f.wishMoved(now, number); moved {
+			out[number] = id
+			load[id]++
+			continue
+		}
 		owner, known := f.view.Owners[number]
 		stuck := f.unheld[number] > 0 && now-f.unheld[number] > 3*f.boot.LeaseMs
 		if known && slices.Contains(alive, owner.ID) && !stuck {
@@ -113,12 +118,12 @@
 		}
 		f.letGo(number)
 		kept := f.kept[number]
-		if kept != nil && owner.ID == f.boot.ID && kept.Owner == f.boot.ID && owner.Fence == kept.Fence {
+		if kept != nil && owner.ID == f.boot.ID && kept.Owner == f.boot.ID && owner.Fence == kept.Fence && !kept.Sealed {
 			f.learn(now, &out, key, read.Value)
 			f.holder.Settled(number, owner.Fence)
 			return out
 		}
-		next := wire.Owner{Partition: number, ID: f.boot.ID, Addr: f.boot.Addr, Fence: owner.Fence + 1}
+		next, from := wire.Owner{Partition: number, ID: f.boot.ID, Addr: f.boot.Addr, Fence: owner.Fence + 1}, f.source(number, owner)
 		write := f.then(func(now int64, wrote register.Outcome) wire.Outputs {
 			var out wire.Outputs
 			if wrote.Fate != register.FateDone {
@@ -126,8 +131,12 @@
 				return out
 			}
 			f.learn(now, &out, key, wrote.Value)
-			f.kept[number] = partition.NewState(number, f.boot.ID, next.Fence)
-			out.Write(wire.KindAdoptRecord, &wire.AdoptRecord{Partition: number, Owner: f.boot.ID, Fence: next.Fence})
+			record := &wire.AdoptRecord{Partition: number, Owner: f.boot.ID, Fence: next.Fence}
+			if from != nil {
+				record.From = from.Fence
+			}
+			f.adoptState(number, next.Fence, f.boot.ID, from)
+			out.Write(wire.KindAdoptRecord, record)
 			f.holder.Settled(number, next.Fence)
 			return out
 		})
--- a/internal/process/frame/page.go
+++ b/internal/process/frame/page.go
@@ -24,6 +24,9 @@
 	Swept     int
 	Rounds    int64
 	Events    int64
+	// Moving counts partitions on their way to another owner, Moves all that were.
+	Moving int
+	Moves  int64
 	// Seeds and Partitions are this node's own settings.
 	Seeds      []string
 	Partitions int64
@@ -36,7 +39,7 @@
 	page := Page{ID: f.boot.ID, Role: "exchange", Core: f.proposer.Core(), Policy: f.view.Policy, Marks: map[string]int64{}, Members: f.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
 		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
-	page.Events = f.events
+	page.Events, page.Moving, page.Moves = f.events, len(f.moving), f.Moves
 	for _, owned := range f.owned {
 		page.Events += owned.Steps
 	}
@@ -84,8 +87,10 @@
 // ownedFact lists the partitions on which this node may take turns.
 func (f *Frame) ownedFact(now int64) string {
 	var numbers []string
-	for _, hold := range f.holder.Owned(now) {
-		numbers = append(numbers, fmt.Sprint(hold.Partition))
+	for number := range f.boot.Partitions {
+		if f.mine(now, number) != nil {
+			numbers = append(numbers, fmt.Sprint(number))
+		}
 	}
 	return strings.Join(numbers, ",")
 }
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -21,6 +21,7 @@
 	f.sweepTick(now, &out)
 	f.stewardTick(now, &out)
 	f.ownersTick(now, &out)
+	f.movesTick(now, &out)
 	f.newsTick(now, &out)
 	f.platformTick(now, &out)
 	f.members.Set("owned", f.ownedFact(now))
@@ -141,19 +142,6 @@
 	return out
 }
 
-// Leave stops all turns and tells the granters, so that others need not wait
-// for the grants to run out.
-//
-//	out := core.Leave(now)
-func (f *Frame) Leave(now int64) wire.Outputs {
-	var out wire.Outputs
-	f.leaving = true
-	f.members.Leave()
-	f.release(&out)
-	out.Add(f.members.Tick(now))
-	return out
-}
-
 // StallMs is how long a batch may take to become durable before this node lets
 // its grants go.
 //
--- a/internal/process/partition/apply.go
+++ b/internal/process/partition/apply.go
@@ -23,6 +23,34 @@
 	}
 }
 
+// Inherit is a sealed state taken up under the next fence. Positions are scoped
+// by fences, so outboxes are numbered anew and all senders begin at one.
+//
+//	state := partition.Inherit(sealed, "c2~51", 9)
+func Inherit(sealed *wire.PartitionState, owner string, fence int64) *wire.PartitionState {
+	next := NewState(sealed.Partition, owner, fence)
+	if err := next.Unmarshal(wire.Encode(sealed)); err != nil {
+		panic(err)
+	}
+	next.Owner, next.Fence, next.Sealed, next.Vector = owner, fence, false, nil
+	for name, box := range next.Outboxes {
+		renumber(&box)
+		next.Outboxes[name] = box
+	}
+	return next
+}
+
+func renumber(box *wire.Outbox) {
+	box.Next = 0
+	msgs := make([]wire.OutMsg, len(box.Msgs))
+	for i, msg := range box.Msgs {
+		box.Next++
+		msg.Pos = box.Next
+		msgs[i] = msg
+	}
+	box.Msgs = msgs
+}
+
 // Apply changes the state by one event and by nothing else: replaying the same
 // events gives the same state.
 //
@@ -49,14 +77,8 @@
 	case *wire.PeerRenewed:
 		name := boxName(told.Partition)
 		box := state.Outboxes[name]
-		box.Partition, box.Fence, box.Next = told.Partition, told.Fence, 0
-		renumbered := make([]wire.OutMsg, len(box.Msgs))
-		for i, msg := range box.Msgs {
-			box.Next++
-			msg.Pos = box.Next
-			renumbered[i] = msg
-		}
-		box.Msgs = renumbered
+		box.Partition, box.Fence = told.Partition, told.Fence
+		renumber(&box)
 		state.Outboxes[name] = box
 	}
 }
--- a/internal/process/sim/exchange.go
+++ b/internal/process/sim/exchange.go
@@ -203,7 +203,10 @@
 	e.on(func() {
 		e.perform(e.core.Leave(e.clock()))
 		life := e.life
-		w.after(w.Shape.ProbeMs, func() {
+		w.after(w.Shape.LeaseMs/2, func() {
+			e.on(func() { e.perform(e.core.Gone(e.clock())) })
+		})
+		w.after(w.Shape.LeaseMs/2+w.Shape.ProbeMs, func() {
 			if e.life == life {
 				w.Crash(core, false)
 			}
--- /dev/null
+++ b/internal/process/sim/moves_test.go
@@ -0,0 +1,67 @@
+package sim
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func (w *World) ownedCounts() []int {
+	var out []int
+	for _, e := range w.cores {
+		out = append(out, len(e.core.Page(e.clock()).Owned))
+	}
+	return out
+}
+
+// A core machine that was away for long gets its share of partitions back, one
+// move at a time, with their state; nothing is loaded a second time for it.
+func TestMovesBalance(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 21, 15000)
+		w.Crash(0, true)
+		w.Run(30000)
+		w.Restart(0, false)
+		w.Run(100000)
+		moves := int64(0)
+		for _, e := range w.cores {
+			moves += e.core.Moves
+		}
+		total := 0
+		for _, count := range w.ownedCounts() {
+			total += count
+			c.Check(count >= 12/len(w.cores)-1 && count <= 12/len(w.cores)+1, qt.IsTrue, qt.Commentf("%v", w.ownedCounts()))
+		}
+		c.Check(total, qt.Equals, 12)
+		c.Check(moves >= 2 && moves <= 6, qt.IsTrue, qt.Commentf("%d moves", moves))
+		calm(c, w)
+	})
+}
+
+// A move whose next owner dies, or whose old owner dies in the middle, loses no
+// partition; the sealed state takes no turns under its old fence.
+func TestMovesThatFail(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		for _, dies := range []string{"next", "old", "both"} {
+			w := steady(shape, 22, 15000)
+			w.Drain(0)
+			w.Run(w.now + 30)
+			if dies != "old" {
+				w.Crash(1, true)
+			}
+			if dies != "next" {
+				w.Crash(0, true)
+			}
+			w.Run(w.now + 1500)
+			w.Restart(0, false)
+			w.Restart(1, false)
+			w.Run(w.now + 25000)
+			total := 0
+			for _, count := range w.ownedCounts() {
+				total += count
+			}
+			c.Check(total, qt.Equals, 12, qt.Commentf("%s: %v", dies, w.ownedCounts()))
+			calm(c, w)
+		}
+	})
+}
--- a/internal/process/standing/standing.go
+++ b/internal/process/standing/standing.go
@@ -103,6 +103,7 @@
 	g.Gauge("partitions_owned", "partitions owned here", number(func() float64 { return float64(len(pages.Load().Owned)) }))
 	g.Gauge("members", "members known here", number(func() float64 { return float64(len(pages.Load().Members)) }))
 	g.Count("register_rounds_total", "rounds that register calls took", number(func() float64 { return float64(pages.Load().Rounds) }))
+	g.Count("partition_moves_total", "partitions that this node began to hand over", number(func() float64 { return float64(pages.Load().Moves) }))
 	g.Count("partition_events_total", "events that partitions logged", number(func() float64 { return float64(pages.Load().Events) }))
 }
 
