Store: a new owner's own asks are not forgotten with its predecessor's

Cause: the store's key heard of a partition's new fence after that owner had asked for permits and been given turns; it then took these turns for the old owner's, freed them after a period, and gave them out again while the new owner's loads were still to come, after its wait of a lease. Ruled out: pacing (each turn by itself kept its period) and workers' speed. An ask's name carries the fence it was made under; only older ones go.

--- a/internal/process/partition/items.go
+++ b/internal/process/partition/items.go
@@ -108,7 +108,7 @@
 			return
 		}
 		item.NextAsk++
-		home := wire.HomeState{Worker: chosenWorker, State: homeAsked, Ask: item.NextAsk<<16 | p.state.Fence&0xffff, SinceMs: now}
+		home := wire.HomeState{Worker: chosenWorker, State: homeAsked, Ask: p.askName(item.NextAsk), SinceMs: now}
 		item.Homes = append(item.Homes, home)
 		p.askHome(now, e, item.Name, *item, home)
 	}
--- a/internal/process/partition/partition.go
+++ b/internal/process/partition/partition.go
@@ -191,7 +191,7 @@
 		}
 		p.log(out, wire.KindPeerRenewed, &wire.PeerRenewed{Partition: partition, Fence: owner.Fence})
 		if owner.Fence > 1 {
-			p.sayAgain(now, out, partition)
+			p.sayAgain(now, out, partition, owner.Fence)
 		}
 	}
 }
--- a/internal/process/partition/step.go
+++ b/internal/process/partition/step.go
@@ -131,7 +131,7 @@
 }
 
 // sayAgain repeats, to a partition that has a new owner, what it may have lost.
-func (p *Partition) sayAgain(now int64, out *wire.Outputs, partition int64) {
+func (p *Partition) sayAgain(now int64, out *wire.Outputs, partition, fence int64) {
 	for _, name := range sorted(p.state.Items) {
 		e := &effects{}
 		for _, home := range p.state.Items[name].Homes {
@@ -155,7 +155,7 @@
 	}
 	if Of(StoreKey, p.view.Count) == p.state.Partition {
 		e := &effects{}
-		p.forgetAskers(now, e, partition)
+		p.forgetAskers(now, e, partition, fence)
 		p.logSaid(out, StoreKey, e)
 	}
 }
--- a/internal/process/partition/store.go
+++ b/internal/process/partition/store.go
@@ -87,14 +87,17 @@
 	}
 }
 
-// forgetAskers drops what workers of a partition asked before it lost its
-// state; turns they had are unknown and wait a whole period.
-func (p *Partition) forgetAskers(now int64, e *effects, partition int64) {
+// forgetAskers drops what workers of a partition asked before its owner under
+// this fence; turns they had are unknown and wait a whole period. What the new
+// owner itself asked already, before its fence was heard of here, stays.
+func (p *Partition) forgetAskers(now int64, e *effects, partition, fence int64) {
 	store := p.cloneStore()
-	store.Queue = slices.DeleteFunc(store.Queue, func(a wire.PermitAsk) bool { return Of(WorkerKey(a.Worker), p.view.Count) == partition })
+	old := func(worker string, ask int64) bool {
+		return Of(WorkerKey(worker), p.view.Count) == partition && ask&fenceBits != fence&fenceBits
+	}
+	store.Queue = slices.DeleteFunc(store.Queue, func(a wire.PermitAsk) bool { return old(a.Worker, a.Ask) })
 	for at := range store.Turns {
-		turn := &store.Turns[at]
-		if turn.Busy && Of(WorkerKey(turn.Worker), p.view.Count) == partition {
+		if turn := &store.Turns[at]; turn.Busy && old(turn.Worker, turn.Ask) {
 			turn.Busy = false
 			turn.FreeMs = now + p.view.Policy.Store.PaceMs(turn.SizeMb)
 		}
--- a/internal/process/partition/workers.go
+++ b/internal/process/partition/workers.go
@@ -153,11 +153,16 @@
 			continue
 		}
 		worker.NextAsk++
-		kept.State, kept.Turn = residentAsked, worker.NextAsk<<16|p.state.Fence&0xffff
+		kept.State, kept.Turn = residentAsked, p.askName(worker.NextAsk)
 		p.askPermit(e, worker.Name, *kept)
 	}
 }
 
+// fenceBits of an ask's name are those of the fence under which it was asked.
+const fenceBits = 0xffff
+
+func (p *Partition) askName(number int64) int64 { return number<<16 | p.state.Fence&fenceBits }
+
 // permitted turns a permit into a load order, or gives it back.
 func (p *Partition) permitted(now int64, e *effects, worker *wire.WorkerState, given *wire.PermitGiven) {
 	at := slices.IndexFunc(worker.Residents, func(r wire.Resident) bool { return r.State == residentAsked && r.Turn == given.Ask })
