Moves: an inherited state gives up its old owner's permits

Cause: a state taken up under the next fence went on with the permits of the old owner, which the store's key had already forgotten, and counted the turns' periods from the start of its own process instead of from now. Ruled out: the seal (no turn was taken under the old fence). Now what was asked for is asked again, what was to be loaded is kept only if the worker is seen to load it, and periods count from taking up.

--- a/internal/process/frame/moves.go
+++ b/internal/process/frame/moves.go
@@ -169,6 +169,7 @@
 		f.kept[number] = partition.Inherit(from, owner, fence)
 	}
 	delete(f.handed, number)
+	f.took[number] = true
 }
 
 // Leave begins to hand over all partitions, so that the next owners go on where
--- a/internal/process/frame/owners.go
+++ b/internal/process/frame/owners.go
@@ -153,10 +153,11 @@
 		f.holder.Drop(move.Partition)
 		return
 	}
-	// Under a fence that this node had before it started, nobody gave turns since.
-	quiet := now
-	if state.Input > 0 && !f.took[move.Partition] {
-		quiet = f.StartedMs
+	// Only under a fence that this node had before it started did nobody give
+	// turns since it started.
+	quiet := f.StartedMs
+	if f.took[move.Partition] {
+		quiet = now
 	}
 	f.took[move.Partition] = true
 	f.owned[move.Partition] = partition.New(now, state, f.view, partition.LimitsFor(f.boot.LeaseMs, f.boot.PollMs), f.boot.ID, quiet)
--- a/internal/process/frame/recovery.go
+++ b/internal/process/frame/recovery.go
@@ -31,6 +31,7 @@
 				from = f.source(record.Partition, f.sealedOwner(record))
 			}
 			f.adoptState(record.Partition, record.Fence, record.Owner, from)
+			f.took[record.Partition] = false
 		case *wire.SealRecord:
 			if state := f.kept[record.Partition]; state != nil && state.Fence == record.Fence {
 				state.Sealed = true
--- a/internal/process/partition/apply.go
+++ b/internal/process/partition/apply.go
@@ -37,9 +37,27 @@
 		renumber(&box)
 		next.Outboxes[name] = box
 	}
+	next.Tasks = slices.DeleteFunc(next.Tasks, func(t wire.Task) bool { return t.Op == "load" })
+	for _, worker := range next.Workers {
+		for i := range worker.Residents {
+			disown(&worker.Residents[i])
+		}
+	}
 	return next
 }
 
+// disown takes a permit of an earlier owner from what was to be loaded: the
+// store's key forgets it too. What the worker already loads is seen at the
+// first look; what it does not goes then.
+func disown(kept *wire.Resident) {
+	switch kept.State {
+	case residentAsked:
+		kept.State = residentQueued
+	case residentLoading:
+		kept.Turn = -1
+	}
+}
+
 func renumber(box *wire.Outbox) {
 	box.Next = 0
 	msgs := make([]wire.OutMsg, len(box.Msgs))
--- a/internal/process/partition/store_test.go
+++ b/internal/process/partition/store_test.go
@@ -50,3 +50,44 @@
 	r.seen(ready("m1")...)
 	c.Check(r.ordered(), qt.DeepEquals, []string{"load m1", "load a1"})
 }
+
+// When a partition's new owner is heard of, what its workers asked before is
+// forgotten; what the new owner asked already is not.
+func TestForgetsOnlyOldAsks(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(c, 1, nil)
+	old, fresh := int64(1)<<16|4, int64(2)<<16|5
+	r.p.state.Store = wire.StoreState{
+		Turns: []wire.Turn{{Busy: true, Worker: "x", Ask: old, SizeMb: 400}, {Busy: true, Worker: "x", Ask: fresh, SizeMb: 400}},
+		Queue: []wire.PermitAsk{{Worker: "x", Ask: old}, {Worker: "x", Ask: fresh}},
+	}
+	e := &effects{}
+	r.p.forgetAskers(2000, e, 0, 5)
+	store := e.step.Stores[0]
+	c.Check(store.Turns[0].Busy, qt.IsFalse)
+	c.Check(store.Turns[0].FreeMs, qt.Equals, int64(2800))
+	c.Check(store.Turns[1].Busy, qt.IsTrue)
+	c.Check(store.Queue, qt.HasLen, 1)
+}
+
+// A state taken up under the next fence keeps what is loaded and gives up the
+// permits that its old owner had.
+func TestInherit(t *testing.T) {
+	c := qt.New(t)
+	old := NewState(3, "c1", 4)
+	old.Sealed, old.Vector = true, []wire.Dedup{{Sender: "p1", Fence: 1, Pos: 9}}
+	old.Workers["w1"] = wire.WorkerState{Name: "w1", Residents: []wire.Resident{{Item: "a", State: residentAsked}, {Item: "b", State: residentLoading, Turn: 7}, {Item: "c", State: residentReady}}}
+	old.Tasks = []wire.Task{{ID: 1, Op: "load", Item: "b"}, {ID: 2, Op: "unload", Item: "d"}}
+	old.Outboxes["p5"] = wire.Outbox{Partition: 5, Fence: 2, Next: 12, Msgs: []wire.OutMsg{{Pos: 11}, {Pos: 12}}}
+	next := Inherit(old, "c2", 5)
+	c.Check(next.Owner == "c2" && next.Fence == 5 && !next.Sealed, qt.IsTrue)
+	c.Check(next.Vector, qt.HasLen, 0)
+	residents := next.Workers["w1"].Residents
+	c.Check(residents[0].State, qt.Equals, int64(residentQueued))
+	c.Check(residents[1].Turn, qt.Equals, int64(-1))
+	c.Check(residents[2].State, qt.Equals, int64(residentReady))
+	c.Check(next.Tasks, qt.HasLen, 1)
+	c.Check(next.Outboxes["p5"].Msgs[0].Pos, qt.Equals, int64(1))
+	c.Check(next.Outboxes["p5"].Next, qt.Equals, int64(2))
+	c.Check(old.Workers["w1"].Residents[0].State, qt.Equals, int64(residentAsked), qt.Commentf("the sealed state is not touched"))
+}
--- a/internal/process/sim/sim_test.go
+++ b/internal/process/sim/sim_test.go
@@ -27,6 +27,14 @@
 
 func TestHarder(t *testing.T) { plan(qt.New(t), 1, 2, Harder) }
 
+// Seeds that once showed a breach.
+func TestFoundSeeds(t *testing.T) {
+	c := qt.New(t)
+	for _, seed := range []int64{70, 83} {
+		plan(c, seed, seed, func(_ Shape, seed int64) *World { return Harder(Brilleverk(), seed) })
+	}
+}
+
 func plan(c *qt.C, from, to int64, run func(Shape, int64) *World) {
 	from, to = seeds(c, from, to)
 	for _, shape := range []Shape{Brilleverk(), Krizanka()} {
