Policy: objects in the manner of Kubernetes are taken too

apiVersion, kind, metadata and spec, in YAML or JSON through sigs.k8s.io/yaml, turned into the native form; all faults are listed at once under the objects' own paths.

--- a/cmd/dial/main.go
+++ b/cmd/dial/main.go
@@ -77,17 +77,21 @@
 	change := func(name, method, help string) *ffcli.Command {
 		set := flag.NewFlagSet(name, flag.ContinueOnError)
 		file := set.String("file", "-", "file with the JSON, - for standard input")
+		form := set.String("form", "", "native or objects; by the file's ending if empty")
 		mark := set.Int64("expected", -1, "mark that the policy must have; -1 for any")
 		return &ffcli.Command{Name: name, ShortHelp: help, FlagSet: set, Exec: func(ctx context.Context, _ []string) error {
 			body, err := readFile(*file)
 			if err != nil {
 				return err
 			}
-			path := "/v1/policy"
+			query := url.Values{}
 			if *mark >= 0 {
-				path += "?" + url.Values{"expected": {fmt.Sprint(*mark)}}.Encode()
+				query.Set("expected", fmt.Sprint(*mark))
 			}
-			return c.ask(ctx, method, path, body)
+			if *form == "objects" || (*form == "" && (strings.HasSuffix(*file, ".yaml") || strings.HasSuffix(*file, ".yml"))) {
+				query.Set("form", "objects")
+			}
+			return c.ask(ctx, method, "/v1/policy?"+query.Encode(), body)
 		}}
 	}
 	return &ffcli.Command{Name: "policy", ShortUsage: "dial policy get|set|patch", ShortHelp: "the policy and its mark",
--- /dev/null
+++ b/internal/process/desk/change.go
@@ -0,0 +1,110 @@
+package desk
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"applequay/internal/mark/policy"
+	"applequay/internal/process/frame"
+	"applequay/internal/process/register"
+)
+
+// written is an operator's body in the native form, with the way back to the
+// paths of the form it was written in.
+type written struct {
+	body      []byte
+	faults    policy.Faults
+	syntax    bool
+	translate func(policy.Faults) policy.Faults
+}
+
+// written reads the body: the native form, or objects where the content type
+// is YAML or the query says form=objects.
+func (d *Desk) written(w http.ResponseWriter, r *http.Request) (written, bool) {
+	body, ok := d.body(w, r)
+	if !ok {
+		return written{}, false
+	}
+	out := written{body: body, translate: func(f policy.Faults) policy.Faults { return f }}
+	if r.URL.Query().Get("form") == "objects" || strings.Contains(r.Header.Get("Content-Type"), "yaml") {
+		read := policy.ReadObjects(body)
+		out = written{body: read.Native, faults: read.Faults, syntax: read.Syntax, translate: read.Translate}
+	}
+	return out, true
+}
+
+func (d *Desk) setPolicy(w http.ResponseWriter, r *http.Request) {
+	mark, ok := expected(w, r)
+	if !ok {
+		return
+	}
+	if told, ok := d.written(w, r); ok {
+		d.change(w, r, mark, told)
+	}
+}
+
+func (d *Desk) patchPolicy(w http.ResponseWriter, r *http.Request) {
+	mark, ok := expected(w, r)
+	if !ok {
+		return
+	}
+	told, ok := d.written(w, r)
+	if !ok {
+		return
+	}
+	current, ok := d.read(r)
+	if !ok {
+		w.Header().Set("Retry-After", "2")
+		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
+		return
+	}
+	if now := current.Value.Mark; mark >= 0 && now != mark {
+		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Mark: &now, Applied: "no"})
+		return
+	}
+	body, faults, syntax := policy.Patch(current.Value.Body, told.body)
+	told.body, told.faults, told.syntax = body, append(told.faults, told.translate(faults)...), told.syntax || syntax
+	// What the change makes has the native form's paths.
+	told.translate = func(f policy.Faults) policy.Faults { return f }
+	d.change(w, r, current.Value.Mark, told)
+}
+
+func (d *Desk) refuse(w http.ResponseWriter, faults policy.Faults, syntax bool) {
+	status := http.StatusUnprocessableEntity
+	if syntax {
+		status = http.StatusBadRequest
+	}
+	Say(w, status, Refusal{Error: "the policy has faults", Faults: faults, Applied: "no"})
+}
+
+func (d *Desk) change(w http.ResponseWriter, r *http.Request, mark int64, told written) {
+	if !told.syntax {
+		// All faults at once: those of the form, and those of what it says.
+		table, more, syntax := policy.Parse(told.body, 0)
+		if len(more) == 0 {
+			more = table.Roomless(d.largest())
+		}
+		told.faults, told.syntax = append(told.faults, told.translate(more)...), syntax
+	}
+	if len(told.faults) > 0 {
+		d.refuse(w, told.faults, told.syntax)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), d.wait)
+	defer cancel()
+	outcome := d.control.Change(ctx, frame.PolicyKey, mark, told.body)
+	now := outcome.Value.Mark
+	switch outcome.Fate {
+	case register.FateDone:
+		Say(w, http.StatusOK, map[string]int64{"mark": now})
+	case register.FateStale:
+		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Mark: &now, Applied: "no"})
+	case register.FateNone:
+		w.Header().Set("Retry-After", "2")
+		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
+	default:
+		w.Header().Set("Retry-After", "2")
+		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answered in time; the change may have happened", Applied: "unknown"})
+	}
+}
--- a/internal/process/fleet/breakdowns.go
+++ b/internal/process/fleet/breakdowns.go
@@ -102,3 +102,41 @@
 	}
 	return w.inForce(mark)
 }
+
+// rolling restarts core machines and fronts in turn; the next goes only when
+// all partitions have an owner again.
+func rolling(w *World) error {
+	for _, name := range w.Cores {
+		if !w.Stop(12*time.Second, name) {
+			return oops.Errorf("%s does not end in time", name)
+		}
+		if err := w.Start(name); err != nil {
+			return err
+		}
+		if !w.Until(12*time.Second, func() bool { return w.owned() == 12 }) {
+			return oops.Errorf("%d of 12 partitions have an owner after %s was restarted", w.owned(), name)
+		}
+	}
+	for i := range w.Shape.Fronts {
+		names := []string{fmt.Sprintf("s%d", i+1), fmt.Sprintf("l%d", i+1)}
+		if !w.Stop(12*time.Second, names...) {
+			return oops.Errorf("%v do not end in time", names)
+		}
+		if err := w.Start(names...); err != nil {
+			return err
+		}
+		if !w.Until(5*time.Second, func() bool { return w.Mark(names[0]) > 0 }) {
+			return oops.Errorf("%s has no policy after its restart", names[0])
+		}
+	}
+	return nil
+}
+
+// owned counts the partitions that the core machines say they own.
+func (w *World) owned() int {
+	total := 0
+	for _, name := range w.Cores {
+		total += int(max(w.Metric(name, "applequay_partitions_owned"), 0))
+	}
+	return total
+}
--- a/internal/process/fleet/scenarios.go
+++ b/internal/process/fleet/scenarios.go
@@ -30,6 +30,7 @@
 		{"workers", "model workers are killed, go dark, and leave", 30, workers},
 		{"fronts", "fronts are killed, drained and restarted", 30, fronts},
 		{"apps", "booking workers are killed and restarted", 25, apps},
+		{"rolling", "every daemon is restarted by SIGTERM, one after the other", 60, rolling},
 		{"policies", "two operators storm, and a very large set of routes is written", 25, policies},
 	}
 }
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -74,6 +74,9 @@
 	f.heed(list)
 	body := wire.Encode(list)
 	kept, _ := f.board.Get(DirectoryKey)
+	if mark == 0 && len(list.Workers) == 0 {
+		return out
+	}
 	if mark != f.marks[DirectoryKey] || (mark > 0 && string(kept.Body) == string(body)) {
 		return out
 	}
