--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -3,10 +3,15 @@
 import (
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/frame"
+	"applequay/internal/process/journal"
 )
 
 // build makes the programs of this very tree.
@@ -45,9 +50,50 @@
 	c.Check(Breaches(shape, seen), qt.HasLen, 0)
 	figures := Sum(seen, 0, 0)
 	c.Check(figures.Whole > 20, qt.IsTrue, qt.Commentf("%v", figures))
+	operators(c, w)
 	c.Check(w.Stop(20*time.Second, "s1", "s2", "l1", "l2", "c1", "c2", "c3"), qt.IsTrue, qt.Commentf("all end at SIGTERM"))
 }
 
+// operators checks what every kind of bad input is answered with, at a front
+// and at a core machine alike, and that none of it changes the policy.
+func operators(c *qt.C, w *World) {
+	var before struct{ Mark int64 }
+	c.Assert(w.Ask("l1", "/v1/policy", &before), qt.IsNil)
+	cases := []struct {
+		method, path, body string
+		status             int
+		says               string
+	}{
+		{"PUT", "/v1/policy", `{"kinds":`, 400, "is not JSON"},
+		{"PUT", "/v1/policy", `{"kinds":[{"name":"a","weight":"x"}],"colour":1}`, 422, "kinds[0].weight"},
+		{"PUT", "/v1/policy?form=objects", "apiVersion: applequay/v1\nkind: Pod\nmetadata: {name: x}\nspec: {}", 422, "objects[0].kind"},
+		{"PUT", "/v1/policy", `{"models":[{"name":"huge","pool":"llm","size_mb":9999999}]}`, 422, "items.huge"},
+		{"PUT", "/v1/policy?expected=0", `{}`, 409, `"mark"`},
+		{"PUT", "/v1/policy?expected=soon", `{}`, 400, "expected"},
+		{"PUT", "/v1/policy", strings.Repeat(" ", 33<<20), 413, "too large"},
+		{"PATCH", "/v1/policy", `{"kinds":[{"name":"none","remove":true}],"hue":2}`, 422, "hue"},
+		{"GET", "/v1/nothing", "", 404, ""},
+	}
+	for _, node := range []string{"l2", "c2"} {
+		for _, one := range cases {
+			status, told, err := w.call(one.method, "http://"+w.Node(node)+one.path, []byte(one.body))
+			c.Assert(err, qt.IsNil)
+			c.Check(status, qt.Equals, one.status, qt.Commentf("%s %s at %s: %s", one.method, one.path, node, told))
+			c.Check(string(told), qt.Contains, one.says)
+		}
+	}
+	var after struct{ Mark int64 }
+	c.Assert(w.Ask("c3", "/v1/policy", &after), qt.IsNil)
+	c.Check(after.Mark, qt.Equals, before.Mark, qt.Commentf("nothing was applied"))
+	// Without a majority: refused, saying that it was not applied or may have been.
+	w.Kill("c1", "c2")
+	status, told, err := w.call("PUT", "http://"+w.Node("l1")+"/v1/policy", w.Shape.Policy(nil))
+	c.Assert(err, qt.IsNil)
+	c.Check(status, qt.Equals, 503)
+	c.Check(string(told), qt.Contains, `"applied"`)
+	c.Assert(w.Start("c1", "c2"), qt.IsNil)
+}
+
 // What bad settings and damaged journals end with.
 func TestExitStatus(t *testing.T) {
 	c := qt.New(t)
@@ -63,6 +109,17 @@
 	c.Check(code, qt.Equals, 2)
 	c.Check(said, qt.Contains, "lease-ms")
 	c.Check(said, qt.Contains, "zone")
+	folder, err := journal.OpenFolder(filepath.Join(c.TempDir(), "data"), 0)
+	c.Assert(err, qt.IsNil)
+	kept, _, err := journal.Open(folder, "c1~1", frame.EmptySnapshot())
+	c.Assert(err, qt.IsNil)
+	for range 3 {
+		c.Assert(kept.Append([]wire.Write{{Kind: wire.KindAcceptorRecord, Body: wire.Encode(&wire.AcceptorRecord{Key: "policy"})}}), qt.IsNil)
+	}
+	c.Assert(folder.Write("log.1", 60, []byte{0xff}), qt.IsNil)
+	code, said = status("exchange", "-name", "c1", "-zone", "z", "-listen", "127.30.9.1:7100", "-directory", "127.30.9.1:7900", "-data", folder.Dir())
+	c.Check(code, qt.Equals, 3)
+	c.Check(said, qt.Contains, "damaged")
 	code, _ = status("dial", "-nodes", "127.0.0.1:1", "policy", "get")
 	c.Check(code, qt.Equals, 2)
 }
--- a/internal/process/journal/disk.go
+++ b/internal/process/journal/disk.go
@@ -37,6 +37,11 @@
 	return &Folder{dir: dir, floor: floor, files: map[string]*os.File{}}, nil
 }
 
+// Dir is where the folder is.
+//
+//	path := folder.Dir()
+func (f *Folder) Dir() string { return f.dir }
+
 // Read returns a whole file, and whether it is there.
 //
 //	body, there, err := folder.Read("slot.0")
