--- /dev/null
+++ b/coordination/grant/example_test.go
@@ -0,0 +1,43 @@
+package grant_test
+
+import (
+	"fmt"
+
+	"applequay/coordination/grant"
+)
+
+// A holder claims duty 7, learns its fence, holds it, and stops in time.
+func Example() {
+	limits := grant.LimitsFor(3200)
+	seats := []grant.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	granters := map[string]*grant.Granter{}
+	for _, seat := range seats {
+		granters[seat.ID] = grant.NewGranter(limits, -limits.LeaseMs)
+	}
+	holder := grant.NewHolder(limits)
+	round := func(now int64) {
+		moves, out := holder.Tick(now, seats, "")
+		for _, send := range out.Sends {
+			told := granters[send.To].Ask(now, "me", send.Body.(*grant.Ask))
+			moves = append(moves, holder.Told(now, send.To, told, seats)...)
+		}
+		for _, move := range moves {
+			fmt.Printf("%d: change %d of %d\n", now, move.Change, move.Partition)
+			if move.Change == grant.Reserved {
+				holder.Settled(move.Partition, 1) // the fence that a register now names
+			}
+		}
+	}
+	holder.Claim(0, 7)
+	round(1000)
+	round(1400)
+	_, mine := holder.Mine(4100, 7)
+	fmt.Println("at 4100:", mine)
+	_, mine = holder.Mine(4200, 7)
+	fmt.Println("at 4200:", mine)
+	// Output:
+	// 1000: change 0 of 7
+	// 1400: change 1 of 7
+	// at 4100: true
+	// at 4200: false
+}
