Grants: two nodes with half the votes each no longer keep each other out

Ruled out: the register (it was never written) and members (all stood well). A claim that gets some votes and no majority for three rounds is withdrawn, and each node waits a time of its own before it claims again. TestSplitVotes failed before (nobody in 8 s) and passes.

--- a/internal/process/grant/holder.go
+++ b/internal/process/grant/holder.go
@@ -34,8 +34,14 @@
 	fence int64
 	until int64
 	since int64
+	// votes is the most that one round of claims got, split since when.
+	votes int
+	tries int64
 }
 
+// wait is how long a partition is left to others after a split vote.
+type wait struct{ until, tries int64 }
+
 type round struct {
 	sent   int64
 	claim  bool
@@ -50,6 +56,7 @@
 	claims  map[int64]*claim
 	rounds  map[int64]*round
 	renewed int64
+	waits   map[int64]wait
 	// Seen is who the granters last said holds a partition.
 	Seen map[int64]wire.Refusal
 }
@@ -58,15 +65,15 @@
 //
 //	holder := grant.NewHolder(limits)
 func NewHolder(limits Limits) *Holder {
-	return &Holder{limits: limits, claims: map[int64]*claim{}, rounds: map[int64]*round{}, Seen: map[int64]wire.Refusal{}, renewed: -limits.LeaseMs}
+	return &Holder{limits: limits, claims: map[int64]*claim{}, rounds: map[int64]*round{}, Seen: map[int64]wire.Refusal{}, waits: map[int64]wait{}, renewed: -limits.LeaseMs}
 }
 
 // Claim starts to ask for a partition; it is asked again at each renewal.
 //
 //	holder.Claim(now, 3)
 func (h *Holder) Claim(now, partition int64) {
-	if _, ok := h.claims[partition]; !ok {
-		h.claims[partition] = &claim{since: now, fence: h.Seen[partition].Fence}
+	if _, ok := h.claims[partition]; !ok && now >= h.waits[partition].until {
+		h.claims[partition] = &claim{since: now, fence: h.Seen[partition].Fence, tries: h.waits[partition].tries}
 	}
 }
 
@@ -101,33 +108,6 @@
 	return kept.fence, true
 }
 
-// Owned lists the partitions held now.
-//
-//	for _, hold := range holder.Owned(now) { ... }
-func (h *Holder) Owned(now int64) []wire.Hold {
-	var out []wire.Hold
-	for _, partition := range sortedKeys(h.claims) {
-		if fence, ok := h.Mine(now, partition); ok {
-			out = append(out, wire.Hold{Partition: partition, Fence: fence})
-		}
-	}
-	return out
-}
-
-// Release stops at once and returns what to tell the granters.
-//
-//	back := holder.Release([]int64{3})
-func (h *Holder) Release(partitions []int64) *wire.GrantBack {
-	back := &wire.GrantBack{}
-	for _, partition := range partitions {
-		if kept := h.claims[partition]; kept != nil {
-			back.Holds = append(back.Holds, wire.Hold{Partition: partition, Fence: kept.fence})
-			delete(h.claims, partition)
-		}
-	}
-	return back
-}
-
 // Tick ends grants that ran out and sends the next round of renewals.
 //
 //	moves, out := holder.Tick(now, seats, "127.0.0.1:7100")
@@ -145,6 +125,7 @@
 			}
 		}
 	}
+	h.yield(now, seats, addr, &out)
 	if now-h.renewed < h.limits.RenewMs || len(h.claims) == 0 {
 		return moves, out
 	}
@@ -213,6 +194,7 @@
 			continue
 		}
 		votes[from] = true
+		kept.votes = max(kept.votes, len(votes))
 		until := sent.sent + h.limits.LeaseMs - h.limits.MarginMs
 		if len(votes) < len(seats)/2+1 || now >= until {
 			continue
@@ -230,13 +212,3 @@
 	}
 	return moves
 }
-
-// Until is when the turns on a partition must stop.
-//
-//	endMs := holder.Until(3)
-func (h *Holder) Until(partition int64) int64 {
-	if kept := h.claims[partition]; kept != nil && kept.stage == stageHeld {
-		return kept.until
-	}
-	return 0
-}
--- /dev/null
+++ b/internal/process/grant/split_test.go
@@ -0,0 +1,50 @@
+package grant
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/connection/wire"
+)
+
+// Two nodes that claim at once and get half of four votes each do not keep each
+// other out for ever.
+func TestSplitVotes(t *testing.T) {
+	c := qt.New(t)
+	limits := LimitsFor(3200)
+	four := []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	granters := map[string]*Granter{}
+	for _, seat := range four {
+		granters[seat.ID] = NewGranter(limits, -limits.LeaseMs)
+	}
+	names := []string{"x:1", "y:1"}
+	holders := map[string]*Holder{}
+	for _, name := range names {
+		holders[name] = NewHolder(limits)
+	}
+	won := ""
+	for now := int64(1000); now < 9000 && won == ""; now += 25 {
+		for at, name := range names {
+			holders[name].Claim(now, 3)
+			_, out := holders[name].Tick(now, four, name)
+			for _, send := range out.Sends {
+				if back, ok := send.Body.(*wire.GrantBack); ok {
+					granters[send.To].Back(now, name, back)
+					continue
+				}
+				// The first letters of each reach only its own half.
+				if now < 1025 && (send.To < "c") != (at == 0) {
+					continue
+				}
+				told := granters[send.To].Ask(now, name, send.Body.(*wire.GrantAsk))
+				for _, move := range holders[name].Told(now, send.To, told, four) {
+					if move.Change == Reserved {
+						won = name
+					}
+				}
+			}
+		}
+	}
+	c.Check(won != "", qt.IsTrue, qt.Commentf("nobody got the duty in 8 s"))
+}
--- /dev/null
+++ b/internal/process/grant/yield.go
@@ -0,0 +1,77 @@
+package grant
+
+import (
+	"fmt"
+	"hash/fnv"
+
+	"applequay/internal/connection/wire"
+)
+
+// Rounds of claims that a split vote may take, and the longest wait after one,
+// in rounds.
+const (
+	splitRounds = 3
+	longestWait = 4
+)
+
+// yield gives up claims that got some votes and no majority for some rounds:
+// another node has the rest, and both would keep each other out. Each then
+// waits a time of its own.
+func (h *Holder) yield(now int64, seats []wire.Seat, addr string, out *wire.Outputs) {
+	back := &wire.GrantBack{}
+	for _, partition := range sortedKeys(h.claims) {
+		kept := h.claims[partition]
+		if kept.stage != stageClaiming || kept.votes == 0 || now-kept.since < splitRounds*h.limits.RenewMs {
+			continue
+		}
+		sum := fnv.New32a()
+		_, _ = fmt.Fprintf(sum, "%s/%d/%d", addr, partition, kept.tries)
+		pause := h.limits.RenewMs * int64(1+sum.Sum32()%longestWait)
+		h.waits[partition] = wait{until: now + pause, tries: kept.tries + 1}
+		back.Holds = append(back.Holds, wire.Hold{Partition: partition, Fence: kept.fence})
+		delete(h.claims, partition)
+	}
+	if len(back.Holds) == 0 {
+		return
+	}
+	for _, seat := range seats {
+		out.Send(seat.ID, wire.KindGrantBack, back)
+	}
+}
+
+// Owned lists the partitions held now.
+//
+//	for _, hold := range holder.Owned(now) { ... }
+func (h *Holder) Owned(now int64) []wire.Hold {
+	var out []wire.Hold
+	for _, partition := range sortedKeys(h.claims) {
+		if fence, ok := h.Mine(now, partition); ok {
+			out = append(out, wire.Hold{Partition: partition, Fence: fence})
+		}
+	}
+	return out
+}
+
+// Release stops at once and returns what to tell the granters.
+//
+//	back := holder.Release([]int64{3})
+func (h *Holder) Release(partitions []int64) *wire.GrantBack {
+	back := &wire.GrantBack{}
+	for _, partition := range partitions {
+		if kept := h.claims[partition]; kept != nil {
+			back.Holds = append(back.Holds, wire.Hold{Partition: partition, Fence: kept.fence})
+			delete(h.claims, partition)
+		}
+	}
+	return back
+}
+
+// Until is when the turns on a partition must stop.
+//
+//	endMs := holder.Until(3)
+func (h *Holder) Until(partition int64) int64 {
+	if kept := h.claims[partition]; kept != nil && kept.stage == stageHeld {
+		return kept.until
+	}
+	return 0
+}
