--- a/internal/process/fleet/breakdowns.go
+++ b/internal/process/fleet/breakdowns.go
@@ -140,3 +140,14 @@
 	}
 	return total
 }
+
+// long is a day of breakdowns with one last fault.
+func long(w *World) error {
+	for _, step := range []func(*World) error{killCore, split, freezeOwner, fronts, apps, workers, power} {
+		if err := step(w); err != nil {
+			return err
+		}
+		w.Pass(3 * time.Second)
+	}
+	return nil
+}
--- a/internal/process/fleet/scenarios.go
+++ b/internal/process/fleet/scenarios.go
@@ -31,6 +31,7 @@
 		{"fronts", "fronts are killed, drained and restarted", 30, fronts},
 		{"apps", "booking workers are killed and restarted", 25, apps},
 		{"rolling", "every daemon is restarted by SIGTERM, one after the other", 60, rolling},
+		{"long", "many breakdowns in turn, and then all machines lose power", 150, long},
 		{"policies", "two operators storm, and a very large set of routes is written", 25, policies},
 	}
 }
