--- a/internal/request/cord/filters.go
+++ b/internal/request/cord/filters.go
@@ -37,7 +37,7 @@
 // findRoute goes by the policy alone: where it names no service, the answer is 404.
 func (s *Switch) findRoute(c *call, next func(*call)) {
 	c.current = s.Table()
-	if !c.current.Known {
+	if !c.current.Known && !s.awaitPolicy(c) {
 		c.refuse(http.StatusServiceUnavailable, "this front has no policy yet", s.limits.Retry)
 		return
 	}
@@ -56,6 +56,24 @@
 	}
 }
 
+// awaitPolicy waits a little on a front that has only just started: its lineman
+// learns the policy from the zone within moments.
+func (s *Switch) awaitPolicy(c *call) bool {
+	limit := time.NewTimer(s.limits.Retry)
+	defer limit.Stop()
+	for !c.current.Known {
+		select {
+		case <-c.current.Next:
+			c.current = s.Table()
+		case <-limit.C:
+			return false
+		case <-c.ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Switch) readBody(c *call) bool {
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, s.limits.Body))
 	if err != nil {
--- a/internal/request/cord/stream_test.go
+++ b/internal/request/cord/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -9,6 +10,7 @@
 	"github.com/valyala/fastjson"
 
 	"applequay/internal/connection/wire"
+	"applequay/internal/mark/table"
 )
 
 func TestStreams(t *testing.T) {
@@ -156,3 +158,24 @@
 		}
 	}
 }
+
+// A front that has only just started answers as soon as it learns the policy,
+// and says when to come back if it does not.
+func TestStartingFront(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	known := b.board.Table()
+	b.board.table.Store(table.Empty())
+	answer := b.ask("/v1/other", `{}`)
+	c.Check(answer.Code, qt.Equals, 503)
+	c.Check(ran(answer), qt.Equals, "no")
+	done := make(chan int)
+	waits := table.Empty()
+	b.board.table.Store(waits)
+	go func() { done <- b.ask("/v1/other", `{}`).Code }()
+	for b.board.Counts.Came.Load() < 2 {
+		runtime.Gosched()
+	}
+	b.board.Put(known)
+	c.Check(<-done, qt.Equals, 404)
+}
