Permits: one that is not used soon goes back, and none is asked for while waiting

Ruled out: pacing and the fences in asks (each turn was by itself right). Now permits are asked for only once the worker may be ordered; a permit whose order did not leave within half a lease goes back; a new owner of the store's key waits a whole lease if that is longer than the period; after a restart a load goes on only if the worker is seen to load it.

--- a/internal/process/partition/partition.go
+++ b/internal/process/partition/partition.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"applequay/internal/connection/wire"
@@ -95,6 +96,8 @@
 		worker.Known = false
 		p.state.Workers[name] = worker
 	}
+	// Whether a load's order left is unknown: it goes on only if it is seen to.
+	p.state.Tasks = slices.DeleteFunc(p.state.Tasks, func(t wire.Task) bool { return t.Op == "load" })
 	for i := range p.state.Tasks {
 		p.state.Tasks[i].NotBeforeMs = now
 	}
--- a/internal/process/partition/partition_test.go
+++ b/internal/process/partition/partition_test.go
@@ -190,6 +190,7 @@
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			r := newRig(c, one.fence, nil)
+			r.p.state.Store.Turns = make([]wire.Turn, 2)
 			r.tick(1500)
 			if one.looksMs > 0 {
 				for until := r.now + one.looksMs; r.now < until; {
--- a/internal/process/partition/seen.go
+++ b/internal/process/partition/seen.go
@@ -109,7 +109,7 @@
 		p.permitBack(e, worker, kept, false)
 		p.tell(e, worker.Name, kept, wire.VerdictRefused, p.limits.RetryMs)
 		return kept, false
-	case kept.State == residentLoading && at < 0 && restarted:
+	case kept.State == residentLoading && at < 0 && kept.Turn >= 0 && (restarted || !p.ordered(worker.Name, kept.Seq)):
 		p.permitBack(e, worker, kept, true)
 		kept.State = residentQueued
 	case kept.State == residentReady && at < 0, kept.State == residentLoading && at < 0 && kept.Turn < 0:
@@ -128,6 +128,11 @@
 	return kept, true
 }
 
+// ordered tells whether T holds the order of a load.
+func (p *Partition) ordered(worker string, seq int64) bool {
+	return slices.ContainsFunc(p.state.Tasks, func(t wire.Task) bool { return t.Worker == worker && t.Seq == seq })
+}
+
 // adopt takes in what a worker holds that nobody here ordered: it was loaded
 // under an owner before this one.
 func (p *Partition) adopt(now int64, e *effects, worker *wire.WorkerState, loaded wire.Loaded) {
--- a/internal/process/partition/step.go
+++ b/internal/process/partition/step.go
@@ -99,7 +99,7 @@
 		}
 	}
 	for _, name := range sorted(p.state.Workers) {
-		if slices.ContainsFunc(p.state.Workers[name].Residents, func(r wire.Resident) bool { return r.State == residentQueued }) {
+		if slices.ContainsFunc(p.state.Workers[name].Residents, func(r wire.Resident) bool { return r.State == residentQueued || r.State == residentLoading }) {
 			p.run(now, out, workerPrefix+name, nil, nil)
 		}
 	}
--- a/internal/process/partition/store.go
+++ b/internal/process/partition/store.go
@@ -46,8 +46,13 @@
 	fresh := len(store.Turns) == 0
 	for len(store.Turns) < wish {
 		turn := wire.Turn{FreeMs: now}
-		if !fresh || !p.first() {
-			turn.FreeMs = now + p.view.Policy.Store.PaceMs(p.view.Policy.LargestMb())
+		period := p.view.Policy.Store.PaceMs(p.view.Policy.LargestMb())
+		switch {
+		case !fresh:
+			turn.FreeMs = now + period
+		case !p.first():
+			// Turns of the owner before may be used for half a lease more.
+			turn.FreeMs = p.since + max(period, p.limits.LeaseMs)
 		}
 		store.Turns = append(store.Turns, turn)
 	}
--- a/internal/process/partition/store_test.go
+++ b/internal/process/partition/store_test.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -91,3 +92,31 @@
 	c.Check(next.Outboxes["p5"].Next, qt.Equals, int64(2))
 	c.Check(old.Workers["w1"].Residents[0].State, qt.Equals, int64(residentAsked), qt.Commentf("the sealed state is not touched"))
 }
+
+// A permit whose order does not leave in time is given back, and one that an
+// earlier process may have used is not used again.
+func TestPermitsNotUsedGoBack(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(c, 1, nil)
+	r.seen()
+	r.p.acked["w1"] = -1 // the worker takes nothing: an order before this one hangs
+	r.p.state.Tasks = []wire.Task{{ID: 99, Worker: "w1", Op: "unload", Item: "x", Seq: 0, NotBeforeMs: 1 << 40}}
+	r.want(1, "m1", 1)
+	c.Check(r.p.state.Store.Turns[0].Busy, qt.IsTrue)
+	c.Check(r.orders, qt.HasLen, 0)
+	began := r.now
+	r.tick(began + 1500)
+	c.Check(r.p.state.Store.Turns[0].Busy, qt.IsTrue)
+	var copied wire.PartitionState
+	c.Assert(copied.Unmarshal(wire.Encode(r.p.State())), qt.IsNil)
+	first := r.p.state.Tasks[1].ID
+	r.tick(began + 1750)
+	c.Check(slices.ContainsFunc(r.p.state.Tasks, func(t wire.Task) bool { return t.ID == first }), qt.IsFalse)
+	// After a restart the order does not leave: the look shows that it never did.
+	again := newRig(c, 1, &copied)
+	c.Check(again.p.state.Store.Turns[0].Busy, qt.IsTrue)
+	again.seen()
+	c.Check(again.orders, qt.HasLen, 0)
+	c.Check(again.p.state.Store.Turns[0].Busy, qt.IsFalse)
+	c.Check(again.p.state.Store.Turns[0].FreeMs > again.now, qt.IsTrue)
+}
--- a/internal/process/partition/workers.go
+++ b/internal/process/partition/workers.go
@@ -56,6 +56,7 @@
 			p.saw(now, e, &worker, told)
 		}
 	}
+	p.expire(now, e, &worker)
 	p.advance(now, e, &worker)
 	e.step.Workers = append(e.step.Workers, worker)
 }
@@ -121,10 +122,28 @@
 	return kept.UntilMs > now || now-kept.UsedMs <= 2*p.limits.LeaseMs
 }
 
-// advance asks for permits, heaviest first, for what has room and its model.
+// expire gives back permits whose orders did not leave within half a lease. An
+// order must not leave much later than its turn was given: a new owner of the
+// store's key, which does not know of the turn, waits no longer than a lease.
+func (p *Partition) expire(now int64, e *effects, worker *wire.WorkerState) {
+	for _, task := range p.state.Tasks {
+		if task.Worker != worker.Name || task.Op != "load" || p.sentAt[taskKey(task)] > 0 || slices.Contains(e.step.Done, task.ID) {
+			continue
+		}
+		at := slices.IndexFunc(worker.Residents, func(r wire.Resident) bool { return r.State == residentLoading && r.Seq == task.Seq })
+		if at >= 0 && now-worker.Residents[at].SinceMs > p.limits.LeaseMs/2 {
+			p.permitBack(e, worker, worker.Residents[at], false)
+			worker.Residents[at].State = residentQueued
+			e.step.Done = append(e.step.Done, task.ID)
+		}
+	}
+}
+
+// advance asks for permits, heaviest first, for what has room and its model,
+// once orders may be given at all: a turn is not to be held while this waits.
 // What nobody waits for any more goes without having been loaded.
 func (p *Partition) advance(now int64, e *effects, worker *wire.WorkerState) {
-	if worker.Left || worker.Dark || !worker.Known {
+	if worker.Left || worker.Dark || !worker.Known || !p.waited(now, worker.Name) {
 		return
 	}
 	worker.Residents = slices.DeleteFunc(worker.Residents, func(kept wire.Resident) bool {
