--- /dev/null
+++ b/internal/process/frame/frame_test.go
@@ -0,0 +1,139 @@
+package frame
+
+import (
+	"math/rand"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/partition"
+)
+
+// alone is one exchange that is the whole core; its disk is a list of records.
+type alone struct {
+	f      *Frame
+	gate   Gate
+	now    int64
+	writes []wire.Write
+	orders []*wire.Order
+}
+
+func newAlone(writes []wire.Write) *alone {
+	boot := Boot{ID: "c1~1", Name: "c1", Addr: "a:1", Core: []string{"a:1"}, Partitions: 1, LeaseMs: 3200, PollMs: 500, ProbeMs: 200, CallMs: 1600, Born: 1}
+	a := &alone{now: 1, writes: writes}
+	a.f = New(1, boot, rand.New(rand.NewSource(1)), &wire.Snapshot{}, writes)
+	return a
+}
+
+func (a *alone) do(out wire.Outputs) {
+	ready := a.gate.Step(out)
+	a.writes = append(a.writes, ready.Writes...)
+	later := a.gate.Durable(a.gate.Written())
+	for _, send := range append(ready.Sends, later.Sends...) {
+		if send.To == "c1~1" {
+			a.do(a.f.Hear(a.now, send.To, send.Body))
+		} else if order, ok := send.Body.(*wire.Order); ok && send.To == "worker" {
+			a.orders = append(a.orders, order)
+		}
+	}
+}
+
+func (a *alone) run(ms int64) {
+	for until := a.now + ms; a.now < until; a.now += 25 {
+		a.do(a.f.Tick(a.now, a.now))
+	}
+}
+
+func (a *alone) fence() int64 {
+	fence, _ := a.f.holder.Mine(a.now, 0)
+	return fence
+}
+
+// A node grants itself nothing for a lease, then owns; started again it goes on
+// under the same fence with the same state.
+func TestResume(t *testing.T) {
+	c := qt.New(t)
+	a := newAlone(nil)
+	a.run(3100)
+	c.Check(a.fence(), qt.Equals, int64(0))
+	a.run(2000)
+	c.Assert(a.fence(), qt.Equals, int64(1))
+	a.do(a.f.owned[0].Post(a.now, "l1", &wire.Post{Sender: "front/l1", SenderFence: 1, Fence: 1, Pos: 1, Kind: int64(wire.KindWant), Key: partition.ItemKey("m1"), Body: wire.Encode(&wire.Want{Item: "m1", Held: 1})}))
+	again := newAlone(a.writes)
+	again.run(6000)
+	c.Check(again.fence(), qt.Equals, int64(1))
+	c.Check(again.f.owned[0].State().Items, qt.HasLen, 1)
+}
+
+// A sealed state never goes on under its own fence, after a restart either: it
+// is taken up under the next one, with all that is in it.
+func TestSealedNeverResumes(t *testing.T) {
+	c := qt.New(t)
+	a := newAlone(nil)
+	a.run(6000)
+	c.Assert(a.fence(), qt.Equals, int64(1))
+	a.do(a.f.owned[0].Post(a.now, "l1", &wire.Post{Sender: "front/l1", SenderFence: 1, Fence: 1, Pos: 1, Kind: int64(wire.KindWant), Key: partition.ItemKey("m1"), Body: wire.Encode(&wire.Want{Item: "m1", Held: 1})}))
+	var out wire.Outputs
+	a.f.startMove(a.now, &out, 0, "c2~1")
+	a.do(out)
+	c.Check(a.f.mine(a.now, 0), qt.IsNil, qt.Commentf("no turns once sealed"))
+	for _, one := range []*alone{a, newAlone(a.writes)} {
+		one.run(9000)
+		c.Assert(one.fence(), qt.Equals, int64(2))
+		state := one.f.owned[0].State()
+		c.Check(state.Sealed, qt.IsFalse)
+		c.Check(state.Fence, qt.Equals, int64(2))
+		c.Check(state.Items, qt.HasLen, 1)
+	}
+}
+
+// A state handed over is used only if the register names its owner and fence.
+func TestHandedStateNeedsTheRegister(t *testing.T) {
+	c := qt.New(t)
+	cases := []struct {
+		name  string
+		owner string
+		fence int64
+		used  bool
+	}{{"as the register says", "c1~1", 1, true}, {"another owner", "c7~1", 1, false}, {"an older fence", "c1~1", 0, false}}
+	for _, one := range cases {
+		c.Run(one.name, func(c *qt.C) {
+			a := newAlone(nil)
+			a.run(6000)
+			handed := partition.NewState(0, one.owner, one.fence)
+			handed.Sealed = true
+			handed.Items["m9"] = wire.ItemState{Name: "m9"}
+			a.f.kept[0], a.f.handed[0] = nil, handed
+			delete(a.f.owned, 0)
+			a.f.holder.Drop(0)
+			a.run(6000)
+			c.Assert(a.fence(), qt.Equals, int64(2))
+			_, there := a.f.owned[0].State().Items["m9"]
+			c.Check(there, qt.Equals, one.used)
+		})
+	}
+}
+
+// What waits for the disk leaves in order, and not before.
+func TestGate(t *testing.T) {
+	c := qt.New(t)
+	var gate Gate
+	step := func(writes int, to string) wire.Outputs {
+		var out wire.Outputs
+		for range writes {
+			out.Write(wire.KindSealRecord, &wire.SealRecord{})
+		}
+		out.After(to, wire.KindFoundAsk, &wire.FoundAsk{})
+		return gate.Step(out)
+	}
+	c.Check(step(0, "a").Sends, qt.HasLen, 1, qt.Commentf("nothing to wait for"))
+	c.Check(step(2, "b").Sends, qt.HasLen, 0)
+	c.Check(step(0, "c").Sends, qt.HasLen, 0, qt.Commentf("it comes after what is not durable"))
+	c.Check(step(1, "d").Sends, qt.HasLen, 0)
+	c.Check(gate.Durable(1).Sends, qt.HasLen, 0)
+	ready := gate.Durable(2).Sends
+	c.Assert(ready, qt.HasLen, 2)
+	c.Check(ready[0].To+ready[1].To, qt.Equals, "bc")
+	c.Check(gate.Durable(3).Sends, qt.HasLen, 1)
+}
