Core set: how many there should be is in the set, not in a node's settings

Cause: the steward let newcomers in up to the number of machines in its own -core; a newcomer has none, so once it was steward no further machine was let in (the set stayed at two of three, three of four). The founding writes the number into the core set. TestReplacedTwice failed before in both shapes and passes.

--- a/internal/process/frame/founding.go
+++ b/internal/process/frame/founding.go
@@ -66,7 +66,7 @@
 	if f.founded() || len(f.boot.Core) == 0 || slices.Min(f.boot.Core) != f.boot.Addr {
 		return
 	}
-	core := wire.CoreSet{Epoch: 1, Swept: true, Seats: []wire.Seat{f.seat()}}
+	core := wire.CoreSet{Epoch: 1, Size: int64(len(f.boot.Core)), Swept: true, Seats: []wire.Seat{f.seat()}}
 	for _, addr := range f.boot.Core {
 		told, ok := f.founding.told[addr]
 		if addr == f.boot.Addr {
--- a/internal/process/frame/steward.go
+++ b/internal/process/frame/steward.go
@@ -44,7 +44,7 @@
 	if len(newcomers) == 0 {
 		return core, false
 	}
-	next := wire.CoreSet{Epoch: core.Epoch + 1, Seats: slices.Clone(core.Seats)}
+	next := wire.CoreSet{Epoch: core.Epoch + 1, Size: core.Size, Seats: slices.Clone(core.Seats)}
 	for at, seat := range core.Seats {
 		standing, since := f.members.Standing(seat.ID)
 		// The same machine with another identity lost its disk; another machine
@@ -56,7 +56,7 @@
 			return next, true
 		}
 	}
-	if len(core.Seats) < max(len(f.boot.Core), 1) {
+	if int64(len(core.Seats)) < core.Size {
 		next.Joining = newcomers[:1]
 		return next, true
 	}
@@ -98,7 +98,7 @@
 		return out
 	}
 	if len(keys) == 0 {
-		next := wire.CoreSet{Epoch: core.Epoch, Seats: core.Seats, Swept: true}
+		next := wire.CoreSet{Epoch: core.Epoch, Size: core.Size, Seats: core.Seats, Swept: true}
 		if len(core.Joining) > 0 {
 			next.Epoch, next.Swept = core.Epoch+1, false
 			next.Seats = append(slices.Clone(core.Seats), core.Joining...)
--- a/internal/process/sim/exchange.go
+++ b/internal/process/sim/exchange.go
@@ -28,6 +28,7 @@
 	answers map[int64]func(register.Outcome)
 	nextAsk int64
 	founder []string
+	late    bool // started after the founding, so not told of it
 	starts  int
 }
 
@@ -59,9 +60,12 @@
 	e.kept, e.id = kept, found.Identity
 	e.gate, e.pending, e.busy, e.stalled, e.local, e.answers = frame.Gate{}, nil, false, false, nil, map[int64]func(register.Outcome){}
 	e.offsetMs = w.random.Int63n(100000) - w.now
-	seeds := append([]string{}, e.founder...)
+	seeds, core := append([]string{}, e.founder...), e.founder
+	if e.late {
+		core = nil
+	}
 	e.core = frame.New(e.clock(), frame.Boot{
-		ID: e.id, Name: e.name, Addr: e.addr, Zone: "z0", Born: w.now + 1 + e.wallMs, Core: e.founder, Seeds: seeds, Partitions: w.Shape.Partitions,
+		ID: e.id, Name: e.name, Addr: e.addr, Zone: "z0", Born: w.now + 1 + e.wallMs, Core: core, Seeds: seeds, Partitions: w.Shape.Partitions,
 		LeaseMs: w.Shape.LeaseMs, PollMs: w.Shape.PollMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs,
 	}, rand.New(rand.NewSource(w.random.Int63())), &snapshot, found.Writes)
 	w.note("%s starts as %s, %d records replayed", e.name, e.id, len(found.Writes))
@@ -242,6 +246,7 @@
 //	fresh := world.AddCore("c9", "10.0.0.9:1")
 func (w *World) AddCore(name, addr string) *exchange {
 	e := w.newExchange(name, addr)
+	e.late = true
 	w.cores = append(w.cores, e)
 	e.start()
 	return e
--- a/internal/process/sim/scenarios_test.go
+++ b/internal/process/sim/scenarios_test.go
@@ -92,6 +92,22 @@
 	})
 }
 
+// Newcomers that were never told how many there should be replace machines too.
+func TestReplacedTwice(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 18, 12000)
+		for turn := range 2 {
+			w.Crash(turn, true)
+			w.AddCore(fmt.Sprintf("b%d", turn), fmt.Sprintf("10.0.0.%d:1", 20+turn))
+			w.Run(w.now + 45000)
+		}
+		core := w.coreAt(2)
+		c.Check(core.Seats, qt.HasLen, shape.Cores, qt.Commentf("%v", core.Seats))
+		c.Check(core.Swept, qt.IsTrue)
+		calm(c, w)
+	})
+}
+
 // All machines lose power and come back: within 12 s requests are served.
 func TestPowerOfAll(t *testing.T) {
 	each(qt.New(t), func(c *qt.C, shape Shape) {
