Members: a new identity at an old one's address replaces it at once

Cause: a machine whose disk was lost and that came back at once answered the probes meant for its old identity, which therefore was never missed; its seat stayed taken by nobody, and the core one failure short. Ruled out: the stewards' rule (it needs the old identity suspected). An answer counts only from who was probed or was asked for a second opinion, and who speaks for itself at an address replaces who was known there. TestLostDiskAtOnce failed before in both shapes and passes.

--- a/internal/process/members/gossip.go
+++ b/internal/process/members/gossip.go
@@ -1,6 +1,10 @@
 package members
 
-import "applequay/internal/connection/wire"
+import (
+	"slices"
+
+	"applequay/internal/connection/wire"
+)
 
 // Hear takes a probe, an answer or a request for a second opinion.
 //
@@ -15,7 +19,7 @@
 	case *wire.ProbeAck:
 		m.merge(now, from, told.Members)
 		m.heardClock(now, from, told.WallMs)
-		m.answered(now, &out, told)
+		m.answered(now, &out, from, told)
 	case *wire.ProbeVia:
 		m.merge(now, from, told.Members)
 		if _, ok := m.table[told.Target]; ok {
@@ -25,9 +29,11 @@
 	return out
 }
 
-func (m *Members) answered(now int64, out *wire.Outputs, told *wire.ProbeAck) {
+// answered takes an answer from the one that was probed, or from one that was
+// asked for a second opinion: another process may answer at the address by now.
+func (m *Members) answered(now int64, out *wire.Outputs, from string, told *wire.ProbeAck) {
 	sent, ok := m.probes[told.Seq]
-	if !ok {
+	if !ok || (from != sent.target && !slices.Contains(sent.helpers, from)) {
 		return
 	}
 	delete(m.probes, told.Seq)
@@ -50,6 +56,7 @@
 		kept, ok := m.table[member.ID]
 		if !ok {
 			if wire.Standing(member.Standing) != wire.StandingRemoved {
+				m.replaced(now, from, member)
 				m.table[member.ID] = &seen{member: member, since: now, heardMs: now}
 				m.Mark++
 			}
@@ -73,6 +80,17 @@
 	}
 }
 
+// replaced removes who was at the address of one that speaks for itself there: an
+// address has one process at a time.
+func (m *Members) replaced(now int64, from string, fresh wire.Member) {
+	for _, id := range m.ids() {
+		kept := m.table[id]
+		if fresh.ID == from && kept.member.Addr == fresh.Addr && kept.member.Role == fresh.Role && wire.Standing(kept.member.Standing) != wire.StandingRemoved {
+			m.set(now, kept, wire.StandingRemoved)
+		}
+	}
+}
+
 // refute answers a rumour about this node by a higher turn of its own.
 func (m *Members) refute(told wire.Member) {
 	if told.Born > m.self.Born {
--- a/internal/process/members/members.go
+++ b/internal/process/members/members.go
@@ -37,6 +37,7 @@
 	target   string
 	sent     int64
 	indirect bool
+	helpers  []string
 	forWhom  string
 	forSeq   int64
 }
@@ -209,7 +210,8 @@
 		}
 		if sent.forWhom == "" && !sent.indirect {
 			sent.indirect, sent.sent = true, now
-			for _, helper := range m.helpers(sent.target) {
+			sent.helpers = m.helpers(sent.target)
+			for _, helper := range sent.helpers {
 				out.Send(helper, wire.KindProbeVia, &wire.ProbeVia{Seq: seq, Target: sent.target, Members: m.All()})
 			}
 			continue
--- a/internal/process/sim/scenarios_test.go
+++ b/internal/process/sim/scenarios_test.go
@@ -74,6 +74,23 @@
 	})
 }
 
+// So it is when the machine comes back at once, before anyone missed it, though
+// the new identity answers at the old one's address.
+func TestLostDiskAtOnce(t *testing.T) {
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		w := steady(shape, 19, 12000)
+		old := w.cores[1].id
+		w.Crash(1, true)
+		w.Restart(1, true)
+		w.Run(30000)
+		core := w.coreAt(0)
+		c.Check(core.Seats, qt.HasLen, shape.Cores)
+		c.Check(seated(core, old), qt.IsFalse)
+		c.Check(seated(core, w.cores[1].id), qt.IsTrue)
+		calm(c, w)
+	})
+}
+
 // A core machine is replaced by an empty one at a new address.
 func TestReplacedCore(t *testing.T) {
 	each(qt.New(t), func(c *qt.C, shape Shape) {
