Core set: only a set known to be chosen is told to others

Cause: an acceptor told a proposer with an old core set whatever set it had itself accepted last, and a restarted exchange began with that. A set accepted by a minority may have lost against another of the same epoch; two proposers could then work with different sets of one epoch, whose majorities need not meet. Ruled out: the register itself (its value was right at a majority). Exchanges note, durably, the newest set that they know to be chosen, and tell and start with that alone. TestUnchosenCoreIsNotTold fails with the old answer put back and passes.

--- a/internal/process/frame/founding.go
+++ b/internal/process/frame/founding.go
@@ -44,7 +44,7 @@
 	switch told := body.(type) {
 	case *wire.FoundAsk:
 		f.founding.bound = told.Seat.ID
-		out.After(from, wire.KindFoundTold, &wire.FoundTold{Seat: f.seat(), Founded: f.founded(), Core: f.accepted(register.CoreKey)})
+		out.After(from, wire.KindFoundTold, &wire.FoundTold{Seat: f.seat(), Founded: f.founded(), Core: f.chosenCore()})
 	case *wire.FoundTold:
 		if core, ok := register.ParseCore(told.Core); told.Founded && ok {
 			f.adopt(now, &out, core, told.Core)
@@ -60,6 +60,15 @@
 	return out
 }
 
+// chosenCore is the core set known to be chosen, as a register's value.
+func (f *Frame) chosenCore() []byte {
+	core, ok := f.acceptor.Core()
+	if !ok {
+		return nil
+	}
+	return wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+}
+
 // found proposes the first core set, once all answered; the machine with the
 // lowest address does it.
 func (f *Frame) found(now int64, out *wire.Outputs) {
--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -90,7 +90,7 @@
 		founding: newFounding(),
 	}
 	f.replay(snapshot, writes)
-	if core, ok := register.ParseCore(f.accepted(register.CoreKey)); ok {
+	if core, ok := f.acceptor.Core(); ok {
 		f.proposer.Learn(core)
 	}
 	return f
--- a/internal/process/frame/learn.go
+++ b/internal/process/frame/learn.go
@@ -67,6 +67,7 @@
 	}
 	f.proposer.Learn(core)
 	out.Add(f.acceptor.Raise(core.Epoch))
+	out.Add(f.acceptor.Chose(core))
 	swept := int64(0)
 	if core.Swept {
 		swept = 1
--- a/internal/process/register/acceptor.go
+++ b/internal/process/register/acceptor.go
@@ -11,7 +11,11 @@
 // CoreKey is the register that holds the core set itself.
 const CoreKey = "core"
 
-const epochKey = "#epoch"
+// Keys of what an acceptor notes beside the registers.
+const (
+	epochKey  = "#epoch"
+	chosenKey = "#core"
+)
 
 type cell struct {
 	promised, accepted wire.Ballot
@@ -21,8 +25,9 @@
 // Acceptor is one exchange's copy of every register. It is a pure machine:
 // what it returns under Then waits for its writes.
 type Acceptor struct {
-	cells map[string]*cell
-	epoch int64
+	cells  map[string]*cell
+	epoch  int64
+	chosen []byte // the newest core set known to be chosen
 }
 
 // NewAcceptor makes a copy with nothing in it.
@@ -38,6 +43,10 @@
 		a.epoch = max(a.epoch, record.Promised.N)
 		return
 	}
+	if record.Key == chosenKey {
+		a.chosen = record.Value
+		return
+	}
 	kept := a.cell(record.Key)
 	if Less(kept.promised, record.Promised) {
 		kept.promised = record.Promised
@@ -51,7 +60,7 @@
 //
 //	snapshot.Registers = acceptor.Snapshot()
 func (a *Acceptor) Snapshot() []wire.AcceptorRecord {
-	out := []wire.AcceptorRecord{{Key: epochKey, Promised: wire.Ballot{N: a.epoch}}}
+	out := []wire.AcceptorRecord{{Key: epochKey, Promised: wire.Ballot{N: a.epoch}}, {Key: chosenKey, Value: a.chosen}}
 	for _, key := range a.Keys() {
 		kept := a.cells[key]
 		out = append(out, wire.AcceptorRecord{Key: key, Promised: kept.promised, Accepted: kept.accepted, Value: kept.value})
@@ -196,12 +205,32 @@
 	told.Value = kept.value
 }
 
+// core is what a proposer with an old core set is told: only what was chosen.
+// A set that this copy merely accepted may have lost against another of the
+// same epoch.
 func (a *Acceptor) core(askedEpoch int64) []byte {
-	if askedEpoch >= a.epoch {
-		return nil
+	if set, ok := a.Core(); ok && askedEpoch < a.epoch && set.Epoch > askedEpoch {
+		return a.chosen
+	}
+	return nil
+}
+
+// Core is the newest core set that this node knows to be chosen.
+//
+//	if core, ok := acceptor.Core(); ok { ... }
+func (a *Acceptor) Core() (wire.CoreSet, bool) { return ParseCore(a.chosen) }
+
+// Chose notes a core set that is known to be chosen.
+//
+//	out := acceptor.Chose(core)
+func (a *Acceptor) Chose(core wire.CoreSet) wire.Outputs {
+	var out wire.Outputs
+	if known, ok := a.Core(); ok && (core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Swept)) {
+		return out
 	}
-	_, value := a.Accepted(CoreKey)
-	return value
+	a.chosen = wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	out.Write(wire.KindAcceptorRecord, &wire.AcceptorRecord{Key: chosenKey, Value: a.chosen})
+	return out
 }
 
 // Less orders ballots.
--- a/internal/process/register/register_test.go
+++ b/internal/process/register/register_test.go
@@ -172,6 +172,7 @@
 	b.carry("q", 0, b.proposers["q"].Change(0, 1, CoreKey, 0, value, "q#1"))
 	for _, id := range []string{"x", "y"} {
 		b.acceptors[id].Raise(2)
+		b.acceptors[id].Chose(next)
 	}
 	b.change("p", 1, 0, "one")
 	c.Check(b.proposers["p"].Core().Epoch, qt.Equals, int64(2))
@@ -180,6 +181,34 @@
 	c.Check(atZ, qt.HasLen, 0, qt.Commentf("z is no longer asked"))
 }
 
+// A core set that one copy accepted and that was never chosen is told to nobody:
+// another of the same epoch may have been.
+func TestUnchosenCoreIsNotTold(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "p", "q")
+	lost := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "y"}, {ID: "z"}}}
+	b.pass = func(_, to string, body wire.Record) bool { return !isAccept(body) || to == "x" }
+	b.carry("q", 0, b.proposers["q"].Change(0, 1, CoreKey, 0, wire.Encode(&lost), "q#1"))
+	b.pass = func(string, string, wire.Record) bool { return true }
+	b.acceptors["x"].Raise(2)
+	b.change("p", 1, 0, "one")
+	c.Check(b.proposers["p"].Core().Epoch, qt.Equals, int64(1))
+	// Once a set is known to be chosen, it is told, after a restart too.
+	chosen := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "x"}, {ID: "y"}}}
+	again := NewAcceptor()
+	for _, write := range b.acceptors["x"].Chose(chosen).Writes {
+		record, err := wire.Decode(write.Kind, write.Body)
+		c.Assert(err, qt.IsNil)
+		again.Replay(record.(*wire.AcceptorRecord))
+	}
+	told, ok := again.Core()
+	c.Check(ok, qt.IsTrue)
+	c.Check(wire.Encode(&told), qt.DeepEquals, wire.Encode(&chosen))
+	b.change("p", 2, 0, "two")
+	learnt := b.proposers["p"].Core()
+	c.Check(wire.Encode(&learnt), qt.DeepEquals, wire.Encode(&chosen))
+}
+
 // What an acceptor wrote is what it has after a replay.
 func TestAcceptorReplay(t *testing.T) {
 	c := qt.New(t)
