Grants: a node just seated in the core votes for no owner for a lease

Cause: a spare that had stood for long and took a seat at once granted partitions whose holder had its grant from the one before it in that seat. Ruled out: the wait of a new owner before its first order, which kept orders apart all the same.

--- a/internal/process/frame/learn.go
+++ b/internal/process/frame/learn.go
@@ -60,11 +60,14 @@
 	}
 }
 
-func (f *Frame) learnCore(_ int64, out *wire.Outputs, core wire.CoreSet) {
+func (f *Frame) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
 	known := f.proposer.Core()
 	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Swept) {
 		return
 	}
+	if core.Epoch > 1 && seatOf(core.Seats, f.boot.ID) && !seatOf(known.Seats, f.boot.ID) {
+		f.granter.Quiet(now)
+	}
 	f.proposer.Learn(core)
 	out.Add(f.acceptor.Raise(core.Epoch))
 	out.Add(f.acceptor.Chose(core))
--- a/internal/process/grant/grant_test.go
+++ b/internal/process/grant/grant_test.go
@@ -8,6 +8,15 @@
 	"applequay/internal/connection/wire"
 )
 
+// A granter that is seated in another's place grants nothing for a lease.
+func TestSeatedLateIsQuiet(t *testing.T) {
+	c := qt.New(t)
+	granter := NewGranter(LimitsFor(3200), 0)
+	granter.Quiet(10000)
+	c.Check(granter.Ask(13199, "b", ask(1, 3, 1)).Granted, qt.HasLen, 0)
+	c.Check(granter.Ask(13200, "b", ask(2, 3, 1)).Granted, qt.HasLen, 1)
+}
+
 func ask(op int64, partition, fence int64) *wire.GrantAsk {
 	return &wire.GrantAsk{Op: op, Holds: []wire.Hold{{Partition: partition, Fence: fence}}}
 }
--- a/internal/process/grant/granter.go
+++ b/internal/process/grant/granter.go
@@ -42,6 +42,12 @@
 	return &Granter{limits: limits, quietTo: now + limits.LeaseMs, table: map[int64]given{}}
 }
 
+// Quiet begins the time without grants anew: a granter that was just seated does
+// not know what the one before it in the seat had granted.
+//
+//	granter.Quiet(now)
+func (g *Granter) Quiet(now int64) { g.quietTo = max(g.quietTo, now+g.limits.LeaseMs) }
+
 // Ask answers a holder's renewals, or a candidate's claims.
 //
 //	told := granter.Ask(now, "c1~7f", &wire.GrantAsk{Op: 4, Holds: holds})
