--- a/internal/process/partition/orders.go
+++ b/internal/process/partition/orders.go
@@ -31,7 +31,9 @@
 			}
 		}
 		p.polled[name] = now
-		out.After(orderTo, wire.KindOrder, &wire.Order{Partition: p.state.Partition, Worker: name, Addr: worker.Addr, Fence: p.state.Fence, Op: "look"})
+		// A look tells nothing that is not durable: the fence is the register's.
+		// So a slow disk does not make workers seem dark.
+		out.Send(orderTo, wire.KindOrder, &wire.Order{Partition: p.state.Partition, Worker: name, Addr: worker.Addr, Fence: p.state.Fence, Op: "look"})
 	}
 	for _, name := range sorted(p.state.Workers) {
 		if _, listed := p.view.Workers[name]; !listed && !p.state.Workers[name].Left {
--- a/internal/process/partition/store_test.go
+++ b/internal/process/partition/store_test.go
@@ -120,3 +120,18 @@
 	c.Check(again.p.state.Store.Turns[0].Busy, qt.IsFalse)
 	c.Check(again.p.state.Store.Turns[0].FreeMs > again.now, qt.IsTrue)
 }
+
+// Looks leave at once, orders wait for their events: a disk that stalls must not
+// make workers seem dark.
+func TestLooksDoNotWaitForTheDisk(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(c, 1, nil)
+	out := r.p.Tick(r.now)
+	c.Assert(out.Sends, qt.HasLen, 1)
+	c.Check(out.Sends[0].Body.(*wire.Order).Op, qt.Equals, "look")
+	r.seen()
+	for _, send := range r.want(1, "m1", 1).Sends {
+		c.Errorf("%s left before the journal was done", send.Kind)
+	}
+	c.Check(r.ordered(), qt.DeepEquals, []string{"load m1"})
+}
