--- a/cmd/testdesk/main.go
+++ b/cmd/testdesk/main.go
@@ -98,6 +98,11 @@
 		return false
 	}
 	fmt.Println(fleet.Sum(seen, 0, 0))
+	for _, note := range seen.Notes {
+		if note.Event == "opening" {
+			fmt.Printf("opening %s: %d ready at its moment, missing %s\n", note.Name, note.Mark, note.Why)
+		}
+	}
 	for _, name := range world.Cores {
 		fmt.Printf("%s syncs %.0f records %.0f events %.0f\n", name, world.Metric(name, "applequay_journal_syncs_total"), world.Metric(name, "applequay_journal_records_total"), world.Metric(name, "applequay_partition_events_total"))
 	}
--- a/internal/process/fleet/breakdowns.go
+++ b/internal/process/fleet/breakdowns.go
@@ -151,3 +151,35 @@
 	}
 	return nil
 }
+
+// announce writes an opening that needs every model and adapter, with a lead
+// of three times what the store takes, and waits for its moment.
+func announce(w *World) error {
+	var models, adapters []string
+	for _, item := range w.Shape.Items() {
+		if item[1] == "" {
+			models = append(models, item[0])
+		} else {
+			adapters = append(adapters, item[1])
+		}
+	}
+	const lead = 18 * time.Second
+	moment := time.Now().Add(lead + 3*time.Second).Truncate(time.Second)
+	opening := object{"name": "morning", "at": moment.UTC().Format(time.RFC3339), "models": models, "adapters": adapters, "lead_ms": lead.Milliseconds(), "last_ms": 60000, "weights": object{"app": 20}}
+	_, status, err := w.SetPolicy("l1", w.Shape.Policy(object{"openings": []object{opening}}), -1)
+	if err != nil || status != 200 {
+		return oops.Wrapf(err, "the opening was answered with %d", status)
+	}
+	w.Pass(time.Until(moment))
+	var told struct {
+		Openings []struct{ Ready, Missing []string }
+	}
+	if err := w.Ask("l1", "/v1/openings", &told); err != nil {
+		return err
+	}
+	if len(told.Openings) != 1 {
+		return oops.Errorf("%d openings are told", len(told.Openings))
+	}
+	w.note("opening", "morning", int64(len(told.Openings[0].Ready)), fmt.Sprint(told.Openings[0].Missing))
+	return nil
+}
--- a/internal/process/fleet/scenarios.go
+++ b/internal/process/fleet/scenarios.go
@@ -13,6 +13,8 @@
 	Help    string
 	Seconds int64
 	Run     func(w *World) error
+	// Before is done once the world is open and before callers come.
+	Before func(w *World) error
 }
 
 // Scenarios are all that testdesk can bring about.
@@ -20,19 +22,20 @@
 //	for _, scenario := range fleet.Scenarios() { ... }
 func Scenarios() []Scenario {
 	return []Scenario{
-		{"calm", "nothing goes wrong", 20, func(*World) error { return nil }},
-		{"kill-core", "a core machine is killed right after acknowledging, and comes back", 25, killCore},
-		{"lose-disk", "a core machine comes back with an empty disk", 35, loseDisk},
-		{"replace-core", "a core machine is replaced by an empty one at a new address", 45, replaceCore},
-		{"power", "all machines lose power and come back", 30, power},
-		{"freeze-owner", "an owner freezes for longer than its grant and wakes", 30, freezeOwner},
-		{"split", "the core is split in two, then cut off wholly", 35, split},
-		{"workers", "model workers are killed, go dark, and leave", 30, workers},
-		{"fronts", "fronts are killed, drained and restarted", 30, fronts},
-		{"apps", "booking workers are killed and restarted", 25, apps},
-		{"rolling", "every daemon is restarted by SIGTERM, one after the other", 60, rolling},
-		{"long", "many breakdowns in turn, and then all machines lose power", 150, long},
-		{"policies", "two operators storm, and a very large set of routes is written", 25, policies},
+		{"calm", "nothing goes wrong", 20, func(*World) error { return nil }, nil},
+		{"opening", "everyone comes at a moment that was announced", 20, func(*World) error { return nil }, announce},
+		{"kill-core", "a core machine is killed right after acknowledging, and comes back", 25, killCore, nil},
+		{"lose-disk", "a core machine comes back with an empty disk", 35, loseDisk, nil},
+		{"replace-core", "a core machine is replaced by an empty one at a new address", 45, replaceCore, nil},
+		{"power", "all machines lose power and come back", 30, power, nil},
+		{"freeze-owner", "an owner freezes for longer than its grant and wakes", 30, freezeOwner, nil},
+		{"split", "the core is split in two, then cut off wholly", 35, split, nil},
+		{"workers", "model workers are killed, go dark, and leave", 30, workers, nil},
+		{"fronts", "fronts are killed, drained and restarted", 30, fronts, nil},
+		{"apps", "booking workers are killed and restarted", 25, apps, nil},
+		{"rolling", "every daemon is restarted by SIGTERM, one after the other", 60, rolling, nil},
+		{"long", "many breakdowns in turn, and then all machines lose power", 150, long, nil},
+		{"policies", "two operators storm, and a very large set of routes is written", 25, policies, nil},
 	}
 }
 
@@ -70,6 +73,11 @@
 	if err := w.Open(); err != nil {
 		return nil, err
 	}
+	if scenario.Before != nil {
+		if err := scenario.Before(w); err != nil {
+			return nil, oops.Wrapf(err, "before %s", scenario.Name)
+		}
+	}
 	wait, err := w.Callers(scenario.Seconds, factor)
 	if err != nil {
 		return nil, err
