Placement: adapters follow their models to where these are on their way

Cause: an adapter whose model was nowhere up yet was hashed by its own name, so model and adapter came to different workers and the model was loaded twice. Ruled out: room (all fits once each) and the store's rate. An adapter is hashed as its model, and what is on its way is told in the news.

--- a/internal/process/desk/doctor.go
+++ b/internal/process/desk/doctor.go
@@ -179,7 +179,9 @@
 	held := map[string]int64{}
 	for _, room := range d.page.Rooms {
 		for _, loaded := range room.Loaded {
-			held[loaded.Item]++
+			if loaded.Ready {
+				held[loaded.Item]++
+			}
 		}
 	}
 	for _, opening := range d.page.Policy.Openings {
--- a/internal/process/desk/pages.go
+++ b/internal/process/desk/pages.go
@@ -53,6 +53,9 @@
 		room, seen := page.Rooms[worker.Name]
 		out.Workers = append(out.Workers, Worker{Name: worker.Name, Addr: worker.Addr, Zone: worker.Zone, Pool: worker.Pool, RoomMb: worker.RoomMb, UsedMb: room.UsedMb, Leaving: worker.Leaving, Dark: seen && room.Dark})
 		for _, held := range room.Loaded {
+			if !held.Ready {
+				continue
+			}
 			out.Homes = append(out.Homes, Home{Item: held.Item, Worker: worker.Name, Pool: worker.Pool})
 		}
 	}
@@ -81,7 +84,9 @@
 	held := map[string]int64{}
 	for _, room := range page.Rooms {
 		for _, loaded := range room.Loaded {
-			held[loaded.Item]++
+			if loaded.Ready {
+				held[loaded.Item]++
+			}
 		}
 	}
 	out := []Opening{}
--- a/internal/process/partition/items.go
+++ b/internal/process/partition/items.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -177,7 +178,9 @@
 		if free >= need {
 			rank++
 		}
-		score := rendezvous(fmt.Sprintf("%s|%s|%d", item.Name, name, item.Refusals), float64(max(free, need/8, 1)))
+		// An adapter is hashed as its model, so that both come to the same worker
+		// where neither is up yet.
+		score := rendezvous(fmt.Sprintf("%s|%s|%d", cmp.Or(known.Base, item.Name), name, item.Refusals), float64(max(free, need/8, 1)))
 		if rank > bestRank || (rank == bestRank && score > bestScore) {
 			best, bestRank, bestScore = name, rank, score
 		}
--- a/internal/process/partition/orders.go
+++ b/internal/process/partition/orders.go
@@ -121,8 +121,9 @@
 		}
 		told := wire.WorkerNews{Worker: name, Addr: room.Addr, Pool: room.Pool, Zone: room.Zone, RoomMb: worker.RoomMb, UsedMb: booked(&worker), Leaving: worker.Left || room.Leaving, Dark: worker.Dark}
 		for _, kept := range worker.Residents {
-			if kept.State == residentReady {
-				told.Loaded = append(told.Loaded, wire.Loaded{Item: kept.Item, Ready: true, SizeMb: kept.SizeMb})
+			// What is on its way is told too: adapters follow their models there.
+			if kept.State != residentLeaving && kept.State != residentPending {
+				told.Loaded = append(told.Loaded, wire.Loaded{Item: kept.Item, Ready: kept.State == residentReady, SizeMb: kept.SizeMb})
 			}
 		}
 		body := wire.Encode(&told)
--- a/internal/process/sim/front.go
+++ b/internal/process/sim/front.go
@@ -144,7 +144,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		for _, held := range f.rooms[name].Loaded {
-			if _, mine := f.served[held.Item]; mine && w.random.Intn(20) == 0 {
+			if _, mine := f.served[held.Item]; mine && held.Ready && w.random.Intn(20) == 0 {
 				told.Uses = append(told.Uses, wire.Use{Worker: name, Item: held.Item, Count: 1, Weight: 1})
 			}
 		}
