One place for the news of a core set, and one for giving grants back

The exchange and the lineman each made the same topic of a core set, and two functions released grants and told the seats. Behaviour is as before.

--- a/internal/process/frame/learn.go
+++ b/internal/process/frame/learn.go
@@ -71,11 +71,7 @@
 	f.proposer.Learn(core)
 	out.Add(f.acceptor.Raise(core.Epoch))
 	out.Add(f.acceptor.Chose(core))
-	swept := int64(0)
-	if core.Swept {
-		swept = 1
-	}
-	f.board.Put(wire.Topic{Name: register.CoreKey, Term: core.Epoch, Step: swept, Body: wire.Encode(&core)})
+	f.board.Put(register.CoreTopic(core))
 }
 
 func (f *Frame) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
--- a/internal/process/frame/moves.go
+++ b/internal/process/frame/moves.go
@@ -70,8 +70,8 @@
 	}
 }
 
-func (f *Frame) giveBack(out *wire.Outputs, number int64) {
-	back := f.holder.Release([]int64{number})
+func (f *Frame) giveBack(out *wire.Outputs, numbers ...int64) {
+	back := f.holder.Release(numbers)
 	for _, seat := range f.proposer.Core().Seats {
 		out.Send(seat.ID, wire.KindGrantBack, back)
 	}
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -171,8 +171,5 @@
 		}
 		f.letGo(number)
 	}
-	back := f.holder.Release(numbers)
-	for _, seat := range f.proposer.Core().Seats {
-		out.Send(seat.ID, wire.KindGrantBack, back)
-	}
+	f.giveBack(out, numbers...)
 }
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -100,11 +100,7 @@
 
 func (l *Line) learnCore(core wire.CoreSet) {
 	l.proposer.Learn(core)
-	swept := int64(0)
-	if core.Swept {
-		swept = 1
-	}
-	l.board.Put(wire.Topic{Name: register.CoreKey, Term: core.Epoch, Step: swept, Body: wire.Encode(&core)})
+	l.board.Put(register.CoreTopic(core))
 }
 
 // take puts a topic on the board and learns from it.
--- a/internal/process/register/rounds.go
+++ b/internal/process/register/rounds.go
@@ -82,6 +82,17 @@
 	return core, true
 }
 
+// CoreTopic is the news of a core set; that it is swept is a step of its epoch.
+//
+//	board.Put(register.CoreTopic(core))
+func CoreTopic(core wire.CoreSet) wire.Topic {
+	topic := wire.Topic{Name: CoreKey, Term: core.Epoch, Body: wire.Encode(&core)}
+	if core.Swept {
+		topic.Step = 1
+	}
+	return topic
+}
+
 func (p *Proposer) queried(now int64, out *wire.Outputs, o *operation, from string, told *wire.Promise) {
 	if !p.seated(from) || o.heard[from] {
 		return
