Keys: one server for a key across fronts and changes of the worker list

Cause: a key's server was the first by hash over the list in force at one front, and only the front that had sent a key remembered it. A repeat at another front after a server was added, replaced, marked or delisted, or between fronts with lists of different marks, ran a second time.

Ruled out: refusing all keys that moved for as long as a key may be repeated (one server replaced refuses 7 of 16 new keys for a minute); a home or a witness for each key (a round trip for every booking, and no bookings without lineman); a durable note at the core (bookings would wait for slow disks).

Change: the list's register carries the sets of servers before; a key whose server differs between them is asked for at all fronts, and refused as unknown where one that may have sent it cannot tell. Lists also are believed only if they are not empty or older all at once.

--- a/cmd/lineman/main.go
+++ b/cmd/lineman/main.go
@@ -38,7 +38,7 @@
 	line := linework.New(1, linework.Boot{
 		ID: id, Name: settings.Name, Addr: settings.Advertise, Zone: settings.Zone, Outward: settings.Listen, Born: epoch.UnixMilli(),
 		Switchboard: settings.Switchboard, Seeds: settings.Seeds, Partitions: settings.Partitions,
-		LeaseMs: settings.LeaseMs, ProbeMs: settings.ProbeMs, CallMs: settings.CallMs,
+		LeaseMs: settings.LeaseMs, ProbeMs: settings.ProbeMs, CallMs: settings.CallMs, KeyMs: settings.KeyMs,
 	}, rand.New(rand.NewSource(epoch.UnixNano())))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/internal/connection/line/line.go
+++ b/internal/connection/line/line.go
@@ -30,6 +30,9 @@
 		if err != nil {
 			return nil, errors.Join(ErrNoLine, err)
 		}
+		if until, ok := ctx.Value(untilKey{}).(time.Time); ok {
+			return &guarded{Conn: conn, until: until}, nil
+		}
 		return conn, nil
 	}
 	return &Lines{
@@ -37,3 +40,34 @@
 		Many: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true},
 	}
 }
+
+// untilKey is under which a request carries the moment after which it must not
+// begin to leave.
+type untilKey struct{}
+
+// Until makes a request's connection refuse to be written to after a moment: a
+// process that was frozen between its decision and the sending does not send.
+//
+//	request = request.WithContext(line.Until(ctx, deadline))
+func Until(ctx context.Context, until time.Time) context.Context {
+	return context.WithValue(ctx, untilKey{}, until)
+}
+
+var errTooLate = errors.New("too late to send")
+
+type guarded struct {
+	net.Conn
+	until time.Time
+	begun bool
+}
+
+// Write refuses to begin after the moment.
+//
+//	n, err := conn.Write(head)
+func (g *guarded) Write(body []byte) (int, error) {
+	if !g.begun && time.Now().After(g.until) {
+		return 0, errTooLate
+	}
+	g.begun = true
+	return g.Conn.Write(body)
+}
--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -40,6 +40,9 @@
 	KindCoreSet: func() Record { return &CoreSet{} }, KindSealRecord: func() Record { return &SealRecord{} },
 	KindHandover:      func() Record { return &Handover{} },
 	KindHandoverTaken: func() Record { return &HandoverTaken{} },
+	KindTicketWish:    func() Record { return &TicketWish{} }, KindTicketDone: func() Record { return &TicketDone{} },
+	KindTicketAsk: func() Record { return &TicketAsk{} }, KindTicketTold: func() Record { return &TicketTold{} },
+	KindContact: func() Record { return &Contact{} },
 }
 
 // Encode turns a record into bytes. A record that its own schema cannot hold
--- a/internal/connection/wire/kind.go
+++ b/internal/connection/wire/kind.go
@@ -60,6 +60,11 @@
 	KindSealRecord
 	KindHandover
 	KindHandoverTaken
+	KindTicketWish
+	KindTicketDone
+	KindTicketAsk
+	KindTicketTold
+	KindContact
 )
 
 // Verdict is what a worker's partition says to an item that asked for a home.
--- a/internal/connection/wire/kind_gen.go
+++ b/internal/connection/wire/kind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTaken"
+const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTakenKindTicketWishKindTicketDoneKindTicketAskKindTicketToldKindContact"
 
-var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576}
+var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576, 590, 604, 617, 631, 642}
 
-const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertaken"
+const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertakenkindticketwishkindticketdonekindticketaskkindtickettoldkindcontact"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -72,9 +72,14 @@
 	_ = x[KindSealRecord-(45)]
 	_ = x[KindHandover-(46)]
 	_ = x[KindHandoverTaken-(47)]
+	_ = x[KindTicketWish-(48)]
+	_ = x[KindTicketDone-(49)]
+	_ = x[KindTicketAsk-(50)]
+	_ = x[KindTicketTold-(51)]
+	_ = x[KindContact-(52)]
 }
 
-var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken}
+var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken, KindTicketWish, KindTicketDone, KindTicketAsk, KindTicketTold, KindContact}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:     KindNone,
@@ -125,6 +130,11 @@
 	_KindName[533:547]: KindSealRecord,
 	_KindName[547:559]: KindHandover,
 	_KindName[559:576]: KindHandoverTaken,
+	_KindName[576:590]: KindTicketWish,
+	_KindName[590:604]: KindTicketDone,
+	_KindName[604:617]: KindTicketAsk,
+	_KindName[617:631]: KindTicketTold,
+	_KindName[631:642]: KindContact,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -176,6 +186,11 @@
 	_KindLowerName[533:547]: KindSealRecord,
 	_KindLowerName[547:559]: KindHandover,
 	_KindLowerName[559:576]: KindHandoverTaken,
+	_KindLowerName[576:590]: KindTicketWish,
+	_KindLowerName[590:604]: KindTicketDone,
+	_KindLowerName[604:617]: KindTicketAsk,
+	_KindLowerName[617:631]: KindTicketTold,
+	_KindLowerName[631:642]: KindContact,
 }
 
 var _KindNames = []string{
@@ -227,6 +242,11 @@
 	_KindName[533:547],
 	_KindName[547:559],
 	_KindName[559:576],
+	_KindName[576:590],
+	_KindName[590:604],
+	_KindName[604:617],
+	_KindName[617:631],
+	_KindName[631:642],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/mark/table/table.go
+++ b/internal/mark/table/table.go
@@ -71,6 +71,8 @@
 	Pools   map[string][]*Server
 	Refused map[string]int64
 	Budgets map[string]*Budget
+	// Rosters are what the servers of each pool were by lists before.
+	Rosters map[string][]wire.Roster
 	// Next is closed when a newer table is there.
 	Next   chan struct{}
 	routes map[string]policy.Route
@@ -87,6 +89,7 @@
 type News struct {
 	Policy  *policy.Table
 	Workers []wire.Worker
+	Rosters []wire.Roster
 	Rooms   map[string]wire.WorkerNews
 	Refused map[string]int64
 }
@@ -97,7 +100,12 @@
 //	next := current.After(news)
 func (t *Table) After(told News) *Table {
 	next := Empty()
-	next.Policy, next.Known, next.Refused = told.Policy, told.Policy.Mark > 0, told.Refused
+	next.Policy, next.Known, next.Refused, next.Rosters = told.Policy, told.Policy.Mark > 0, told.Refused, map[string][]wire.Roster{}
+	for _, roster := range told.Rosters {
+		if roster.UntilMs > 0 {
+			next.Rosters[roster.Pool] = append(next.Rosters[roster.Pool], roster)
+		}
+	}
 	for _, worker := range told.Workers {
 		server := &Server{Name: worker.Name, Addr: worker.Addr, Pool: worker.Pool, Leaving: worker.Leaving, Loaded: map[string]bool{}}
 		if old, ok := t.Servers[worker.Name]; ok && old.Addr == worker.Addr {
--- a/internal/process/boot/boot.go
+++ b/internal/process/boot/boot.go
@@ -17,7 +17,7 @@
 	Name, Zone, Listen, Advertise, Callers, Lineman, Switchboard, Data, Directory, Settings string
 	Seeds, Core                                                                             []string
 	LeaseMs, ProbeMs, PollMs, CallMs, TickMs, Partitions                                    int64
-	SyncFloorMs, LogKb, HoldMs, DrainMs, BodyKb, Slots                                      int64
+	SyncFloorMs, LogKb, KeyMs, HoldMs, DrainMs, BodyKb, Slots                               int64
 	seeds, core                                                                             string
 }
 
@@ -53,6 +53,9 @@
 			check{"tick-ms", &b.TickMs, 5, 1000, "how often control state looks at the clock", 25},
 			check{"partitions", &b.Partitions, 1, 256, "number of partitions; the same on every node, for good", 12})
 	}
+	if parts&PartLine != 0 {
+		all = append(all, check{"key-ms", &b.KeyMs, 10000, 3600000, "how long after its first use an idempotency key may be repeated; the same on every front", 60000})
+	}
 	if parts&PartDisk != 0 {
 		all = append(all,
 			check{"poll-ms", &b.PollMs, 100, 5000, "time between looks at each worker and at the worker list", 500},
--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -59,6 +59,7 @@
 	promised   map[int64]promise
 	Moves      int64
 	listed     wire.WorkerList
+	unbelieved string
 	leavers    map[string]bool
 	leaving    bool
 	stalled    bool
--- /dev/null
+++ b/internal/process/frame/rosters.go
@@ -0,0 +1,69 @@
+package frame
+
+import (
+	"bytes"
+	"slices"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/ticket"
+)
+
+// mostRosters bounds how many lists of a pool's servers are remembered.
+const mostRosters = 8
+
+// sameWorkers tells whether two lists name the same workers.
+func sameWorkers(a, b *wire.WorkerList) bool {
+	return bytes.Equal(wire.Encode(&wire.WorkerList{Workers: a.Workers}), wire.Encode(&wire.WorkerList{Workers: b.Workers}))
+}
+
+// withRosters adds to a list what the servers of each pool were before: a key
+// that went to one of them must not go to another now. The list in the making
+// gets the mark after the one kept.
+func withRosters(list, kept *wire.WorkerList, mark, wallMs int64) {
+	open := map[string][]string{}
+	for _, worker := range list.Workers {
+		if !worker.Leaving {
+			open[worker.Pool] = append(open[worker.Pool], ticket.Name(worker.Name, worker.Addr))
+		}
+	}
+	counts := map[string]int{}
+	for _, roster := range slices.Backward(kept.Rosters) {
+		servers, now := open[roster.Pool], roster.UntilMs == 0
+		if now && slices.Equal(servers, roster.Servers) {
+			delete(open, roster.Pool)
+		} else if now {
+			roster.UntilMs, roster.Mark = max(wallMs, roster.FromMs+1), mark+1
+		}
+		if counts[roster.Pool]++; counts[roster.Pool] <= mostRosters && (now || len(roster.Servers) > 0) {
+			list.Rosters = append(list.Rosters, roster)
+		}
+	}
+	slices.Reverse(list.Rosters)
+	pools := make([]string, 0, len(open))
+	for pool := range open {
+		pools = append(pools, pool)
+	}
+	slices.Sort(pools)
+	for _, pool := range pools {
+		list.Rosters = append(list.Rosters, wire.Roster{Pool: pool, FromMs: wallMs, Servers: open[pool]})
+	}
+}
+
+// believed tells whether the platform's word may be taken: a list that lost all
+// its workers at once, or that is older than one taken before, comes from a
+// directory that broke down, and the last good list stays.
+func (f *Frame) believed(list *wire.WorkerList) bool {
+	f.unbelieved = ""
+	switch {
+	case len(list.Workers) == 0 && len(f.listed.Workers) > 0:
+		f.unbelieved = "the platform lists no worker at all"
+	case list.Platform > 0 && list.Platform < f.listed.Platform:
+		f.unbelieved = "the platform's list is older than the one kept"
+	}
+	return f.unbelieved == ""
+}
+
+// Unbelieved says why the platform's last list was not taken, if it was not.
+//
+//	if why := core.Unbelieved(); why != "" { ... }
+func (f *Frame) Unbelieved() string { return f.unbelieved }
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -71,15 +71,15 @@
 //	out := core.Platform(now, 4, list)
 func (f *Frame) Platform(now, mark int64, list *wire.WorkerList) wire.Outputs {
 	var out wire.Outputs
-	f.heed(list)
-	body := wire.Encode(list)
-	kept, _ := f.board.Get(DirectoryKey)
-	if mark == 0 && len(list.Workers) == 0 {
+	if !f.believed(list) {
 		return out
 	}
-	if mark != f.marks[DirectoryKey] || (mark > 0 && string(kept.Body) == string(body)) {
+	f.heed(list)
+	if mark != f.marks[DirectoryKey] || sameWorkers(list, &f.listed) {
 		return out
 	}
+	withRosters(list, &f.listed, mark, f.members.Wall(now))
+	body := wire.Encode(list)
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
 		if outcome.Has {
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -24,6 +24,8 @@
 	Seeds                         []string
 	Partitions                    int64
 	LeaseMs, ProbeMs, CallMs      int64
+	// KeyMs is how long after its first use a key may be repeated.
+	KeyMs int64
 }
 
 // Line is the control state of one lineman.
@@ -42,15 +44,22 @@
 	wanted   map[string]int64
 	timers   map[string]int64
 	marks    map[string]int64
+	now      int64
+	startMs  int64
+	listAt   int64
+	settled  int64
+	rosters  []wire.Roster
+	fronts   map[string]*otherFront
+	asking   map[int64]*asking
 }
 
 // New makes a lineman that knows nothing but its seeds.
 //
 //	line := linework.New(now, boot, random)
-func New(_ int64, boot Boot, random *rand.Rand) *Line {
+func New(now int64, boot Boot, random *rand.Rand) *Line {
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "lineman", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": frame.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
 	return &Line{
-		boot: boot, random: random,
+		boot: boot, random: random, now: now, startMs: now, fronts: map[string]*otherFront{}, asking: map[int64]*asking{},
 		members:  members.New(self, members.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: 16}),
 		board:    news.NewBoard(), policy: policy.Empty(),
@@ -64,7 +73,14 @@
 //	out := line.Hear(now, "c2~51", body)
 func (l *Line) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
+	l.now = now
 	switch told := body.(type) {
+	case *wire.TicketWish:
+		l.wished(now, &out, told)
+	case *wire.TicketAsk:
+		out.Send(l.boot.Switchboard, wire.KindTicketAsk, told)
+	case *wire.TicketTold:
+		l.toldTicket(now, &out, from, told)
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
 		return l.proposer.Hear(now, from, body)
 	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
@@ -123,7 +139,8 @@
 	case topic.Name == frame.DirectoryKey:
 		var list wire.WorkerList
 		if list.Unmarshal(topic.Body) == nil {
-			l.workers = map[string]wire.Worker{}
+			l.learntList(topic.Step)
+			l.workers, l.rosters = map[string]wire.Worker{}, sortedRosters(&list)
 			for _, worker := range list.Workers {
 				l.workers[worker.Name] = worker
 			}
--- a/internal/process/linework/tick.go
+++ b/internal/process/linework/tick.go
@@ -14,6 +14,7 @@
 //	out := line.Tick(now, wallMs)
 func (l *Line) Tick(now, wallMs int64) wire.Outputs {
 	var out wire.Outputs
+	l.now = now
 	l.members.Clock(now, wallMs)
 	out.Add(l.members.Tick(now))
 	out.Add(l.proposer.Tick(now))
@@ -23,6 +24,10 @@
 		}
 	}
 	l.subscribe(now, &out)
+	l.ticketsTick(now, &out)
+	if l.due(now, "contact", l.boot.ProbeMs) {
+		l.contact(now, &out)
+	}
 	l.wantsTick(now, &out)
 	l.resend(now, &out)
 	l.feed(&out)
--- a/internal/process/plugboard/plugboard.go
+++ b/internal/process/plugboard/plugboard.go
@@ -12,6 +12,7 @@
 	"applequay/internal/mark/policy"
 	"applequay/internal/mark/table"
 	"applequay/internal/process/news"
+	"applequay/internal/process/ticket"
 	"applequay/internal/request/cord"
 )
 
@@ -25,11 +26,6 @@
 	weight       int64
 }
 
-type sent struct {
-	key, server string
-	back        chan string
-}
-
 // Plugboard owns all that changes beside the traffic; it has one thread.
 type Plugboard struct {
 	lineman string
@@ -38,11 +34,14 @@
 	inbox   chan trunk.Arrived
 	holds   chan held
 	uses    chan used
-	sents   chan sent
+	takes   chan taken
 	told    table.News
 	holding map[string]*wire.Want
 	using   map[used]int64
-	keys    [2]map[string]string
+	book    *ticket.Book
+	waiting map[int64]chan ticket.Decision
+	nextID  int64
+	epoch   time.Time
 	now     func() int64
 	put     func(*table.Table)
 	current func() *table.Table
@@ -54,9 +53,10 @@
 func New(lineman string, cable *trunk.Trunk) *Plugboard {
 	return &Plugboard{
 		lineman: lineman, cable: cable, board: news.NewBoard(),
-		inbox: make(chan trunk.Arrived, 1024), holds: make(chan held, 4096), uses: make(chan used, 4096), sents: make(chan sent, 256),
+		inbox: make(chan trunk.Arrived, 1024), holds: make(chan held, 4096), uses: make(chan used, 4096), takes: make(chan taken, 256),
 		told:    table.News{Policy: policy.Empty(), Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}},
-		holding: map[string]*wire.Want{}, using: map[used]int64{}, keys: [2]map[string]string{{}, {}},
+		holding: map[string]*wire.Want{}, using: map[used]int64{},
+		book: ticket.New(1, lineman), waiting: map[int64]chan ticket.Decision{}, epoch: time.Now(),
 	}
 }
 
@@ -94,31 +94,19 @@
 	}
 }
 
-// Sent returns the server that a key was sent to, after noting one for a key
-// that had none.
-//
-//	name := plugs.Sent("till-4-991", "b2")
-func (p *Plugboard) Sent(key, server string) string {
-	back := make(chan string, 1)
-	p.sents <- sent{key: key, server: server, back: back}
-	return <-back
-}
-
 // Times of the plugboard's own work.
 const (
 	reportEvery    = 40 * time.Millisecond
 	subscribeEvery = 10 // reports
 	useEvery       = 25 // reports
-	keysEvery      = 5 * time.Minute
 )
 
 // Run is the thread.
 //
 //	err := plugs.Run(ctx)
 func (p *Plugboard) Run(ctx context.Context) error {
-	report, forget := time.NewTicker(reportEvery), time.NewTicker(keysEvery)
+	report := time.NewTicker(reportEvery)
 	defer report.Stop()
-	defer forget.Stop()
 	for turn := 0; ; {
 		select {
 		case <-ctx.Done():
@@ -129,11 +117,12 @@
 			p.held(hold)
 		case use := <-p.uses:
 			p.using[use]++
-		case ask := <-p.sents:
-			ask.back <- p.sent(ask)
-		case <-forget.C:
-			p.keys = [2]map[string]string{{}, p.keys[0]}
+		case ask := <-p.takes:
+			p.nextID++
+			p.waiting[p.nextID] = ask.back
+			p.perform(p.book.Take(p.clock(), p.nextID, ask.call))
 		case <-report.C:
+			p.perform(p.book.Tick(p.clock()))
 			p.report(turn)
 			turn++
 		}
@@ -153,18 +142,6 @@
 	}
 }
 
-func (p *Plugboard) sent(ask sent) string {
-	for _, kept := range p.keys {
-		if server, ok := kept[ask.key]; ok {
-			return server
-		}
-	}
-	if ask.server != "" {
-		p.keys[0][ask.key] = ask.server
-	}
-	return ask.server
-}
-
 // report tells the lineman what is held, and now and then what was used; it
 // also asks for what the lineman knows and this process does not.
 func (p *Plugboard) report(turn int) {
@@ -188,6 +165,8 @@
 
 func (p *Plugboard) hear(letter trunk.Arrived) {
 	switch told := letter.Body.(type) {
+	case *wire.Contact, *wire.TicketAsk, *wire.TicketDone:
+		p.perform(p.book.Hear(p.clock(), letter.Body))
 	case *wire.News:
 		changed := false
 		for _, topic := range told.Topics {
@@ -219,7 +198,7 @@
 		if list.Unmarshal(topic.Body) != nil {
 			return false
 		}
-		p.told.Workers = list.Workers
+		p.told.Workers, p.told.Rosters = list.Workers, list.Rosters
 		return true
 	case strings.HasPrefix(topic.Name, "homes/"):
 		var room wire.WorkerNews
@@ -235,7 +214,7 @@
 // renew makes the next table. What it is made of is copied, so that no table
 // ever changes.
 func (p *Plugboard) renew() {
-	told := table.News{Policy: p.told.Policy, Workers: p.told.Workers, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
+	told := table.News{Policy: p.told.Policy, Workers: p.told.Workers, Rosters: p.told.Rosters, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
 	for name, room := range p.told.Rooms {
 		told.Rooms[name] = room
 	}
--- /dev/null
+++ b/internal/process/plugboard/tickets.go
@@ -0,0 +1,48 @@
+package plugboard
+
+import (
+	"context"
+	"time"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/ticket"
+)
+
+type taken struct {
+	call ticket.Call
+	back chan ticket.Decision
+}
+
+// Ticket decides to which server a call with a key goes, which may take asking
+// the other fronts; without a server the call is refused.
+//
+//	decision := plugs.Ticket(ctx, current.Call("app", "till-4-991"))
+func (p *Plugboard) Ticket(ctx context.Context, call ticket.Call) ticket.Decision {
+	back := make(chan ticket.Decision, 1)
+	select {
+	case p.takes <- taken{call: call, back: back}:
+	case <-ctx.Done():
+		return ticket.Decision{Why: "the time is up"}
+	}
+	select {
+	case decision := <-back:
+		return decision
+	case <-ctx.Done():
+		return ticket.Decision{Why: "the time is up"}
+	}
+}
+
+// clock is this machine's monotonic time; the book's moments are by it.
+func (p *Plugboard) clock() int64 { return time.Since(p.epoch).Milliseconds() + 1 }
+
+func (p *Plugboard) perform(out wire.Outputs) {
+	for _, send := range out.Sends {
+		p.cable.Send(send.To, send.Kind, send.Body)
+	}
+	for _, answer := range out.Answers {
+		if back, waits := p.waiting[answer.Call]; waits {
+			delete(p.waiting, answer.Call)
+			back <- answer.Body.(ticket.Decision)
+		}
+	}
+}
--- a/internal/process/sim/front.go
+++ b/internal/process/sim/front.go
@@ -11,6 +11,7 @@
 	"applequay/internal/process/linework"
 	"applequay/internal/process/news"
 	"applequay/internal/process/register"
+	"applequay/internal/process/ticket"
 )
 
 // front is a front machine: the real lineman, and a switchboard that holds
@@ -26,6 +27,8 @@
 	mark    int64
 	rooms   map[string]wire.WorkerNews
 	items   map[string]policy.Item
+	book    *ticket.Book
+	list    wire.WorkerList
 	waiting map[string]int64 // item to the moment it was first asked for
 	served  map[string]int64 // item to how long it took
 }
@@ -54,13 +57,15 @@
 	f.answers, f.heard, f.mark = map[int64]func(register.Outcome){}, news.NewBoard(), 0
 	f.rooms, f.items = map[string]wire.WorkerNews{}, map[string]policy.Item{}
 	f.waiting, f.served = map[string]int64{}, map[string]int64{}
+	f.book, f.list = ticket.New(f.clock(), f.addr), wire.WorkerList{}
+	f.board.frozenTo = 0
 	seeds := []string{}
 	for i := range w.Shape.Cores {
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
 	f.line = linework.New(f.clock(), linework.Boot{
 		ID: f.id, Name: f.name, Addr: f.addr, Zone: f.zone, Born: w.now + 1 + f.wallMs, Switchboard: f.board.addr, Seeds: append(seeds[:2:2], "10.0.1.1:1"),
-		Partitions: w.Shape.Partitions, LeaseMs: w.Shape.LeaseMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs,
+		Partitions: w.Shape.Partitions, LeaseMs: w.Shape.LeaseMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs, KeyMs: KeyMs,
 	}, rand.New(rand.NewSource(w.random.Int63())))
 	f.every(w.Shape.TickMs)
 	f.board.every(100)
@@ -86,6 +91,7 @@
 func (f *front) fed(_ string, body wire.Record) {
 	told, ok := body.(*wire.News)
 	if !ok {
+		f.ticket(f.book.Hear(f.clock(), body))
 		return
 	}
 	w := f.world
@@ -98,6 +104,11 @@
 			table, _, _ := policy.Parse(topic.Body, topic.Step)
 			f.items, f.mark = table.Items, topic.Step
 			w.facts.inForce(w.now, f, topic.Step)
+		case topic.Name == "directory":
+			var list wire.WorkerList
+			if list.Unmarshal(topic.Body) == nil {
+				f.list = list
+			}
 		case strings.HasPrefix(topic.Name, "homes/"):
 			var room wire.WorkerNews
 			if room.Unmarshal(topic.Body) == nil {
@@ -131,6 +142,7 @@
 // report asks the lineman for what it knows and tells it what is held.
 func (f *front) report() {
 	w := f.world
+	f.ticket(f.book.Tick(f.clock()))
 	w.send(&f.board, f.addr, wire.KindSubscribe, &wire.Subscribe{Have: f.heard.Have(nil)})
 	told := &wire.Report{}
 	for item := range f.waiting {
--- /dev/null
+++ b/internal/process/sim/keysplan.go
@@ -0,0 +1,94 @@
+package sim
+
+import "fmt"
+
+// Keys is a run in which the list of application servers changes while fronts
+// die, freeze and are cut off, and callers repeat their keys everywhere.
+//
+//	world := sim.Keys(sim.Krizanka(), 7)
+func Keys(shape Shape, seed int64) *World {
+	w := New(shape, seed)
+	ann := w.NewOperator("ann")
+	w.At(4000, func() { ann.Set(-1) })
+	for i := range 4 {
+		w.AddApp(fmt.Sprintf("b%d", i+1), fmt.Sprintf("10.0.3.%d:1", i+1))
+	}
+	const last = int64(90000)
+	for at := int64(6000); at < last; at += 40 {
+		w.At(at, func() {
+			if w.tills.random.Intn(2) == 0 {
+				w.Call(w.tills.random.Intn(len(w.fronts)), "")
+			} else {
+				w.Repeat()
+			}
+		})
+	}
+	for at := int64(9000); at < last-12000; at += 1000 + w.tills.random.Int63n(7000) {
+		w.At(at, w.relist)
+	}
+	for at := int64(12000); at < last-12000; at += 1000 + w.tills.random.Int63n(9000) {
+		w.At(at, w.keysFault)
+	}
+	w.Run(last)
+	return w
+}
+
+// relist changes the list: a server is replaced at a new address, marked as
+// leaving, taken off, or added.
+func (w *World) relist() {
+	random := w.tills.random
+	name := fmt.Sprintf("b%d", 1+random.Intn(5))
+	w.tills.next++
+	switch random.Intn(4) {
+	case 0, 1:
+		w.AddApp(name, fmt.Sprintf("10.0.3.%d:1", 10+w.tills.next))
+	case 2:
+		w.note("%s is taken off the list", name)
+		w.Unlist(name)
+	case 3:
+		for at := range w.listed {
+			if w.listed[at].Name == name {
+				w.Leave(name, !w.listed[at].Leaving)
+				return
+			}
+		}
+	}
+}
+
+func (w *World) keysFault() {
+	random := w.tills.random
+	front := random.Intn(len(w.fronts))
+	switch random.Intn(7) {
+	case 0, 1:
+		w.CrashFront(front, 200+random.Int63n(6000))
+	case 2:
+		w.FreezeFront(front, 500+random.Int63n(20000))
+	case 3:
+		w.note("%s is cut off", w.fronts[front].name)
+		w.CutFront(front, true)
+		w.after(1000+random.Int63n(20000), func() {
+			w.note("%s is no longer cut off", w.fronts[front].name)
+			w.CutFront(front, false)
+		})
+	case 4:
+		core := random.Intn(len(w.cores))
+		w.Crash(core, true)
+		w.after(500+random.Int63n(4000), func() { w.Restart(core, false) })
+	case 5:
+		w.note("the fronts are cut off from the core")
+		w.cutCore(true)
+		w.after(1000+random.Int63n(9000), func() { w.cutCore(false) })
+	case 6:
+		w.loss, w.delay = random.Intn(20), 1+random.Int63n(40)
+		w.after(4000, func() { w.loss, w.delay = w.Shape.LossPercent, 2 })
+	}
+}
+
+func (w *World) cutCore(cut bool) {
+	for _, f := range w.fronts {
+		for _, e := range w.cores {
+			w.Cut(f.addr, e.addr, cut)
+			w.Cut(e.addr, f.addr, cut)
+		}
+	}
+}
--- a/internal/process/sim/world.go
+++ b/internal/process/sim/world.go
@@ -102,6 +102,7 @@
 	delay   int64
 	History []string
 	facts   facts
+	tills   *tills
 	Counts  Counts
 	// openings go into every policy that operators write.
 	openings []any
@@ -117,7 +118,7 @@
 //	world := sim.New(sim.Krizanka(), 7)
 func New(shape Shape, seed int64) *World {
 	w := &World{Shape: shape, Seed: seed, random: rand.New(rand.NewSource(seed)), nodes: map[string]*node{}, cut: map[[2]string]bool{}, loss: shape.LossPercent, delay: 2}
-	w.facts = newFacts()
+	w.facts, w.tills = newFacts(), newTills(seed)
 	for i := range shape.Workers {
 		w.addWorker(fmt.Sprintf("w%d", i+1))
 	}
--- /dev/null
+++ b/internal/process/ticket/book.go
@@ -0,0 +1,189 @@
+// Package ticket decides to which server a switchboard sends a booking or a
+// check, so that a key goes to one server however often it is repeated, at
+// whatever front, and however the worker list changes meanwhile. As an
+// operator's toll ticket it notes which line a call was put to. It is a pure
+// machine.
+package ticket
+
+import (
+	"slices"
+
+	"applequay/internal/connection/wire"
+)
+
+// Call is a request with a key. Choice is the key's server in the list in
+// force, Past its servers in lists before; both are names of Name.
+type Call struct {
+	Key, Choice string
+	Past        []Past
+	// Open tells whether a server is listed under this very name and address
+	// and may be sent to.
+	Open func(server string) bool
+}
+
+// Past is the choice by a list that the one with the mark replaced.
+type Past struct {
+	Mark   int64
+	Server string
+}
+
+// Decision is where a call goes; with no server it is refused, since it may
+// have run elsewhere.
+type Decision struct {
+	Server, Why string
+	RetryMs     int64
+}
+
+// Name is how a server is known to tickets: another address is another server.
+//
+//	name := ticket.Name("b1", "10.0.0.9:7800")
+func Name(name, addr string) string { return name + "@" + addr }
+
+// own is the asker under which a front notes its own wishes.
+const own = ""
+
+type wish struct {
+	call   Call
+	calls  []int64
+	sentMs int64
+	toldMs int64
+	round  int
+}
+
+// Book is one switchboard's memory of keys, with its part of the asking.
+type Book struct {
+	lineman   string
+	startMs   int64
+	turnedMs  int64
+	contactMs int64
+	keyMs     int64
+	answerMs  int64
+	settled   int64
+	keys      [2]map[string]string
+	claims    [2]map[string]map[string]string
+	wishes    map[int64]*wish
+	byKey     map[string]int64
+	nextOp    int64
+	// Asked and Refused count the calls that had to ask, and that were refused.
+	Asked, Refused int64
+}
+
+// New makes a book that knows nothing; the lineman beside it asks the others.
+//
+//	book := ticket.New(now, "127.0.0.1:7201")
+func New(now int64, lineman string) *Book {
+	return &Book{lineman: lineman, startMs: now, turnedMs: now, keys: [2]map[string]string{{}, {}},
+		claims: [2]map[string]map[string]string{{}, {}}, wishes: map[int64]*wish{}, byKey: map[string]int64{}}
+}
+
+// Times, as shares of those that the lineman tells.
+func (b *Book) contactTime() int64 { return b.keyMs / 2 }
+func (b *Book) againTime() int64   { return b.answerMs / 8 }
+
+// Take decides where a call goes, at once or by an answer later on.
+//
+//	out := book.Take(now, 7, ticket.Call{Key: "till-4-991", Choice: "b2@10.0.0.9:7800"})
+func (b *Book) Take(now, id int64, call Call) wire.Outputs {
+	var out wire.Outputs
+	if b.contactMs == 0 || now-b.contactMs > b.contactTime() {
+		b.refuse(&out, "this front does not know what the others do", id)
+		return out
+	}
+	if server, known := b.server(call.Key); known {
+		b.answer(&out, call, server, id)
+		return out
+	}
+	if op, waits := b.byKey[call.Key]; waits {
+		b.wishes[op].calls = append(b.wishes[op].calls, id)
+		return out
+	}
+	if call.Choice == "" && len(call.Past) == 0 {
+		b.refuse(&out, "no server can take this now", id)
+		return out
+	}
+	doubts := slices.ContainsFunc(call.Past, func(p Past) bool { return p.Mark > b.settled && p.Server != call.Choice })
+	for _, server := range b.claimed(call.Key, own) {
+		doubts = doubts || server != call.Choice
+	}
+	switch {
+	case doubts && call.Choice == "":
+		b.refuse(&out, "the key's server is gone, and no other can take it now", id)
+	case doubts:
+		b.Asked++
+		b.ask(now, &out, &wish{call: call, calls: []int64{id}, round: 1})
+	default:
+		b.bind(call.Key, call.Choice)
+		b.answer(&out, call, call.Choice, id)
+	}
+	return out
+}
+
+func (b *Book) answer(out *wire.Outputs, call Call, server string, ids ...int64) {
+	if !call.Open(server) {
+		b.refuse(out, "the server that this key was sent to is gone", ids...)
+		return
+	}
+	for _, id := range ids {
+		out.Answers = append(out.Answers, wire.Answer{Call: id, Body: Decision{Server: server}})
+	}
+}
+
+func (b *Book) refuse(out *wire.Outputs, why string, ids ...int64) {
+	for _, id := range ids {
+		b.Refused++
+		out.Answers = append(out.Answers, wire.Answer{Call: id, Body: Decision{Why: why, RetryMs: b.answerMs}})
+	}
+}
+
+func (b *Book) server(key string) (string, bool) {
+	for _, kept := range b.keys {
+		if server, ok := kept[key]; ok {
+			return server, true
+		}
+	}
+	return "", false
+}
+
+func (b *Book) bind(key, server string) { b.keys[0][key] = server }
+
+// claimed lists the servers to which others than an asker mean to send a key.
+func (b *Book) claimed(key, but string) []string {
+	var out []string
+	for _, kept := range b.claims {
+		for asker, server := range kept[key] {
+			if asker != but && !slices.Contains(out, server) {
+				out = append(out, server)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// claim notes where an asker means to send a key, in place of what it said before.
+func (b *Book) claim(key, asker, server string) {
+	delete(b.claims[1][key], asker)
+	if b.claims[0][key] == nil {
+		b.claims[0][key] = map[string]string{}
+	}
+	b.claims[0][key][asker] = server
+}
+
+// ask begins a round: nothing is sent anywhere before all others have told.
+func (b *Book) ask(now int64, out *wire.Outputs, asked *wish) {
+	b.nextOp++
+	asked.sentMs, asked.toldMs = now, now
+	b.wishes[b.nextOp], b.byKey[asked.call.Key] = asked, b.nextOp
+	b.claim(asked.call.Key, own, asked.call.Choice)
+	b.say(now, out, b.nextOp, asked)
+}
+
+func (b *Book) say(now int64, out *wire.Outputs, op int64, asked *wish) {
+	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, AgeMs: now - b.startMs}
+	for _, past := range asked.call.Past {
+		if past.Mark > b.settled {
+			told.Marks = append(told.Marks, past.Mark)
+		}
+	}
+	out.Send(b.lineman, wire.KindTicketWish, told)
+}
--- /dev/null
+++ b/internal/process/ticket/hear.go
@@ -0,0 +1,94 @@
+package ticket
+
+import (
+	"slices"
+
+	"applequay/internal/connection/wire"
+)
+
+// Hear takes a message from the lineman.
+//
+//	out := book.Hear(now, &wire.Contact{Settled: 4, KeyMs: 60000, AnswerMs: 800})
+func (b *Book) Hear(now int64, body wire.Record) wire.Outputs {
+	var out wire.Outputs
+	switch told := body.(type) {
+	case *wire.Contact:
+		b.contactMs, b.keyMs, b.answerMs = now, told.KeyMs, told.AnswerMs
+		b.settled = max(b.settled, told.Settled)
+	case *wire.TicketAsk:
+		out.Send(b.lineman, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), AgeMs: now - b.startMs})
+	case *wire.TicketDone:
+		b.done(now, &out, told)
+	}
+	return out
+}
+
+// tell answers another front with what is known of a key, and notes its wish.
+func (b *Book) tell(asked *wire.TicketAsk) []string {
+	if server, known := b.server(asked.Key); known {
+		return []string{server}
+	}
+	others := b.claimed(asked.Key, asked.Asker)
+	b.claim(asked.Key, asked.Asker, asked.Server)
+	return others
+}
+
+// done ends a round. One other server that all who know of the key agree on is
+// taken in a second round; more than one is a refusal.
+func (b *Book) done(now int64, out *wire.Outputs, told *wire.TicketDone) {
+	asked, ok := b.wishes[told.Op]
+	if !ok {
+		return
+	}
+	delete(b.wishes, told.Op)
+	delete(b.byKey, asked.call.Key)
+	others := slices.DeleteFunc(slices.Clone(told.Others), func(s string) bool { return s == asked.call.Choice })
+	for _, server := range b.claimed(asked.call.Key, own) {
+		if server != asked.call.Choice && !slices.Contains(others, server) {
+			others = append(others, server)
+		}
+	}
+	switch {
+	case told.Ok && len(others) == 0:
+		b.bind(asked.call.Key, asked.call.Choice)
+		b.answer(out, asked.call, asked.call.Choice, asked.calls...)
+	case told.Ok && len(others) == 1 && asked.round == 1 && asked.call.Open(others[0]):
+		asked.call.Choice, asked.round = others[0], 2
+		b.ask(now, out, asked)
+	case told.Ok:
+		b.refuse(out, "this key was sent to another server, which is gone, or to more than one front at once", asked.calls...)
+	default:
+		b.refuse(out, told.Why, asked.calls...)
+	}
+}
+
+// Tick says wishes again that were not heard, gives up those that wait too
+// long, and forgets keys that may not be repeated any more.
+//
+//	out := book.Tick(now)
+func (b *Book) Tick(now int64) wire.Outputs {
+	var out wire.Outputs
+	if b.keyMs > 0 && now-b.turnedMs >= b.keyMs {
+		b.turnedMs = now
+		b.keys = [2]map[string]string{{}, b.keys[0]}
+		b.claims = [2]map[string]map[string]string{{}, b.claims[0]}
+	}
+	ops := make([]int64, 0, len(b.wishes))
+	for op := range b.wishes {
+		ops = append(ops, op)
+	}
+	slices.Sort(ops)
+	for _, op := range ops {
+		asked := b.wishes[op]
+		switch {
+		case now-asked.sentMs > b.answerMs:
+			delete(b.wishes, op)
+			delete(b.byKey, asked.call.Key)
+			b.refuse(&out, "not all other fronts say whether they know this key", asked.calls...)
+		case now-asked.toldMs > b.againTime():
+			asked.toldMs = now
+			b.say(now, &out, op, asked)
+		}
+	}
+	return out
+}
--- a/internal/request/cord/call.go
+++ b/internal/request/cord/call.go
@@ -60,6 +60,8 @@
 	chosen   *table.Server
 	tried    map[string]bool
 	wrote    bool
+	why      string
+	retry    time.Duration
 	answered bool
 }
 
--- a/internal/request/cord/cord_test.go
+++ b/internal/request/cord/cord_test.go
@@ -1,6 +1,7 @@
 package cord
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,24 +18,24 @@
 	"applequay/internal/connection/wire"
 	"applequay/internal/mark/policy"
 	"applequay/internal/mark/table"
+	"applequay/internal/process/ticket"
 )
 
-// book is a ledger that remembers keys, as the plugboard does.
+// book is a ledger with the real machine of tickets, alone on its front.
 type book struct {
-	keys  map[string]string
-	holds chan int64
+	tickets *ticket.Book
+	holds   chan int64
 }
 
 func (b *book) Hold(_ string, _, change int64) { b.holds <- change }
 func (b *book) Use(string, string, int64)      {}
-func (b *book) Sent(key, server string) string {
-	if old, ok := b.keys[key]; ok {
-		return old
+func (b *book) Ticket(_ context.Context, call ticket.Call) ticket.Decision {
+	out := b.tickets.Take(1, 1, call)
+	for len(out.Answers) == 0 {
+		wish := out.Sends[0].Body.(*wire.TicketWish)
+		out = b.tickets.Hear(1, &wire.TicketDone{Op: wish.Op, Ok: true})
 	}
-	if server != "" {
-		b.keys[key] = server
-	}
-	return server
+	return out.Answers[0].Body.(ticket.Decision)
 }
 
 type bench struct {
@@ -50,7 +51,8 @@
 		"services":[{"name":"hints","type":"model","pool":"llm"},{"name":"booking","type":"app","pool":"app"}],
 		"routes":[{"path":"/v1/hints","service":"hints","kind":"hint","deadline_ms":3000},{"path":"/v1/book","service":"booking","kind":"till","deadline_ms":3000}]}`), 1)
 	c.Assert(faults, qt.HasLen, 0)
-	b := &bench{c: c, ledger: &book{keys: map[string]string{}, holds: make(chan int64, 64)}}
+	b := &bench{c: c, ledger: &book{tickets: ticket.New(1, "lineman"), holds: make(chan int64, 64)}}
+	b.ledger.tickets.Hear(1, &wire.Contact{KeyMs: 60000, AnswerMs: 800})
 	limits := LimitsFor(8, 1024, 400*time.Millisecond)
 	b.board = New(limits, line.New(200*time.Millisecond), b.ledger, time.Now())
 	b.news = table.News{Policy: parsed, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
@@ -222,7 +224,7 @@
 		c.Assert(b.ask("/v1/book", `{}`, HeaderKey, fmt.Sprintf("k%d", turn%5)).Code, qt.Equals, 200)
 	}
 	c.Check(hits, qt.HasLen, 5, qt.Commentf("%v", hits))
-	first := b.ledger.keys["k0"]
+	first := b.ask("/v1/book", `{}`, HeaderKey, "k0").Header().Get(HeaderServer)
 	for at := range b.news.Workers {
 		if b.news.Workers[at].Name == first {
 			b.news.Workers[at].Leaving = true
--- a/internal/request/cord/shot.go
+++ b/internal/request/cord/shot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -24,23 +25,18 @@
 	fateBroken
 )
 
-// sticky finds the one server of an idempotency key. Another may take the key
-// over only when the first is no longer listed and this front never sent it
-// there: then the answer is a refusal.
+// sticky finds the one server of an idempotency key. No other may take the key
+// over unless it is certain that no front sent it to the first; where that is
+// not known the answer is a refusal, and the caller cannot tell whether the
+// request of an earlier try ran.
 func (s *Switch) sticky(c *call) *table.Server {
-	if name := s.ledger.Sent(c.key, ""); name != "" {
-		server, ok := c.current.Servers[name]
-		if !ok || server.Leaving {
-			c.wrote = true
-			return nil
-		}
-		return server
-	}
-	servers := table.Rank(c.current.Open(c.service.Pool), c.key)
-	if len(servers) == 0 {
-		return nil
+	decision := s.ledger.Ticket(c.ctx, c.current.Call(c.service.Pool, c.key))
+	chosenServer := c.current.Named(decision.Server)
+	if chosenServer == nil {
+		c.wrote, c.why = true, decision.Why
+		c.retry = time.Duration(decision.RetryMs) * time.Millisecond
 	}
-	return servers[0]
+	return chosenServer
 }
 
 // shoot sends the request to servers until one answers or nothing more may be
@@ -51,7 +47,7 @@
 		c.current = s.Table()
 		chosenServer := s.choose(c)
 		if chosenServer == nil {
-			s.giveUp(c, "no server can take this now")
+			s.giveUp(c, cmp.Or(c.why, "no server can take this now"))
 			return
 		}
 		if shot == 1 {
@@ -111,7 +107,7 @@
 	if c.wrote {
 		status = http.StatusBadGateway
 	}
-	c.refuse(status, said, s.limits.Retry)
+	c.refuse(status, said, max(s.limits.Retry, c.retry))
 }
 
 // hopHeaders concern one connection only.
@@ -151,8 +147,8 @@
 	lines := s.lines.Many
 	if !c.service.Model {
 		lines = s.lines.Once
-		if c.key != "" {
-			s.ledger.Sent(c.key, chosenServer.Name)
+		if until, bounded := c.ctx.Deadline(); bounded {
+			request = request.WithContext(line.Until(c.ctx, until))
 		}
 	}
 	answer, err := lines.RoundTrip(request)
--- a/internal/request/cord/switch.go
+++ b/internal/request/cord/switch.go
@@ -1,12 +1,14 @@
 package cord
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"applequay/internal/connection/line"
 	"applequay/internal/mark/table"
+	"applequay/internal/process/ticket"
 )
 
 // Limits are what one switchboard allows itself.
@@ -33,8 +35,8 @@
 type Ledger interface {
 	Hold(item string, weight, change int64)
 	Use(worker, item string, weight int64)
-	// Sent tells which server a key was sent to, and notes one for a new key.
-	Sent(key, server string) string
+	// Ticket tells to which server a call with a key goes, and notes it.
+	Ticket(ctx context.Context, call ticket.Call) ticket.Decision
 }
 
 // Counts are what a switchboard did; they only rise.
