Worker list: a directory that breaks down loses no workers

Cause: an empty list, one without a list in it, or an older one was taken at its word, and all workers were gone at once; why a list could not be read was not said anywhere.

Change: a list that is empty all at once, older by the platform's own mark, or has a worker without a proper name and address is not taken; the last good one stays, and the reason is logged once when it comes and once when it ends.

--- a/cmd/exchange/main.go
+++ b/cmd/exchange/main.go
@@ -73,8 +73,26 @@
 	clerk.Saw = func(seen *wire.Seen) {
 		control.Deliver(trunk.Arrived{From: "worker", Kind: wire.KindSeen, Body: seen})
 	}
+	// A fault of the list is logged once, when it comes and when it ends.
+	unread := ""
+	listFault := func(why string) {
+		if why != unread {
+			log.Warn("the platform's worker list", zap.String("fault", why), zap.Bool("well", why == ""))
+		}
+		unread = why
+	}
 	clerk.List = func(mark int64, list *wire.WorkerList) {
-		control.Do(work, func(now int64) wire.Outputs { return core.Platform(now, mark, list) })
+		control.Do(work, func(now int64) wire.Outputs {
+			out := core.Platform(now, mark, list)
+			listFault(core.Unbelieved())
+			return out
+		})
+	}
+	clerk.Failed = func(err error) {
+		control.Do(work, func(int64) wire.Outputs {
+			listFault(err.Error())
+			return wire.Outputs{}
+		})
 	}
 	control.Special = func(now int64, send wire.Send) {
 		order, ok := send.Body.(*wire.Order)
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -68,6 +69,8 @@
 	// Saw takes what workers showed, List what the platform listed.
 	Saw  func(seen *wire.Seen)
 	List func(mark int64, list *wire.WorkerList)
+	// Failed hears why the platform's list could not be read.
+	Failed func(err error)
 }
 
 // Job is an order with the moment after which it must not leave.
@@ -109,6 +112,8 @@
 			if job.Order.Op == "list" {
 				if list, err := c.list(); err == nil {
 					c.List(job.Order.Seq, list)
+				} else {
+					c.Failed(err)
 				}
 				continue
 			}
@@ -165,16 +170,24 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	var listed struct {
-		Workers []Listed `json:"workers"`
+		Workers *[]Listed `json:"workers"`
+		Mark    int64     `json:"mark"`
 	}
 	if err := read(answer, &listed); err != nil {
 		return nil, err
 	}
-	list := &wire.WorkerList{}
-	for _, one := range listed.Workers {
-		if one.Name == "" || one.Addr == "" {
-			return nil, oops.Errorf("a worker without name or address is listed")
+	if listed.Workers == nil {
+		return nil, oops.Errorf("there are no workers in it")
+	}
+	list, names := &wire.WorkerList{Platform: listed.Mark}, map[string]bool{}
+	for _, one := range *listed.Workers {
+		if _, err := netip.ParseAddrPort(one.Addr); err != nil || one.Name == "" || strings.ContainsAny(one.Name, "@:~/ ") {
+			return nil, oops.Errorf("worker %q at %q: a name without @ : ~ / and blanks, and IP:port, must be given", one.Name, one.Addr)
+		}
+		if names[one.Name] {
+			return nil, oops.Errorf("worker %q is listed twice", one.Name)
 		}
+		names[one.Name] = true
 		list.Workers = append(list.Workers, wire.Worker{Name: one.Name, Addr: one.Addr, Zone: one.Zone, Pool: one.Pool, RoomMb: one.RoomMb, Leaving: one.Leaving})
 	}
 	slices.SortFunc(list.Workers, func(a, b wire.Worker) int { return strings.Compare(a.Name, b.Name) })
