Keys: each new key is known to one front more before it goes

Cause: once a front had died, nobody could tell which keys it had sent.

Ruled out: a shorter time for keys (it shortens the outage, and the protection with it); counting dead fronts as harmless (their keys run twice).

Change: a front tells one other of each new key before it sends it. Fronts that are old enough judge which others lost their memory; one is made up for. A front out of sight of the others sends nothing for two leases and then serves on by itself, and says so. Only what was sent within the time of a key counts.

--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -43,6 +43,7 @@
 	KindTicketWish:    func() Record { return &TicketWish{} }, KindTicketDone: func() Record { return &TicketDone{} },
 	KindTicketAsk: func() Record { return &TicketAsk{} }, KindTicketTold: func() Record { return &TicketTold{} },
 	KindContact: func() Record { return &Contact{} },
+	KindBare:    func() Record { return &Bare{} },
 }
 
 // Encode turns a record into bytes. A record that its own schema cannot hold
--- a/internal/connection/wire/kind.go
+++ b/internal/connection/wire/kind.go
@@ -65,6 +65,7 @@
 	KindTicketAsk
 	KindTicketTold
 	KindContact
+	KindBare
 )
 
 // Verdict is what a worker's partition says to an item that asked for a home.
--- a/internal/connection/wire/kind_gen.go
+++ b/internal/connection/wire/kind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTakenKindTicketWishKindTicketDoneKindTicketAskKindTicketToldKindContact"
+const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTakenKindTicketWishKindTicketDoneKindTicketAskKindTicketToldKindContactKindBare"
 
-var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576, 590, 604, 617, 631, 642}
+var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576, 590, 604, 617, 631, 642, 650}
 
-const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertakenkindticketwishkindticketdonekindticketaskkindtickettoldkindcontact"
+const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertakenkindticketwishkindticketdonekindticketaskkindtickettoldkindcontactkindbare"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -77,9 +77,10 @@
 	_ = x[KindTicketAsk-(50)]
 	_ = x[KindTicketTold-(51)]
 	_ = x[KindContact-(52)]
+	_ = x[KindBare-(53)]
 }
 
-var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken, KindTicketWish, KindTicketDone, KindTicketAsk, KindTicketTold, KindContact}
+var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken, KindTicketWish, KindTicketDone, KindTicketAsk, KindTicketTold, KindContact, KindBare}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:     KindNone,
@@ -135,6 +136,7 @@
 	_KindName[604:617]: KindTicketAsk,
 	_KindName[617:631]: KindTicketTold,
 	_KindName[631:642]: KindContact,
+	_KindName[642:650]: KindBare,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -191,6 +193,7 @@
 	_KindLowerName[604:617]: KindTicketAsk,
 	_KindLowerName[617:631]: KindTicketTold,
 	_KindLowerName[631:642]: KindContact,
+	_KindLowerName[642:650]: KindBare,
 }
 
 var _KindNames = []string{
@@ -247,6 +250,7 @@
 	_KindName[604:617],
 	_KindName[617:631],
 	_KindName[631:642],
+	_KindName[642:650],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/process/linework/fronts.go
+++ b/internal/process/linework/fronts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 
 	"applequay/internal/connection/wire"
 	"applequay/internal/process/frame"
@@ -13,14 +14,26 @@
 type otherFront struct {
 	name    string
 	stands  bool
+	seenAt  int64 // when it was first seen, by the clocks
 	stoodMs int64 // when it last stood, by this node's own time
 	stoodAt int64 // and by the clocks
 	mark    int64 // of its worker list
 	learnt  int64 // when it learned that mark; nought if it never had another
+	bareAt  int64 // when it last sent a key that no other front knew of
 }
 
-// listFact tells the other fronts which worker list this one goes by.
-const listFact = "list"
+// Facts tell the other fronts which worker list this one goes by, and when it
+// last sent a key that nobody else knew of.
+const (
+	listFact = "list"
+	bareFact = "bare"
+)
+
+// mostProbes is within how many probes a front that went is surely missed.
+const mostProbes = 16
+
+// graceMs is for how long a front that lost sight of the others sends no keys.
+func (l *Line) graceMs() int64 { return 2 * l.boot.LeaseMs }
 
 // learntList notes when this front's list changed. The first of a life counts
 // as known for ever: this front never went by an older one.
@@ -43,7 +56,7 @@
 		stands := wire.Standing(member.Standing) < wire.StandingLeaving
 		kept, known := l.fronts[member.ID]
 		if !known {
-			kept = &otherFront{name: member.Name, stoodMs: now, stoodAt: wall}
+			kept = &otherFront{name: member.Name, stoodMs: now, stoodAt: wall, seenAt: wall}
 			l.fronts[member.ID] = kept
 		}
 		if kept.stands = stands; stands {
@@ -53,6 +66,9 @@
 		if _, err := fmt.Sscanf(member.Fact[listFact], "%d@%d", &mark, &learnt); err == nil && mark >= kept.mark {
 			kept.mark, kept.learnt = mark, learnt
 		}
+		if bare, err := strconv.ParseInt(member.Fact[bareFact], 10, 64); err == nil {
+			kept.bareAt = max(kept.bareAt, bare)
+		}
 	}
 	for id, kept := range l.fronts {
 		if now-kept.stoodMs > 2*l.boot.KeyMs {
@@ -108,7 +124,7 @@
 	l.watchFronts(now)
 	l.settle(now)
 	if l.inTouch() {
-		out.Send(l.boot.Switchboard, wire.KindContact, &wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4})
+		out.Send(l.boot.Switchboard, wire.KindContact, &wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4, GraceMs: l.graceMs()})
 	}
 }
 
@@ -116,3 +132,43 @@
 func sortedRosters(list *wire.WorkerList) []wire.Roster {
 	return slices.SortedFunc(slices.Values(list.Rosters), func(a, b wire.Roster) int { return int(a.Mark - b.Mark) })
 }
+
+const lostAlone = "a front lost keys that it sent while it had lost sight of the others"
+
+// judge works out which fronts lost their memory of keys sent by a list that was
+// in force from a moment on, until the one with a mark: those that went since.
+// A reason says that one of them may have sent keys that nobody else knows of.
+func (l *Line) judge(fromMs, mark int64) (lost []string, bad string) {
+	for _, front := range l.fronts {
+		last := front.stoodAt + l.boot.LeaseMs
+		if front.stands || last+l.boot.KeyMs/2 < fromMs {
+			continue
+		}
+		if front.mark < mark && !l.cameBack(front) {
+			bad = "a front that may still send keys is out of sight"
+		}
+		if last < fromMs {
+			continue
+		}
+		if !slices.Contains(lost, front.name) {
+			lost = append(lost, front.name)
+		}
+		if front.bareAt >= fromMs {
+			bad = lostAlone
+		}
+	}
+	slices.Sort(lost)
+	return lost, bad
+}
+
+// cameBack tells whether a front that went was started again so soon that it
+// cannot have sent keys out of sight of the others in between.
+func (l *Line) cameBack(gone *otherFront) bool {
+	for _, front := range l.fronts {
+		soon := gone.stoodAt - mostProbes*l.boot.ProbeMs + l.graceMs()
+		if front.name == gone.name && front != gone && front.seenAt >= gone.stoodAt-l.boot.LeaseMs && front.seenAt <= soon {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -47,6 +47,7 @@
 	now      int64
 	startMs  int64
 	listAt   int64
+	bareAt   int64
 	settled  int64
 	rosters  []wire.Roster
 	fronts   map[string]*otherFront
@@ -77,6 +78,8 @@
 	switch told := body.(type) {
 	case *wire.TicketWish:
 		l.wished(now, &out, told)
+	case *wire.Bare:
+		l.noteBare(now, told.AgeMs)
 	case *wire.TicketAsk:
 		out.Send(l.boot.Switchboard, wire.KindTicketAsk, told)
 	case *wire.TicketTold:
--- a/internal/process/linework/tickets.go
+++ b/internal/process/linework/tickets.go
@@ -3,52 +3,77 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 
 	"applequay/internal/connection/wire"
 )
 
-// asking is a key for which this front asks all others.
+// asking is a key for which this front asks others: one of two, so that the key
+// outlives this front, or all, where lists before the one in force say that it
+// may have gone elsewhere.
 type asking struct {
 	wish    *wire.TicketWish
 	sinceMs int64
 	saidMs  int64
-	needMs  int64 // how old a front's memory must be
+	fromMs  int64 // since when it may have gone elsewhere
+	mark    int64
 	silent  map[string]bool
 	others  []string
+	lost    map[string]bool
+	judged  bool
+	bad     string
 }
 
-// wished begins to ask the other fronts about a key. It is refused where a
-// front that may have sent the key cannot tell: it is gone, or younger than a
-// list by which the key went elsewhere.
+// witnesses is how many fronts are asked to know a new key; one is enough.
+const witnesses = 2
+
+// wished begins to ask the other fronts about a key.
 func (l *Line) wished(now int64, out *wire.Outputs, wish *wire.TicketWish) {
 	if _, already := l.asking[wish.Op]; already {
 		return
 	}
-	wall := l.members.Wall(now)
-	from, doubts := wall, false
+	asked := &asking{wish: wish, sinceMs: now, silent: map[string]bool{}, lost: map[string]bool{}}
 	for _, roster := range l.rosters {
 		if roster.Mark > l.settled && slices.Contains(wish.Marks, roster.Mark) {
-			from, doubts = min(from, roster.FromMs), true
+			if asked.mark = max(asked.mark, roster.Mark); asked.fromMs == 0 || roster.FromMs < asked.fromMs {
+				asked.fromMs = roster.FromMs
+			}
 		}
 	}
-	asked := &asking{wish: wish, sinceMs: now, silent: map[string]bool{}}
-	if doubts {
-		asked.needMs = wall - from + l.boot.ProbeMs
-	}
-	if doubts && (now-l.startMs < asked.needMs || wish.AgeMs < asked.needMs) {
-		l.tell(out, asked, "this front started too lately to know this key")
-		return
+	if asked.mark > 0 {
+		// What was sent longer ago may not be repeated any more.
+		asked.fromMs = max(asked.fromMs, l.members.Wall(now)-l.boot.KeyMs)
 	}
+	var lately int64
 	for id, front := range l.fronts {
 		if front.stands {
 			asked.silent[id] = true
-		} else if doubts && front.stoodAt+l.boot.LeaseMs >= from {
-			l.tell(out, asked, "a front that may have sent this key is gone")
-			return
 		}
+		lately = max(lately, front.stoodMs)
+	}
+	switch {
+	case len(asked.silent) == 0 && len(l.fronts) > 0 && now-lately < l.graceMs():
+		l.tell(out, asked, "this front has lost sight of the others")
+	case len(asked.silent) == 0 && asked.mark > 0:
+		l.tell(out, asked, l.verdict(now, asked))
+	case len(asked.silent) == 0:
+		l.noteBare(now, 0)
+		l.tell(out, asked, "")
+	default:
+		l.asking[wish.Op] = asked
+		l.askOn(now, out, asked)
+	}
+}
+
+// need is how old a process must be to know what was since a moment.
+func (l *Line) need(now, fromMs int64) int64 { return l.members.Wall(now) - fromMs + l.boot.ProbeMs }
+
+// noteBare tells the others that this front sent a key that none of them knows.
+func (l *Line) noteBare(now, ageMs int64) {
+	if at := l.members.Wall(now) - ageMs; at > l.bareAt+l.boot.LeaseMs {
+		l.bareAt = at
+		l.members.Set(bareFact, strconv.FormatInt(at+l.boot.LeaseMs, 10))
 	}
-	l.asking[wish.Op] = asked
-	l.askOn(now, out, asked)
 }
 
 func (l *Line) tell(out *wire.Outputs, asked *asking, why string) {
@@ -56,27 +81,33 @@
 	out.Send(l.boot.Switchboard, wire.KindTicketDone, &wire.TicketDone{Op: asked.wish.Op, Ok: why == "", Others: asked.others, Why: why})
 }
 
-// askOn asks those who have not told yet; once all have, the round is done.
+// askOn asks those who have not told yet, or some of them.
 func (l *Line) askOn(now int64, out *wire.Outputs, asked *asking) {
-	if len(asked.silent) == 0 {
-		l.tell(out, asked, "")
-		return
-	}
 	asked.saidMs = now
 	ids := make([]string, 0, len(asked.silent))
 	for id := range asked.silent {
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
+	if asked.wish.Few {
+		l.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+		ids = ids[:min(len(ids), witnesses)]
+	}
 	for _, id := range ids {
-		out.Send(id, wire.KindTicketAsk, &wire.TicketAsk{Op: asked.wish.Op, Asker: l.boot.ID, Key: asked.wish.Key, Server: asked.wish.Server})
+		out.Send(id, wire.KindTicketAsk, &wire.TicketAsk{Op: asked.wish.Op, Asker: l.boot.ID, Key: asked.wish.Key, Server: asked.wish.Server, FromMs: asked.fromMs, Mark: asked.mark})
 	}
 }
 
-// toldTicket takes the word of a switchboard: this front's own goes to the
-// front that asked, another's counts here.
+// toldTicket takes the word of a switchboard. This front's own goes to the front
+// that asked, with what this lineman knows of fronts that went; another's counts
+// here.
 func (l *Line) toldTicket(now int64, out *wire.Outputs, from string, told *wire.TicketTold) {
 	if told.Asker != l.boot.ID {
+		told.LineMs = now - l.startMs
+		told.Lost, told.Bad = l.judge(told.FromMs, told.Mark)
+		if told.AgeMs < l.need(now, told.FromMs) && l.bareAt >= told.FromMs {
+			told.Bad = lostAlone
+		}
 		out.Send(told.Asker, wire.KindTicketTold, told)
 		return
 	}
@@ -84,19 +115,68 @@
 	if !ok || !asked.silent[from] {
 		return
 	}
-	if told.AgeMs < asked.needMs {
-		l.tell(out, asked, "a front started too lately to know this key")
-		return
-	}
 	delete(asked.silent, from)
 	for _, server := range told.Others {
 		if !slices.Contains(asked.others, server) {
 			asked.others = append(asked.others, server)
 		}
 	}
-	if len(asked.silent) == 0 {
+	if asked.wish.Few {
 		l.tell(out, asked, "")
+		return
+	}
+	l.weigh(now, asked, from, told)
+	if len(asked.silent) == 0 {
+		l.tell(out, asked, l.verdict(now, asked))
+	}
+}
+
+// weigh counts a front that started after the key may have gone elsewhere as
+// one that lost its memory. Fronts that are older than that judge the others.
+func (l *Line) weigh(now int64, asked *asking, from string, told *wire.TicketTold) {
+	needMs := l.need(now, asked.fromMs)
+	if front := l.fronts[from]; front != nil && told.AgeMs < needMs {
+		asked.lost[front.name] = true
+	}
+	if told.LineMs >= needMs {
+		asked.judged = true
+		asked.bad = max(asked.bad, told.Bad)
+		for _, name := range told.Lost {
+			asked.lost[name] = true
+		}
+	}
+}
+
+// verdict says why a doubtful key must be refused after all others have told.
+// Each key was known to one front more than the one that sent it, so one that
+// lost its memory is made up for by the others.
+func (l *Line) verdict(now int64, asked *asking) string {
+	if asked.mark == 0 {
+		return ""
+	}
+	needMs := l.need(now, asked.fromMs)
+	if asked.wish.AgeMs < needMs {
+		asked.lost[l.boot.Name] = true
+		if l.bareAt >= asked.fromMs {
+			asked.bad = lostAlone
+		}
+	}
+	if now-l.startMs >= needMs {
+		lost, bad := l.judge(asked.fromMs, asked.mark)
+		asked.judged, asked.bad = true, max(asked.bad, bad)
+		for _, name := range lost {
+			asked.lost[name] = true
+		}
+	}
+	switch {
+	case !asked.judged:
+		return "no front is old enough to know this key"
+	case asked.bad != "":
+		return asked.bad
+	case len(asked.lost) > 1:
+		return "more than one front lost its memory of keys"
 	}
+	return ""
 }
 
 // ticketsTick asks again where letters were lost, and drops what the
--- a/internal/process/ticket/book.go
+++ b/internal/process/ticket/book.go
@@ -47,7 +47,7 @@
 	calls  []int64
 	sentMs int64
 	toldMs int64
-	round  int
+	round  int // nought while only a witness is asked for
 }
 
 // Book is one switchboard's memory of keys, with its part of the asking.
@@ -58,6 +58,8 @@
 	contactMs int64
 	keyMs     int64
 	answerMs  int64
+	graceMs   int64
+	bareMs    int64
 	settled   int64
 	keys      [2]map[string]string
 	claims    [2]map[string]map[string]string
@@ -79,6 +81,7 @@
 // Times, as shares of those that the lineman tells.
 func (b *Book) contactTime() int64 { return b.keyMs / 2 }
 func (b *Book) againTime() int64   { return b.answerMs / 8 }
+func (b *Book) quietTime() int64   { return b.answerMs + b.answerMs/4 }
 
 // Take decides where a call goes, at once or by an answer later on.
 //
@@ -105,15 +108,23 @@
 	for _, server := range b.claimed(call.Key, own) {
 		doubts = doubts || server != call.Choice
 	}
+	quiet := now - b.contactMs
 	switch {
 	case doubts && call.Choice == "":
 		b.refuse(&out, "the key's server is gone, and no other can take it now", id)
+	case !doubts && quiet > b.graceMs:
+		// Nobody can be told. The others take this front for one that may send
+		// keys which nobody knows of.
+		b.bareMs = now
+		b.bind(call.Key, call.Choice)
+		b.answer(&out, call, call.Choice, id)
+	case quiet > b.quietTime():
+		b.refuse(&out, "this front has lost sight of the others", id)
 	case doubts:
 		b.Asked++
 		b.ask(now, &out, &wish{call: call, calls: []int64{id}, round: 1})
 	default:
-		b.bind(call.Key, call.Choice)
-		b.answer(&out, call, call.Choice, id)
+		b.ask(now, &out, &wish{call: call, calls: []int64{id}})
 	}
 	return out
 }
@@ -169,7 +180,8 @@
 	b.claims[0][key][asker] = server
 }
 
-// ask begins a round: nothing is sent anywhere before all others have told.
+// ask begins a round: nothing is sent anywhere before one other front knows, or,
+// for a doubtful key, before all others have told.
 func (b *Book) ask(now int64, out *wire.Outputs, asked *wish) {
 	b.nextOp++
 	asked.sentMs, asked.toldMs = now, now
@@ -179,7 +191,7 @@
 }
 
 func (b *Book) say(now int64, out *wire.Outputs, op int64, asked *wish) {
-	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, AgeMs: now - b.startMs}
+	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Few: asked.round == 0, AgeMs: now - b.startMs}
 	for _, past := range asked.call.Past {
 		if past.Mark > b.settled {
 			told.Marks = append(told.Marks, past.Mark)
--- a/internal/process/ticket/hear.go
+++ b/internal/process/ticket/hear.go
@@ -8,15 +8,15 @@
 
 // Hear takes a message from the lineman.
 //
-//	out := book.Hear(now, &wire.Contact{Settled: 4, KeyMs: 60000, AnswerMs: 800})
+//	out := book.Hear(now, &wire.Contact{Settled: 4, KeyMs: 60000, AnswerMs: 800, GraceMs: 6400})
 func (b *Book) Hear(now int64, body wire.Record) wire.Outputs {
 	var out wire.Outputs
 	switch told := body.(type) {
 	case *wire.Contact:
-		b.contactMs, b.keyMs, b.answerMs = now, told.KeyMs, told.AnswerMs
+		b.contactMs, b.keyMs, b.answerMs, b.graceMs = now, told.KeyMs, told.AnswerMs, told.GraceMs
 		b.settled = max(b.settled, told.Settled)
 	case *wire.TicketAsk:
-		out.Send(b.lineman, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), AgeMs: now - b.startMs})
+		out.Send(b.lineman, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), FromMs: told.FromMs, Mark: told.Mark, AgeMs: now - b.startMs})
 	case *wire.TicketDone:
 		b.done(now, &out, told)
 	}
@@ -52,6 +52,11 @@
 	case told.Ok && len(others) == 0:
 		b.bind(asked.call.Key, asked.call.Choice)
 		b.answer(out, asked.call, asked.call.Choice, asked.calls...)
+	case told.Ok && asked.round == 0:
+		// Somebody knows the key by another server: all are asked.
+		b.Asked++
+		asked.round = 1
+		b.ask(now, out, asked)
 	case told.Ok && len(others) == 1 && asked.round == 1 && asked.call.Open(others[0]):
 		asked.call.Choice, asked.round = others[0], 2
 		b.ask(now, out, asked)
@@ -73,6 +78,9 @@
 		b.keys = [2]map[string]string{{}, b.keys[0]}
 		b.claims = [2]map[string]map[string]string{{}, b.claims[0]}
 	}
+	if b.bareMs > 0 && now-b.bareMs < 2*b.keyMs {
+		out.Send(b.lineman, wire.KindBare, &wire.Bare{AgeMs: now - b.bareMs})
+	}
 	ops := make([]int64, 0, len(b.wishes))
 	for op := range b.wishes {
 		ops = append(ops, op)
