Streams and held requests: given up on as soon as it is known

Cause: a stream on a worker that went dark hung until its caller's deadline, before its first piece and between two; a held request whose model could not be up in time was refused only when its time was over, with a constant Retry-After.

Ruled out: a shorter hold (it refuses those who would be served); estimates sent with each home through the outboxes (six more events for every queued load on slow disks); estimates at the front (it does not know the store's queue).

Change: a model server that is silent for a share of -hold-ms, or dark, is given up on: another holder before the first piece, the broken marker after it. The store's key foresees when each load can be done and tells it as news; who cannot wait that long is refused then, with that moment as Retry-After, and the model stays wanted until then. Keys that are no proper text are 400.

Those that still wait in vain have a model that nobody has placed yet, so nothing is foreseen for it.

--- a/internal/connection/wire/codec.go
+++ b/internal/connection/wire/codec.go
@@ -42,8 +42,8 @@
 	KindHandoverTaken: func() Record { return &HandoverTaken{} },
 	KindTicketWish:    func() Record { return &TicketWish{} }, KindTicketDone: func() Record { return &TicketDone{} },
 	KindTicketAsk: func() Record { return &TicketAsk{} }, KindTicketTold: func() Record { return &TicketTold{} },
-	KindContact: func() Record { return &Contact{} },
-	KindBare:    func() Record { return &Bare{} },
+	KindContact: func() Record { return &Contact{} }, KindWaits: func() Record { return &Waits{} },
+	KindBare: func() Record { return &Bare{} },
 }
 
 // Encode turns a record into bytes. A record that its own schema cannot hold
--- a/internal/connection/wire/kind.go
+++ b/internal/connection/wire/kind.go
@@ -66,6 +66,7 @@
 	KindTicketTold
 	KindContact
 	KindBare
+	KindWaits
 )
 
 // Verdict is what a worker's partition says to an item that asked for a home.
--- a/internal/connection/wire/kind_gen.go
+++ b/internal/connection/wire/kind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTakenKindTicketWishKindTicketDoneKindTicketAskKindTicketToldKindContactKindBare"
+const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTakenKindTicketWishKindTicketDoneKindTicketAskKindTicketToldKindContactKindBareKindWaits"
 
-var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576, 590, 604, 617, 631, 642, 650}
+var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576, 590, 604, 617, 631, 642, 650, 659}
 
-const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertakenkindticketwishkindticketdonekindticketaskkindtickettoldkindcontactkindbare"
+const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertakenkindticketwishkindticketdonekindticketaskkindtickettoldkindcontactkindbarekindwaits"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -78,9 +78,10 @@
 	_ = x[KindTicketTold-(51)]
 	_ = x[KindContact-(52)]
 	_ = x[KindBare-(53)]
+	_ = x[KindWaits-(54)]
 }
 
-var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken, KindTicketWish, KindTicketDone, KindTicketAsk, KindTicketTold, KindContact, KindBare}
+var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken, KindTicketWish, KindTicketDone, KindTicketAsk, KindTicketTold, KindContact, KindBare, KindWaits}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:     KindNone,
@@ -137,6 +138,7 @@
 	_KindName[617:631]: KindTicketTold,
 	_KindName[631:642]: KindContact,
 	_KindName[642:650]: KindBare,
+	_KindName[650:659]: KindWaits,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -194,6 +196,7 @@
 	_KindLowerName[617:631]: KindTicketTold,
 	_KindLowerName[631:642]: KindContact,
 	_KindLowerName[642:650]: KindBare,
+	_KindLowerName[650:659]: KindWaits,
 }
 
 var _KindNames = []string{
@@ -251,6 +254,7 @@
 	_KindName[617:631],
 	_KindName[631:642],
 	_KindName[642:650],
+	_KindName[650:659],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/mark/table/table.go
+++ b/internal/mark/table/table.go
@@ -34,6 +34,9 @@
 	Servers map[string]*Server
 	Pools   map[string][]*Server
 	Refused map[string]int64
+	// Waits tells when what workers are to load is there, up to WaitsTo.
+	Waits   map[string]int64
+	WaitsTo int64
 	Budgets map[string]*Budget
 	// Rosters are what the servers of each pool were by lists before.
 	Rosters map[string][]wire.Roster
@@ -56,6 +59,8 @@
 	Rosters []wire.Roster
 	Rooms   map[string]wire.WorkerNews
 	Refused map[string]int64
+	Waits   map[string]int64
+	WaitsTo int64
 }
 
 // After makes the next table; counters of servers and services that stay are
@@ -64,6 +69,7 @@
 //	next := current.After(news)
 func (t *Table) After(told News) *Table {
 	next := Empty()
+	next.Waits, next.WaitsTo = told.Waits, told.WaitsTo
 	next.Policy, next.Known, next.Refused, next.Rosters = told.Policy, told.Policy.Mark > 0, told.Refused, map[string][]wire.Roster{}
 	for _, roster := range told.Rosters {
 		if roster.UntilMs > 0 {
--- a/internal/process/frame/learn.go
+++ b/internal/process/frame/learn.go
@@ -79,15 +79,15 @@
 		if !f.board.Put(topic) {
 			continue
 		}
+		if from == f.boot.ID {
+			f.tellSeats(out, topic)
+		}
 		switch {
 		case strings.HasPrefix(topic.Name, "homes/"):
 			var room wire.WorkerNews
 			if room.Unmarshal(topic.Body) == nil {
 				f.view.Rooms[room.Worker] = room
 			}
-			if from == f.boot.ID {
-				f.tellSeats(out, topic)
-			}
 		case topic.Name == register.CoreKey:
 			var core wire.CoreSet
 			if core.Unmarshal(topic.Body) == nil {
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -13,6 +13,7 @@
 	"applequay/internal/process/frame"
 	"applequay/internal/process/members"
 	"applequay/internal/process/news"
+	"applequay/internal/process/partition"
 	"applequay/internal/process/register"
 )
 
@@ -164,11 +165,30 @@
 
 // feed gives the switchboard beside this lineman what rose.
 func (l *Line) feed(out *wire.Outputs) {
-	if fresh := l.board.Fresh(); len(fresh) > 0 {
+	fresh := l.board.Fresh()
+	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == partition.WaitsTopic }); at >= 0 {
+		l.feedWaits(out, fresh[at])
+		fresh = slices.Delete(fresh, at, at+1)
+	}
+	if len(fresh) > 0 {
 		out.Send(l.boot.Switchboard, wire.KindNews, &wire.News{Topics: fresh})
 	}
 }
 
+// feedWaits tells the switchboard when loads will be done, and how long ago
+// that was said by the clocks; what is old is of no use.
+func (l *Line) feedWaits(out *wire.Outputs, topic wire.Topic) {
+	var told wire.Waits
+	if told.Unmarshal(topic.Body) != nil {
+		return
+	}
+	told.AgeMs, told.ValidMs = l.members.Wall(l.now)-told.WallMs, 2*l.boot.LeaseMs
+	if told.AgeMs < told.ValidMs && told.AgeMs > -told.ValidMs {
+		told.AgeMs = max(told.AgeMs, 0)
+		out.Send(l.boot.Switchboard, wire.KindWaits, &told)
+	}
+}
+
 // controlService is the service under which all but the homes are told.
 const controlService = "control"
 
--- a/internal/process/partition/partition.go
+++ b/internal/process/partition/partition.go
@@ -53,6 +53,8 @@
 	acked     map[string]int64
 	news      int64
 	published map[string][]byte
+	toldWaits bool
+	waitsMs   int64
 	Steps     int64
 }
 
@@ -177,6 +179,7 @@
 	p.due(now, &out)
 	p.flush(now, &out)
 	p.publish(now, &out)
+	p.publishWaits(now, &out)
 	return out
 }
 
--- /dev/null
+++ b/internal/process/plugboard/holds.go
@@ -0,0 +1,57 @@
+package plugboard
+
+import "applequay/internal/connection/wire"
+
+type held struct {
+	item           string
+	weight, change int64
+}
+
+type coming struct {
+	item            string
+	weight, untilMs int64
+}
+
+type used struct {
+	worker, item string
+	weight       int64
+}
+
+// Hold notes that requests for an item are held, or no longer are.
+//
+//	plugs.Hold("lens-7b", 5, 1)
+func (p *Plugboard) Hold(item string, weight, change int64) { p.holds <- held{item, weight, change} }
+
+// Come notes that a caller was told to come back for an item at a moment: it
+// goes on being wanted until then and a little longer.
+//
+//	plugs.Come("lens-7b", 5, nowMs+8000)
+func (p *Plugboard) Come(item string, weight, untilMs int64) {
+	select {
+	case p.comes <- coming{item, weight, untilMs}:
+	default:
+	}
+}
+
+// Use notes that a worker was used; what is too much at once is not counted.
+//
+//	plugs.Use("w3", "lens-7b", 5)
+func (p *Plugboard) Use(worker, item string, weight int64) {
+	select {
+	case p.uses <- used{worker, item, weight}:
+	default:
+	}
+}
+
+func (p *Plugboard) held(hold held) {
+	want := p.holding[hold.item]
+	if want == nil {
+		want = &wire.Want{Item: hold.item}
+		p.holding[hold.item] = want
+	}
+	want.Held += hold.change
+	want.Weight = max(want.Weight, hold.weight)
+	if want.Held <= 0 {
+		delete(p.holding, hold.item)
+	}
+}
--- a/internal/process/plugboard/plugboard.go
+++ b/internal/process/plugboard/plugboard.go
@@ -16,16 +16,6 @@
 	"applequay/internal/request/cord"
 )
 
-type held struct {
-	item           string
-	weight, change int64
-}
-
-type used struct {
-	worker, item string
-	weight       int64
-}
-
 // Plugboard owns all that changes beside the traffic; it has one thread.
 type Plugboard struct {
 	lineman string
@@ -33,10 +23,12 @@
 	board   *news.Board
 	inbox   chan trunk.Arrived
 	holds   chan held
+	comes   chan coming
 	uses    chan used
 	takes   chan taken
 	told    table.News
 	holding map[string]*wire.Want
+	coming  map[string]coming
 	using   map[used]int64
 	book    *ticket.Book
 	waiting map[int64]chan ticket.Decision
@@ -53,7 +45,7 @@
 func New(lineman string, cable *trunk.Trunk) *Plugboard {
 	return &Plugboard{
 		lineman: lineman, cable: cable, board: news.NewBoard(),
-		inbox: make(chan trunk.Arrived, 1024), holds: make(chan held, 4096), uses: make(chan used, 4096), takes: make(chan taken, 256),
+		inbox: make(chan trunk.Arrived, 1024), holds: make(chan held, 4096), comes: make(chan coming, 4096), coming: map[string]coming{}, uses: make(chan used, 4096), takes: make(chan taken, 256),
 		told:    table.News{Policy: policy.Empty(), Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}},
 		holding: map[string]*wire.Want{}, using: map[used]int64{},
 		book: ticket.New(1, lineman), waiting: map[int64]chan ticket.Decision{}, epoch: time.Now(),
@@ -79,21 +71,6 @@
 	}
 }
 
-// Hold notes that requests for an item are held, or no longer are.
-//
-//	plugs.Hold("lens-7b", 5, 1)
-func (p *Plugboard) Hold(item string, weight, change int64) { p.holds <- held{item, weight, change} }
-
-// Use notes that a worker was used; what is too much at once is not counted.
-//
-//	plugs.Use("w3", "lens-7b", 5)
-func (p *Plugboard) Use(worker, item string, weight int64) {
-	select {
-	case p.uses <- used{worker, item, weight}:
-	default:
-	}
-}
-
 // Times of the plugboard's own work.
 const (
 	reportEvery    = 40 * time.Millisecond
@@ -115,6 +92,8 @@
 			p.hear(letter)
 		case hold := <-p.holds:
 			p.held(hold)
+		case one := <-p.comes:
+			p.coming[one.item] = one
 		case use := <-p.uses:
 			p.using[use]++
 		case ask := <-p.takes:
@@ -129,19 +108,6 @@
 	}
 }
 
-func (p *Plugboard) held(hold held) {
-	want := p.holding[hold.item]
-	if want == nil {
-		want = &wire.Want{Item: hold.item}
-		p.holding[hold.item] = want
-	}
-	want.Held += hold.change
-	want.Weight = max(want.Weight, hold.weight)
-	if want.Held <= 0 {
-		delete(p.holding, hold.item)
-	}
-}
-
 // report tells the lineman what is held, and now and then what was used; it
 // also asks for what the lineman knows and this process does not.
 func (p *Plugboard) report(turn int) {
@@ -152,6 +118,13 @@
 	for _, want := range p.holding {
 		told.Wants = append(told.Wants, *want)
 	}
+	for item, one := range p.coming {
+		if p.holding[item] != nil || p.now() > one.untilMs {
+			delete(p.coming, item)
+			continue
+		}
+		told.Wants = append(told.Wants, wire.Want{Item: item, Held: 1, Weight: one.weight})
+	}
 	if turn%useEvery == 0 {
 		for use, count := range p.using {
 			told.Uses = append(told.Uses, wire.Use{Worker: use.worker, Item: use.item, Weight: use.weight, Count: count})
@@ -178,6 +151,12 @@
 		if changed {
 			p.renew()
 		}
+	case *wire.Waits:
+		p.told.Waits, p.told.WaitsTo = map[string]int64{}, p.now()+told.ValidMs
+		for _, wait := range told.Waits {
+			p.told.Waits[table.WaitKey(wait.Worker, wait.Item)] = p.now() - told.AgeMs + wait.ReadyMs
+		}
+		p.renew()
 	case *wire.HomeTold:
 		p.told.Refused[told.Item] = p.now() + told.RetryMs
 		p.renew()
@@ -214,7 +193,7 @@
 // renew makes the next table. What it is made of is copied, so that no table
 // ever changes.
 func (p *Plugboard) renew() {
-	told := table.News{Policy: p.told.Policy, Workers: p.told.Workers, Rosters: p.told.Rosters, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
+	told := table.News{Waits: p.told.Waits, WaitsTo: p.told.WaitsTo, Policy: p.told.Policy, Workers: p.told.Workers, Rosters: p.told.Rosters, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
 	for name, room := range p.told.Rooms {
 		told.Rooms[name] = room
 	}
--- a/internal/process/standing/traffic.go
+++ b/internal/process/standing/traffic.go
@@ -15,6 +15,8 @@
 	g.Count("retries_total", "shots after the first", func() float64 { return float64(counts.Retries.Load()) })
 	g.Count("broken_total", "shots and streams that broke off", func() float64 { return float64(counts.Broken.Load()) })
 	g.Count("pieces_total", "pieces of streams passed on", func() float64 { return float64(counts.Pieces.Load()) })
+	g.Count("silent_total", "shots ended since the server was silent", func() float64 { return float64(counts.Silent.Load()) })
+	g.Count("refused_early_total", "requests refused since their model cannot be up in time", func() float64 { return float64(counts.Early.Load()) })
 	g.Gauge("requests_in_work", "requests in work", func() float64 { return float64(board.InWork()) })
 	g.Gauge("policy_mark", "mark of the policy in force", func() float64 { return float64(board.Table().Policy.Mark) })
 }
--- a/internal/request/cord/cord_test.go
+++ b/internal/request/cord/cord_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 
 func (b *book) Hold(_ string, _, change int64) { b.holds <- change }
 func (b *book) Use(string, string, int64)      {}
+func (b *book) Come(string, int64, int64)      {}
 func (b *book) Ticket(_ context.Context, call ticket.Call) ticket.Decision {
 	out := b.tickets.Take(1, 1, call)
 	for len(out.Answers) == 0 {
@@ -134,6 +136,10 @@
 		{"an adapter of another model", "/v1/hints", `{"model":"m2","adapter":"a1"}`, nil, 404},
 		{"an adapter as a model", "/v1/hints", `{"model":"a1"}`, nil, 404},
 		{"bad deadline", "/v1/book", `{}`, []string{HeaderDeadline, "soon"}, 400},
+		{"a key that is too long", "/v1/book", `{}`, []string{HeaderKey, strings.Repeat("k", 257)}, 400},
+		{"a key with control characters", "/v1/book", `{}`, []string{HeaderKey, "k\x07"}, 400},
+		{"a key that is no text", "/v1/book", `{}`, []string{HeaderKey, "k\xff"}, 400},
+		{"an empty key", "/v1/book", `{}`, []string{HeaderKey, ""}, 400},
 		{"bad position", "/v1/hints", `{}`, []string{HeaderRun, "w1:r", HeaderFrom, "-1"}, 400},
 		{"a run of nobody", "/v1/hints", `{}`, []string{HeaderRun, "w7:r", HeaderFrom, "1"}, 410},
 		{"no server at all", "/v1/book", `{}`, nil, 503},
@@ -152,9 +158,9 @@
 // What is not a model gets one shot; ran is no only if no byte was written.
 func TestOneShot(t *testing.T) {
 	c := qt.New(t)
-	breaks := func(count *int) http.HandlerFunc {
+	breaks := func(count *atomic.Int64) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
-			*count++
+			count.Add(1)
 			_, _ = io.Copy(io.Discard, r.Body)
 			conn, _, err := w.(http.Hijacker).Hijack()
 			if err == nil {
@@ -164,7 +170,7 @@
 	}
 	for _, key := range []string{"", "k1"} {
 		c.Run("breaks off, key "+key, func(c *qt.C) {
-			b, count := newBench(c), 0
+			b, count := newBench(c), atomic.Int64{}
 			b.server("b1", breaks(&count))
 			b.server("b2", breaks(&count))
 			headers := []string{"X-Other", "1"}
@@ -174,7 +180,7 @@
 			answer := b.ask("/v1/book", `{}`, headers...)
 			c.Check(answer.Code, qt.Equals, 502)
 			c.Check(ran(answer), qt.Equals, "unknown")
-			c.Check(count, qt.Equals, 1)
+			c.Check(count.Load(), qt.Equals, int64(1))
 		})
 	}
 	c.Run("cut in the middle of the answer", func(c *qt.C) {
--- a/internal/request/cord/filters.go
+++ b/internal/request/cord/filters.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/valyala/fastjson"
 
@@ -84,13 +85,31 @@
 		c.refuse(status, said, 0)
 		return false
 	}
-	c.body, c.key = body, c.r.Header.Get(HeaderKey)
+	c.body = body
 	if !c.service.Model {
-		return true
+		return s.readKey(c)
 	}
 	return s.readAsk(c)
 }
 
+// mostKey bounds an idempotency key.
+const mostKey = 256
+
+// readKey takes the key that names a booking or a check, if there is one.
+func (s *Switch) readKey(c *call) bool {
+	keys := c.r.Header.Values(HeaderKey)
+	if len(keys) == 0 {
+		return true
+	}
+	c.key = keys[0]
+	plain := !strings.ContainsFunc(c.key, func(r rune) bool { return r < ' ' || r == 0x7f || r == utf8.RuneError })
+	if len(keys) > 1 || c.key == "" || len(c.key) > mostKey || !plain {
+		c.refuse(http.StatusBadRequest, HeaderKey+" must be one text of 1 to 256 bytes without control characters", 0)
+		return false
+	}
+	return true
+}
+
 // readAsk finds the model, the adapter and the prompt, or the run to go on with.
 func (s *Switch) readAsk(c *call) bool {
 	if c.run = c.r.Header.Get(HeaderRun); c.run != "" {
@@ -158,7 +177,18 @@
 	defer s.ledger.Hold(c.item, c.weight, -1)
 	limit := time.NewTimer(s.limits.Hold)
 	defer limit.Stop()
+	last := time.Now().Add(s.limits.Hold)
+	if until, bounded := c.ctx.Deadline(); bounded && until.Before(last) {
+		last = until
+	}
+	lastMs := s.Now() + time.Until(last).Milliseconds()
 	for {
+		if at := c.current.Expected(c.service.Pool, c.item, s.Now()); at > lastMs {
+			s.Counts.Early.Add(1)
+			s.ledger.Come(c.item, c.weight, at+s.limits.Retry.Milliseconds())
+			c.refuse(http.StatusServiceUnavailable, "the model cannot be up in time", time.Duration(at-s.Now())*time.Millisecond)
+			return
+		}
 		if until := c.current.Refused[c.item]; until > s.Now() {
 			c.refuse(http.StatusServiceUnavailable, "no worker has room for the model now", time.Duration(until-s.Now())*time.Millisecond)
 			return
@@ -166,10 +196,10 @@
 		select {
 		case <-c.current.Next:
 		case <-limit.C:
-			c.refuse(http.StatusServiceUnavailable, "the model is not up yet", s.limits.Retry)
+			c.refuse(http.StatusServiceUnavailable, "the model is not up yet", s.back(c))
 			return
 		case <-c.ctx.Done():
-			c.refuse(http.StatusServiceUnavailable, "the model did not come up in time", s.limits.Retry)
+			c.refuse(http.StatusServiceUnavailable, "the model did not come up in time", s.back(c))
 			return
 		}
 		c.current = s.Table()
@@ -184,6 +214,13 @@
 	}
 }
 
+// back is when a caller who was refused a model should come again: when it can
+// be up, where that is known.
+func (s *Switch) back(c *call) time.Duration {
+	at := c.current.Expected(c.service.Pool, c.item, s.Now())
+	return max(time.Duration(at-s.Now())*time.Millisecond, s.limits.Retry)
+}
+
 // choose picks a server that was not tried yet.
 func (s *Switch) choose(c *call) *table.Server {
 	switch {
--- a/internal/request/cord/shot.go
+++ b/internal/request/cord/shot.go
@@ -134,7 +134,9 @@
 func (s *Switch) once(c *call, chosenServer *table.Server) fate {
 	chosenServer.Load.InWork.Add(1)
 	defer chosenServer.Load.InWork.Add(-1)
-	request, err := http.NewRequestWithContext(c.ctx, c.r.Method, "http://"+chosenServer.Addr+c.r.URL.RequestURI(), bytes.NewReader(c.body))
+	ctx, moved, ended := s.watch(c, chosenServer)
+	defer ended()
+	request, err := http.NewRequestWithContext(ctx, c.r.Method, "http://"+chosenServer.Addr+c.r.URL.RequestURI(), bytes.NewReader(c.body))
 	if err != nil {
 		return fateNoLine
 	}
@@ -148,7 +150,7 @@
 	if !c.service.Model {
 		lines = s.lines.Once
 		if until, bounded := c.ctx.Deadline(); bounded {
-			request = request.WithContext(line.Until(c.ctx, until))
+			request = request.WithContext(line.Until(ctx, until))
 		}
 	}
 	answer, err := lines.RoundTrip(request)
@@ -157,9 +159,11 @@
 			return fateNoLine
 		}
 		c.wrote = true
+		s.avoidSilent(ctx, chosenServer)
 		return fateBroken
 	}
 	defer func() { _ = answer.Body.Close() }()
+	defer s.avoidSilent(ctx, chosenServer)
 	if !c.service.Model {
 		c.wrote = true
 		return s.relayWhole(c, answer, chosenServer)
@@ -168,7 +172,7 @@
 		return s.relayRefusal(c, answer, chosenServer)
 	}
 	c.wrote = true
-	return s.relayStream(c, answer, chosenServer)
+	return s.relayStream(c, answer, chosenServer, moved)
 }
 
 // relayWhole passes on an application's answer once it is there whole, so that
--- a/internal/request/cord/stream.go
+++ b/internal/request/cord/stream.go
@@ -47,7 +47,7 @@
 // relayStream passes pieces on one by one. Each must be of the same run and
 // the next in number; the run is named with its server, so that a resume goes
 // to the same run or nowhere.
-func (s *Switch) relayStream(c *call, answer *http.Response, chosenServer *table.Server) fate {
+func (s *Switch) relayStream(c *call, answer *http.Response, chosenServer *table.Server, moved func()) fate {
 	reader := bufio.NewScanner(answer.Body)
 	reader.Buffer(make([]byte, 0, 4096), mostPiece)
 	flusher, _ := c.w.(http.Flusher)
@@ -62,6 +62,7 @@
 		if len(line) == 0 {
 			continue
 		}
+		moved()
 		told, value, ok := readPiece(line)
 		if run == "" {
 			run = told.run
--- a/internal/request/cord/stream_test.go
+++ b/internal/request/cord/stream_test.go
@@ -101,7 +101,17 @@
 		status int
 	}{
 		{"comes up", func(b *bench) { b.server("w1", pieces("r", 0, -1), "m1") }, 200},
-		{"no room", func(b *bench) { b.news.Refused["m1"] = b.board.Now() + 5000; b.put() }, 503},
+		{"no room", func(b *bench) { b.news.Refused = map[string]int64{"m1": b.board.Now() + 5000}; b.put() }, 503},
+		{"cannot be up in time, by the store's queue", func(b *bench) { b.expect("m1", 60000) }, 503},
+		{"will be up in time", func(b *bench) {
+			b.expect("m1", 100)
+			b.server("w1", pieces("r", 0, -1), "m1")
+		}, 200},
+		{"a wait that was told long ago", func(b *bench) {
+			b.news.WaitsTo = -1
+			b.expect("m1", 60000)
+			b.server("w1", pieces("r", 0, -1), "m1")
+		}, 200},
 		{"taken out of the policy", func(b *bench) {
 			next := *b.news.Policy
 			next.Items = nil
--- a/internal/request/cord/switch.go
+++ b/internal/request/cord/switch.go
@@ -19,6 +19,8 @@
 	Retry time.Duration
 	Avoid time.Duration
 	Shots int
+	// First is how long a model may take to its first piece, Silent to the next.
+	First, Silent time.Duration
 	// Answer bounds what is kept of an application's answer before it is
 	// passed on whole.
 	Answer int64
@@ -28,20 +30,22 @@
 //
 //	limits := cord.LimitsFor(512, 1<<20, 20*time.Second)
 func LimitsFor(slots, body int64, hold time.Duration) Limits {
-	return Limits{Slots: slots, Body: body, Hold: hold, Retry: hold / 10, Avoid: hold / 20, Shots: 3, Answer: 16 * body}
+	return Limits{Slots: slots, Body: body, Hold: hold, Retry: hold / 10, Avoid: hold / 20, Shots: 3, First: hold / 2, Silent: hold / 4, Answer: 16 * body}
 }
 
 // Ledger hears what requests are held and what is used.
 type Ledger interface {
 	Hold(item string, weight, change int64)
 	Use(worker, item string, weight int64)
+	// Come hears of callers who were told to come back for an item.
+	Come(item string, weight, untilMs int64)
 	// Ticket tells to which server a call with a key goes, and notes it.
 	Ticket(ctx context.Context, call ticket.Call) ticket.Decision
 }
 
 // Counts are what a switchboard did; they only rise.
 type Counts struct {
-	Came, Shed, Held, Shots, Retries, Broken, Refused, Pieces atomic.Int64
+	Came, Shed, Held, Shots, Retries, Broken, Refused, Pieces, Silent, Early atomic.Int64
 }
 
 // Switch is the chain of filters with what it works on.
