Fronts: started again, none goes by an older policy than before

Cause: a lineman that was started fed its switchboard the first policy that anybody told it: an exchange that lags, or, with the core cut off, peers that hold an older mark. Callers at that front saw an acknowledged policy slip back.

Ruled out: keeping the mark on the front (it has no disk); serving nothing until the core is back (a restarted front must learn from its peers).

Change: a lineman reads the policy at a majority before it feeds any; where the core cannot be reached it takes none older than any that the others have heard of, which they gossip. What was fed once is never held back.

Conclusion: one hole stays and is named: a front that alone heard of a policy, died at once, and finds the core cut off.

--- /dev/null
+++ b/internal/process/linework/first.go
@@ -0,0 +1,90 @@
+package linework
+
+import (
+	"strconv"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/frame"
+	"applequay/internal/process/register"
+)
+
+// newestFact tells the others the newest policy mark that this node has heard
+// of, be it here or not.
+const newestFact = "newest"
+
+// firstCall is the read with which a front begins; operators' calls are above nought.
+const firstCall = -1
+
+// noteNewest gathers the newest policy mark known to anyone, also to those that
+// went: a front that comes back must not fall behind what it went by before.
+func (l *Line) noteNewest() {
+	for _, member := range l.members.All() {
+		for _, fact := range []string{"mark", newestFact} {
+			if mark, err := strconv.ParseInt(member.Fact[fact], 10, 64); err == nil {
+				l.newest = max(l.newest, mark)
+			}
+		}
+	}
+	l.members.Set(newestFact, strconv.FormatInt(l.newest, 10))
+}
+
+// begin makes sure, after a start, of the policy that callers get first: one
+// read at a majority, or, where the core cannot be reached, none older than any
+// that the other fronts have heard of.
+func (l *Line) begin(now int64, out *wire.Outputs) {
+	l.noteNewest()
+	if l.begun || l.beginning || l.proposer.Core().Epoch == 0 {
+		return
+	}
+	l.beginning = true
+	more := l.proposer.Read(now, firstCall, frame.PolicyKey, wire.Ballot{}, nil)
+	if !l.members.Majority(l.proposer.Core().Seats) {
+		more = register.Hopeless(firstCall, frame.PolicyKey)
+	}
+	out.Add(l.settleFirst(more))
+}
+
+// settleFirst takes the outcome of the first read out of what is to be answered.
+func (l *Line) settleFirst(out wire.Outputs) wire.Outputs {
+	answers := out.Answers
+	out.Answers = nil
+	for _, answer := range answers {
+		outcome, is := answer.Body.(register.Outcome)
+		if answer.Call != firstCall || !is {
+			out.Answers = append(out.Answers, answer)
+			continue
+		}
+		l.begun = true
+		if outcome.Fate == register.FateDone && outcome.Has {
+			l.take(wire.Topic{Name: frame.PolicyKey, Step: outcome.Value.Mark, Body: outcome.Value.Body})
+		}
+		l.feed(&out)
+	}
+	return out
+}
+
+// withheld tells whether the switchboard is not to get the policy kept here: it
+// might be older than the one that callers here were served by before.
+func (l *Line) withheld(topic wire.Topic) bool {
+	if topic.Name != frame.PolicyKey || l.fedMark > 0 {
+		return false
+	}
+	return !l.begun || topic.Step < l.newest
+}
+
+// fed is what of some topics the switchboard may get now; what is withheld
+// stays on the board, and goes with a later feed.
+func (l *Line) fed(topics []wire.Topic) []wire.Topic {
+	var out []wire.Topic
+	for _, topic := range topics {
+		if l.withheld(topic) {
+			l.board.Renew(topic.Name)
+			continue
+		}
+		if topic.Name == frame.PolicyKey {
+			l.fedMark = max(l.fedMark, topic.Step)
+		}
+		out = append(out, topic)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/linework/first_test.go
@@ -0,0 +1,73 @@
+package linework
+
+import (
+	"math/rand"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/process/frame"
+	"applequay/internal/process/register"
+)
+
+// A front that was started again feeds its switchboard no policy older than one
+// that it may have gone by before.
+func TestFirstPolicy(t *testing.T) {
+	c := qt.New(t)
+	news := func(mark int64) func(*Line) wire.Outputs {
+		return func(l *Line) wire.Outputs {
+			return l.Hear(10, "l2~b", &wire.News{Topics: []wire.Topic{{Name: frame.PolicyKey, Step: mark, Body: []byte("{}")}}})
+		}
+	}
+	read := func(fate register.Fate, mark int64) func(*Line) wire.Outputs {
+		return func(l *Line) wire.Outputs {
+			return l.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: mark > 0, Value: wire.Value{Mark: mark, Body: []byte("{}")}}}}})
+		}
+	}
+	heard := func(mark int) func(*Line) wire.Outputs {
+		return func(l *Line) wire.Outputs {
+			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "lineman", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(mark)}}}})
+			return l.Tick(11, 11)
+		}
+	}
+	subscribe := func(from string) func(*Line) wire.Outputs {
+		return func(l *Line) wire.Outputs { return l.Hear(10, from, &wire.Subscribe{}) }
+	}
+	cases := []struct {
+		name  string
+		steps []func(*Line) wire.Outputs
+		fed   []int64
+	}{
+		{"nothing before the first read", []func(*Line) wire.Outputs{news(4), subscribe("s1~x")}, nil},
+		{"what the read found", []func(*Line) wire.Outputs{read(register.FateDone, 5)}, []int64{5}},
+		{"older news after it", []func(*Line) wire.Outputs{read(register.FateDone, 5), news(4)}, []int64{5}},
+		{"no core, and the peers have the newest", []func(*Line) wire.Outputs{heard(4), news(4), read(register.FateNone, 0)}, []int64{4}},
+		{"no core, and somebody has heard of a newer one", []func(*Line) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), subscribe("s1~x")}, nil},
+		{"and then it comes", []func(*Line) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), news(5)}, []int64{5}},
+		{"a front that has begun goes on with what it has", []func(*Line) wire.Outputs{read(register.FateDone, 4), heard(6), news(5)}, []int64{4, 5}},
+		{"peers get all there is", []func(*Line) wire.Outputs{heard(5), news(4), subscribe("l2~b")}, []int64{4}},
+	}
+	for _, one := range cases {
+		c.Run(one.name, func(c *qt.C) {
+			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Switchboard: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
+			line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+			var fed []int64
+			for _, step := range one.steps {
+				for _, send := range step(line).Sends {
+					told, is := send.Body.(*wire.News)
+					if !is {
+						continue
+					}
+					for _, topic := range told.Topics {
+						if topic.Name == frame.PolicyKey {
+							fed = append(fed, topic.Step)
+						}
+					}
+				}
+			}
+			c.Check(fed, qt.DeepEquals, one.fed)
+		})
+	}
+}
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -53,6 +53,10 @@
 	rosters  []wire.Roster
 	fronts   map[string]*otherFront
 	asking   map[int64]*asking
+	// begun says that the first read came to its end, fedMark which policy mark
+	// the switchboard was given, newest which one anybody has heard of.
+	begun, beginning bool
+	fedMark, newest  int64
 }
 
 // New makes a lineman that knows nothing but its seeds.
@@ -86,7 +90,7 @@
 	case *wire.TicketTold:
 		l.toldTicket(now, &out, from, told)
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
-		return l.proposer.Hear(now, from, body)
+		return l.settleFirst(l.proposer.Hear(now, from, body))
 	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
 		return l.members.Hear(now, from, body)
 	case *wire.FoundTold:
@@ -100,6 +104,9 @@
 		}
 	case *wire.Subscribe:
 		told2 := l.board.Since(told, serviceOf(told.Service))
+		if _, peer := l.members.Addr(from); !peer {
+			told2.Topics = l.fed(told2.Topics)
+		}
 		if len(told2.Topics) > 0 {
 			out.Send(from, wire.KindNews, told2)
 		}
@@ -170,7 +177,7 @@
 		l.feedWaits(out, fresh[at])
 		fresh = slices.Delete(fresh, at, at+1)
 	}
-	if len(fresh) > 0 {
+	if fresh = l.fed(fresh); len(fresh) > 0 {
 		out.Send(l.boot.Switchboard, wire.KindNews, &wire.News{Topics: fresh})
 	}
 }
--- a/internal/process/news/news.go
+++ b/internal/process/news/news.go
@@ -74,6 +74,11 @@
 	return out
 }
 
+// Renew makes a topic count as risen once more.
+//
+//	board.Renew("policy")
+func (b *Board) Renew(name string) { b.fresh[name] = true }
+
 // Have lists the marks kept, without bodies, of the topics asked for.
 //
 //	subscribe := &wire.Subscribe{Have: board.Have(nil)}
