Policy: roll-out by zone with a halt, for operators who ask for it

Cause: a wrong policy was in force at every front within 2 s, and stood there until an operator saw it.

Ruled out: dial as the driver (it stops with its connection); fronts that decide by themselves (no halt once begun).

Change: the register's value may hold the next policy inside the standing one, with the order of zones; fronts pick by their zone, placement goes by both. The owner of one key's partition drives by compare-and-set: a zone more after each pause, or a halt where calls end badly more often than elsewhere. An ordinary write is as before.

--- a/cmd/dial/main.go
+++ b/cmd/dial/main.go
@@ -79,6 +79,13 @@
 		file := set.String("file", "-", "file with the JSON, - for standard input")
 		form := set.String("form", "", "native or objects; by the file's ending if empty")
 		mark := set.Int64("expected", -1, "mark that the policy must have; -1 for any")
+		var zones *string
+		var pause, halt *int64
+		if method == http.MethodPut {
+			zones = set.String("rollout", "", "zones, with commas, to which the policy goes in turn; everywhere at once if empty")
+			pause = set.Int64("pause-ms", 30000, "how long a zone is watched before the next")
+			halt = set.Int64("halt-percent", 5, "by how many in a hundred more calls may end badly there than elsewhere")
+		}
 		return &ffcli.Command{Name: name, ShortHelp: help, FlagSet: set, Exec: func(ctx context.Context, _ []string) error {
 			body, err := readFile(*file)
 			if err != nil {
@@ -91,15 +98,23 @@
 			if *form == "objects" || (*form == "" && (strings.HasSuffix(*file, ".yaml") || strings.HasSuffix(*file, ".yml"))) {
 				query.Set("form", "objects")
 			}
+			if zones != nil && *zones != "" {
+				query.Set("rollout", *zones)
+				query.Set("pause_ms", fmt.Sprint(*pause))
+				query.Set("halt_percent", fmt.Sprint(*halt))
+			}
 			return c.ask(ctx, method, "/v1/policy?"+query.Encode(), body)
 		}}
 	}
-	return &ffcli.Command{Name: "policy", ShortUsage: "dial policy get|set|patch", ShortHelp: "the policy and its mark",
+	return &ffcli.Command{Name: "policy", ShortUsage: "dial policy get|set|patch|halt", ShortHelp: "the policy and its mark",
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{
 			{Name: "get", ShortHelp: "show the policy", Exec: func(ctx context.Context, _ []string) error { return c.ask(ctx, http.MethodGet, "/v1/policy", nil) }},
 			change("set", http.MethodPut, "replace the policy"),
 			change("patch", http.MethodPatch, "change entries by name"),
+			{Name: "halt", ShortHelp: "halt a roll-out: all fronts go by the old policy", Exec: func(ctx context.Context, _ []string) error {
+				return c.ask(ctx, http.MethodPost, "/v1/policy/halt", nil)
+			}},
 		}}
 }
 
--- a/cmd/testdesk/main.go
+++ b/cmd/testdesk/main.go
@@ -128,7 +128,14 @@
 		return false
 	}
 	fmt.Println(fleet.Sum(seen, 0, 0))
+	rolled := int64(0)
 	for _, note := range seen.Notes {
+		switch note.Event {
+		case "rollout":
+			rolled = note.TimeMs
+		case "halted":
+			fmt.Printf("the roll-out was halted in zone %d after %d ms: %s\n", note.Mark, note.TimeMs-rolled, note.Why)
+		}
 		if note.Event == "opening" {
 			fmt.Printf("opening %s: %d ready at its moment, missing %s\n", note.Name, note.Mark, note.Why)
 		}
--- a/internal/mark/policy/parse.go
+++ b/internal/mark/policy/parse.go
@@ -92,6 +92,9 @@
 	top.list("services", p.service)
 	top.list("routes", p.route)
 	top.list("openings", p.opening)
+	if rollout := top.take("rollout", false); rollout != nil {
+		p.rollout(rollout)
+	}
 	top.done()
 }
 
--- a/internal/mark/policy/policy.go
+++ b/internal/mark/policy/policy.go
@@ -82,6 +82,8 @@
 	Services map[string]Service
 	Routes   []Route
 	Openings []Opening
+	// Rollout is a policy on its way from zone to zone, or nil.
+	Rollout *Rollout
 }
 
 // Empty is the table before any policy was set: it routes nothing.
--- a/internal/process/desk/change.go
+++ b/internal/process/desk/change.go
@@ -39,7 +39,16 @@
 	if !ok {
 		return
 	}
-	if told, ok := d.written(w, r); ok {
+	how, ok := rolloutAsked(w, r)
+	if !ok {
+		return
+	}
+	told, ok := d.written(w, r)
+	switch {
+	case !ok:
+	case len(how.zones) > 0:
+		d.rollOut(w, r, mark, told, how)
+	default:
 		d.change(w, r, mark, told)
 	}
 }
@@ -53,21 +62,19 @@
 	if !ok {
 		return
 	}
-	current, ok := d.read(r)
+	current, table, ok := d.standingPolicy(w, r, mark)
 	if !ok {
-		w.Header().Set("Retry-After", "2")
-		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
 		return
 	}
-	if now := current.Value.Mark; mark >= 0 && now != mark {
-		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Mark: &now, Applied: "no"})
+	if table.Rollout != nil {
+		d.underWay(w, table.Mark)
 		return
 	}
-	body, faults, syntax := policy.Patch(current.Value.Body, told.body)
+	body, faults, syntax := policy.Patch(current, told.body)
 	told.body, told.faults, told.syntax = body, append(told.faults, told.translate(faults)...), told.syntax || syntax
 	// What the change makes has the native form's paths.
 	told.translate = func(f policy.Faults) policy.Faults { return f }
-	d.change(w, r, current.Value.Mark, told)
+	d.change(w, r, table.Mark, told)
 }
 
 func (d *Desk) refuse(w http.ResponseWriter, faults policy.Faults, syntax bool) {
--- a/internal/process/desk/desk.go
+++ b/internal/process/desk/desk.go
@@ -36,6 +36,7 @@
 	router.HandleFunc("/v1/policy", d.getPolicy).Methods(http.MethodGet)
 	router.HandleFunc("/v1/policy", d.setPolicy).Methods(http.MethodPut)
 	router.HandleFunc("/v1/policy", d.patchPolicy).Methods(http.MethodPatch)
+	router.HandleFunc("/v1/policy/halt", d.halt).Methods(http.MethodPost)
 	router.HandleFunc("/v1/openings", d.openings).Methods(http.MethodGet)
 	router.HandleFunc("/v1/homes", d.homes).Methods(http.MethodGet)
 	router.HandleFunc("/v1/members", d.members).Methods(http.MethodGet)
--- /dev/null
+++ b/internal/process/desk/rollout.go
@@ -0,0 +1,108 @@
+package desk
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"applequay/internal/mark/policy"
+)
+
+// asked is how an operator wants a policy rolled out; no zones, and it is in
+// force everywhere at once.
+type asked struct {
+	zones                []string
+	pauseMs, haltPercent int64
+}
+
+func rolloutAsked(w http.ResponseWriter, r *http.Request) (asked, bool) {
+	out := asked{pauseMs: 30000, haltPercent: 5}
+	query := r.URL.Query()
+	if query.Get("rollout") == "" {
+		return out, true
+	}
+	out.zones = strings.Split(query.Get("rollout"), ",")
+	for field, into := range map[string]*int64{"pause_ms": &out.pauseMs, "halt_percent": &out.haltPercent} {
+		text := query.Get(field)
+		if text == "" {
+			continue
+		}
+		number, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			Say(w, http.StatusBadRequest, Refusal{Error: field + " must be a number", Applied: "no"})
+			return out, false
+		}
+		*into = number
+	}
+	return out, true
+}
+
+// rollOut makes of an operator's policy one that is rolled out over zones, on
+// top of the one that stands.
+func (d *Desk) rollOut(w http.ResponseWriter, r *http.Request, mark int64, told written, how asked) {
+	// What is wrong with it is told by its own paths first.
+	if table, faults, syntax := policy.Parse(told.body, 0); told.syntax || syntax || len(told.faults)+len(faults) > 0 || table.Rollout != nil {
+		d.change(w, r, mark, told)
+		return
+	}
+	current, table, ok := d.standingPolicy(w, r, mark)
+	if !ok {
+		return
+	}
+	if table.Rollout != nil && table.Rollout.Halted == "" {
+		d.underWay(w, table.Mark)
+		return
+	}
+	body, err := policy.Roll(current, told.body, how.zones, how.pauseMs, how.haltPercent)
+	if err != nil {
+		Say(w, http.StatusInternalServerError, Refusal{Error: err.Error(), Applied: "no"})
+		return
+	}
+	told.body, told.translate = body, func(f policy.Faults) policy.Faults { return f }
+	d.change(w, r, table.Mark, told)
+}
+
+func (d *Desk) underWay(w http.ResponseWriter, mark int64) {
+	Say(w, http.StatusConflict, Refusal{Error: "a roll-out is under way: halt it, or set a whole policy", Mark: &mark, Applied: "no"})
+}
+
+// standingPolicy reads the policy that stands, if it has the mark expected.
+func (d *Desk) standingPolicy(w http.ResponseWriter, r *http.Request, mark int64) ([]byte, *policy.Table, bool) {
+	current, ok := d.read(r)
+	if !ok {
+		w.Header().Set("Retry-After", "2")
+		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
+		return nil, nil, false
+	}
+	if now := current.Value.Mark; mark >= 0 && now != mark {
+		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Mark: &now, Applied: "no"})
+		return nil, nil, false
+	}
+	table := policy.Empty()
+	if len(current.Value.Body) > 0 {
+		table, _, _ = policy.Parse(current.Value.Body, current.Value.Mark)
+	}
+	return current.Value.Body, table, true
+}
+
+// halt stops a roll-out: all fronts go by the old policy again.
+func (d *Desk) halt(w http.ResponseWriter, r *http.Request) {
+	mark, ok := expected(w, r)
+	if !ok {
+		return
+	}
+	current, table, ok := d.standingPolicy(w, r, mark)
+	if !ok {
+		return
+	}
+	if table.Rollout == nil || table.Rollout.Halted != "" {
+		Say(w, http.StatusConflict, Refusal{Error: "no roll-out is under way", Mark: &table.Mark, Applied: "no"})
+		return
+	}
+	body, err := policy.Halt(current, "halted by an operator")
+	if err != nil {
+		Say(w, http.StatusInternalServerError, Refusal{Error: err.Error(), Applied: "no"})
+		return
+	}
+	d.change(w, r, table.Mark, written{body: body, translate: func(f policy.Faults) policy.Faults { return f }})
+}
--- a/internal/process/fleet/machinefaults.go
+++ b/internal/process/fleet/machinefaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -139,6 +140,9 @@
 			return err
 		}
 		fresh, names = append(fresh, w.addr(groupPublicCore, 11+at, 7100)), append(names, name)
+		// Whoever joins from now on is told of the new machine, not the old one.
+		w.seeds = slices.Clone(w.seeds)
+		w.seeds[at] = fresh[at]
 		if !w.Until(40*time.Second, func() bool { return w.seats(name, w.Shape.Cores, names...) }) {
 			return oops.Errorf("%s is not seated", name)
 		}
--- a/internal/process/fleet/scenarios.go
+++ b/internal/process/fleet/scenarios.go
@@ -52,6 +52,7 @@
 		{Name: "directory", Help: "the platform's list goes down, comes back empty, and answers malformed and older lists", Seconds: 30, Run: directoryFails},
 		{Name: "rolling", Help: "every daemon is restarted by SIGTERM, one after the other", Seconds: 60, Run: rolling},
 		{Name: "policies", Help: "an operator storms, and a very large set of routes is written", Seconds: 25, Run: policies},
+		{Name: "rollout", Help: "a policy that breaks a service is rolled out by zone and halted, then one that is well, while a core machine dies", Seconds: 45, Run: rollOut},
 		{Name: "race", Help: "two operators race at different nodes while core machines are killed", Seconds: 30, Run: race},
 		{Name: "doctor", Help: "each fault that the doctor knows, one after the other", Seconds: 1, Run: (*World).Ail, Setup: ails},
 		{Name: "long", Help: "many breakdowns in turn, and then all machines lose power", Seconds: 150, Run: long},
--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -60,6 +60,7 @@
 	Moves      int64
 	listed     wire.WorkerList
 	unbelieved string
+	rolling    *rolling
 	leavers    map[string]bool
 	leaving    bool
 	stalled    bool
--- a/internal/process/frame/learn.go
+++ b/internal/process/frame/learn.go
@@ -40,7 +40,7 @@
 	switch {
 	case key == PolicyKey:
 		if table, faults, _ := policy.Parse(value.Body, value.Mark); table != nil && len(faults) == 0 {
-			f.view.Policy = table
+			f.view.Policy = table.Placement()
 		}
 		f.members.Set("mark", strconv.FormatInt(value.Mark, 10))
 		f.board.Put(wire.Topic{Name: PolicyKey, Step: value.Mark, Body: value.Body})
--- /dev/null
+++ b/internal/process/frame/rollout.go
@@ -0,0 +1,126 @@
+package frame
+
+import (
+	"fmt"
+
+	"applequay/internal/connection/wire"
+	"applequay/internal/mark/policy"
+	"applequay/internal/process/partition"
+	"applequay/internal/process/register"
+)
+
+// CallsFact tells, while a policy is rolled out, how many calls a front had and
+// how many of them ended badly, since it began.
+const CallsFact = "calls"
+
+// rolloutKey is whose partition's owner drives roll-outs: it holds a grant, and
+// another goes on where it stopped, since all there is to know is in the policy.
+const rolloutKey = "rollout"
+
+// leastCalls is how many calls a zone must have had to be judged.
+const leastCalls = 20
+
+// rolling is what the driver of a roll-out remembers of one step.
+type rolling struct {
+	mark, sinceMs int64
+	begun         map[string][2]int64
+	asked         bool
+	// usual is how many in a hundred end badly where the old policy stands, as of
+	// this step or one before; below nought where that is not known.
+	usual int64
+}
+
+// rolloutTick drives a roll-out: after each pause one zone more, or a halt as
+// soon as calls in the zones that go by the next policy end badly more often than
+// elsewhere.
+func (f *Frame) rolloutTick(now int64, out *wire.Outputs) {
+	table := f.view.Policy
+	if table.Rollout == nil || table.Rollout.Halted != "" || f.mine(now, partition.Of(rolloutKey, f.boot.Partitions)) == nil {
+		f.rolling = nil
+		return
+	}
+	if f.rolling == nil || f.rolling.mark != table.Mark {
+		usual := int64(-1)
+		if f.rolling != nil {
+			usual = f.rolling.usual
+		}
+		f.rolling = &rolling{mark: table.Mark, sinceMs: now, begun: f.callsTold(), usual: usual}
+	}
+	step := f.rolling
+	if step.asked {
+		return
+	}
+	kept, _ := f.board.Get(PolicyKey)
+	if why := f.worse(table.Rollout); why != "" {
+		f.writeStep(now, out, kept, func(body []byte) ([]byte, error) { return policy.Halt(body, why) })
+	} else if now-step.sinceMs >= table.Rollout.PauseMs {
+		f.writeStep(now, out, kept, policy.Step)
+	}
+}
+
+// writeStep writes what a step makes of the policy, if it still has the mark
+// that the step began with.
+func (f *Frame) writeStep(now int64, out *wire.Outputs, kept wire.Topic, make func([]byte) ([]byte, error)) {
+	body, err := make(kept.Body)
+	if err != nil || kept.Step != f.rolling.mark {
+		return
+	}
+	f.rolling.asked = true
+	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
+		var out wire.Outputs
+		if f.rolling != nil {
+			f.rolling.asked = false
+		}
+		if outcome.Has {
+			f.learn(now, &out, PolicyKey, outcome.Value)
+		}
+		return out
+	})
+	out.Add(f.proposer.Change(now, call, PolicyKey, kept.Step, body, f.writeName()))
+}
+
+// callsTold is what each standing front tells of its calls: bad ones, and all.
+func (f *Frame) callsTold() map[string][2]int64 {
+	out := map[string][2]int64{}
+	for _, member := range f.members.Alive("lineman") {
+		var bad, came int64
+		if _, err := fmt.Sscanf(member.Fact[CallsFact], "%d/%d", &bad, &came); err == nil {
+			out[member.ID] = [2]int64{bad, came}
+		}
+	}
+	return out
+}
+
+// worse says why a roll-out is to be halted, if it is: since this step began,
+// more calls ended badly in the zones that go by the next policy than in the
+// others by so many in a hundred.
+func (f *Frame) worse(rollout *policy.Rollout) string {
+	var staged, others [2]int64
+	told := f.callsTold()
+	for _, member := range f.members.Alive("lineman") {
+		calls, ok := told[member.ID]
+		begun, known := f.rolling.begun[member.ID]
+		if !ok {
+			continue
+		}
+		if !known {
+			f.rolling.begun[member.ID] = calls
+			continue
+		}
+		sum := &others
+		if f.view.Policy.For(member.Zone) != f.view.Policy {
+			sum = &staged
+		}
+		sum[0], sum[1] = sum[0]+calls[0]-begun[0], sum[1]+calls[1]-begun[1]
+	}
+	if staged[1] < leastCalls {
+		return ""
+	}
+	if others[1] >= leastCalls {
+		f.rolling.usual = others[0] * 100 / others[1]
+	}
+	if usual := f.rolling.usual; usual < 0 || staged[0]*100/staged[1] < usual+rollout.HaltPercent {
+		return ""
+	}
+	return fmt.Sprintf("of %d calls in the zones that go by it %d ended badly, elsewhere %d of %d", staged[1], staged[0], others[0], others[1])
+}
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -24,6 +24,7 @@
 	f.movesTick(now, &out)
 	f.newsTick(now, &out)
 	f.platformTick(now, &out)
+	f.rolloutTick(now, &out)
 	f.members.Set("owned", f.ownedFact(now))
 	return f.settle(now, out)
 }
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -64,7 +64,7 @@
 //	line := linework.New(now, boot, random)
 func New(now int64, boot Boot, random *rand.Rand) *Line {
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "lineman", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": frame.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
-	return &Line{
+	l := &Line{
 		boot: boot, random: random, now: now, startMs: now, fronts: map[string]*otherFront{}, asking: map[int64]*asking{},
 		members:  members.New(self, members.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: 16}),
@@ -72,6 +72,8 @@
 		owners: map[int64]wire.Owner{}, workers: map[string]wire.Worker{}, rooms: map[string]wire.WorkerNews{},
 		boxes: map[int64]*box{}, wants: map[string]wire.Want{}, wanted: map[string]int64{}, timers: map[string]int64{}, marks: map[string]int64{},
 	}
+	l.board.Put(wire.Topic{Name: zoneTopic, Step: 1, Body: []byte(boot.Zone)})
+	return l
 }
 
 // Hear takes a message from another process.
@@ -132,7 +134,7 @@
 
 // take puts a topic on the board and learns from it.
 func (l *Line) take(topic wire.Topic) {
-	if !l.board.Put(topic) {
+	if topic.Name == zoneTopic || !l.board.Put(topic) {
 		return
 	}
 	switch {
@@ -143,7 +145,7 @@
 		}
 	case topic.Name == frame.PolicyKey:
 		if table, faults, _ := policy.Parse(topic.Body, topic.Step); table != nil && len(faults) == 0 {
-			l.policy = table
+			l.policy = table.Placement()
 		}
 		l.marks[frame.PolicyKey] = topic.Step
 		l.members.Set("mark", fmt.Sprint(topic.Step))
@@ -182,6 +184,10 @@
 	}
 }
 
+// zoneTopic tells the switchboard its zone, by which it picks its part of a
+// policy that is rolled out; it is nobody else's news.
+const zoneTopic = "zone"
+
 // feedWaits tells the switchboard when loads will be done, and how long ago
 // that was said by the clocks; what is old is of no use.
 func (l *Line) feedWaits(out *wire.Outputs, topic wire.Topic) {
--- a/internal/process/linework/posts.go
+++ b/internal/process/linework/posts.go
@@ -1,10 +1,12 @@
 package linework
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 
 	"applequay/internal/connection/wire"
+	"applequay/internal/process/frame"
 	"applequay/internal/process/partition"
 )
 
@@ -39,6 +41,9 @@
 // reported takes what the switchboard saw: models it holds requests for, and
 // what it used.
 func (l *Line) reported(now int64, out *wire.Outputs, told *wire.Report) {
+	if l.policy.Rollout != nil && l.due(now, "calls", l.boot.LeaseMs/4) {
+		l.members.Set(frame.CallsFact, fmt.Sprintf("%d/%d", told.Bad, told.Came))
+	}
 	for _, want := range told.Wants {
 		if _, ok := l.policy.Items[want.Item]; !ok {
 			continue
--- a/internal/process/plugboard/plugboard.go
+++ b/internal/process/plugboard/plugboard.go
@@ -34,6 +34,9 @@
 	waiting map[int64]chan ticket.Decision
 	nextID  int64
 	epoch   time.Time
+	policy  *policy.Table
+	zone    string
+	counts  *cord.Counts
 	now     func() int64
 	put     func(*table.Table)
 	current func() *table.Table
@@ -56,7 +59,7 @@
 //
 //	plugs.Serve(board)
 func (p *Plugboard) Serve(board *cord.Switch) {
-	p.now, p.put, p.current = board.Now, board.Put, board.Table
+	p.now, p.put, p.current, p.counts = board.Now, board.Put, board.Table, &board.Counts
 }
 
 // Deliver puts a letter from the lineman in front of the thread.
@@ -131,7 +134,8 @@
 		}
 		p.using = map[used]int64{}
 	}
-	if len(told.Wants)+len(told.Uses) > 0 {
+	told.Came, told.Bad = p.counts.Came.Load(), p.counts.Bad.Load()
+	if len(told.Wants)+len(told.Uses) > 0 || turn%useEvery == 0 {
 		p.cable.Send(p.lineman, wire.KindReport, told)
 	}
 }
@@ -170,7 +174,10 @@
 		if next == nil || len(faults) > 0 {
 			return false
 		}
-		p.told.Policy = next
+		p.policy = next
+		return true
+	case topic.Name == "zone":
+		p.zone = string(topic.Body)
 		return true
 	case topic.Name == "directory":
 		var list wire.WorkerList
@@ -193,6 +200,9 @@
 // renew makes the next table. What it is made of is copied, so that no table
 // ever changes.
 func (p *Plugboard) renew() {
+	if p.policy != nil {
+		p.told.Policy = p.policy.For(p.zone)
+	}
 	told := table.News{Waits: p.told.Waits, WaitsTo: p.told.WaitsTo, Policy: p.told.Policy, Workers: p.told.Workers, Rosters: p.told.Rosters, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
 	for name, room := range p.told.Rooms {
 		told.Rooms[name] = room
--- a/internal/process/sim/front.go
+++ b/internal/process/sim/front.go
@@ -29,9 +29,13 @@
 	rooms   map[string]wire.WorkerNews
 	items   map[string]policy.Item
 	book    *ticket.Book
-	list    wire.WorkerList
-	waiting map[string]int64 // item to the moment it was first asked for
-	served  map[string]int64 // item to how long it took
+	// bad says how many calls in a hundred end badly by what a front goes by.
+	bad       func(zone string, next bool) int64
+	next      bool
+	came, ill int64
+	list      wire.WorkerList
+	waiting   map[string]int64 // item to the moment it was first asked for
+	served    map[string]int64 // item to how long it took
 }
 
 func (w *World) newFront(name, addr, zone string) *front {
@@ -103,7 +107,8 @@
 		switch {
 		case topic.Name == "policy":
 			table, _, _ := policy.Parse(topic.Body, topic.Step)
-			f.items, f.mark = table.Items, topic.Step
+			f.items, f.mark = table.Placement().Items, topic.Step
+			_, f.next = table.For(f.zone).Kinds[w.rolledBy]
 			w.facts.inForce(w.now, f, topic.Step)
 		case topic.Name == "directory":
 			var list wire.WorkerList
@@ -146,6 +151,11 @@
 	f.ticket(f.book.Tick(f.clock()))
 	w.send(&f.board, f.addr, wire.KindSubscribe, &wire.Subscribe{Have: f.heard.Have(nil)})
 	told := &wire.Report{}
+	if f.bad != nil {
+		f.came += 10
+		f.ill += f.bad(f.zone, f.next) / 10
+		told.Came, told.Bad = f.came, f.ill
+	}
 	for item := range f.waiting {
 		told.Wants = append(told.Wants, wire.Want{Item: item, Held: 1, Weight: 1})
 	}
@@ -163,7 +173,7 @@
 		}
 	}
 	slices.SortFunc(told.Uses, func(a, b wire.Use) int { return strings.Compare(a.Item+a.Worker, b.Item+b.Worker) })
-	if len(told.Wants)+len(told.Uses) > 0 {
+	if len(told.Wants)+len(told.Uses) > 0 || f.bad != nil {
 		w.send(&f.board, f.addr, wire.KindReport, told)
 	}
 }
--- a/internal/process/sim/world.go
+++ b/internal/process/sim/world.go
@@ -103,7 +103,9 @@
 	History []string
 	facts   facts
 	tills   *tills
-	Counts  Counts
+	// rolledBy names the kind by which a rolled out policy is told.
+	rolledBy string
+	Counts   Counts
 	// openings go into every policy that operators write.
 	openings []any
 }
--- a/internal/request/cord/call.go
+++ b/internal/request/cord/call.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"applequay/internal/mark/policy"
@@ -59,12 +60,21 @@
 	from     int64
 	chosen   *table.Server
 	tried    map[string]bool
+	bad      *atomic.Int64
 	wrote    bool
 	why      string
 	retry    time.Duration
 	answered bool
 }
 
+// ended counts a request that did not get what it came for: a roll-out of a
+// policy is halted where there are more of them.
+func (c *call) ended(status int) {
+	if c.bad != nil && (status >= http.StatusInternalServerError || status == http.StatusNotFound) {
+		c.bad.Add(1)
+	}
+}
+
 // filter is one link of the chain: it answers, or goes on to the next.
 type filter func(c *call, next func(*call))
 
@@ -84,6 +94,7 @@
 		return
 	}
 	c.answered = true
+	c.ended(status)
 	refusal := Refusal{Error: said, Ran: RanNo}
 	if c.wrote {
 		refusal.Ran = RanUnknown
--- a/internal/request/cord/shot.go
+++ b/internal/request/cord/shot.go
@@ -188,6 +188,7 @@
 
 func (s *Switch) pass(c *call, answer *http.Response, chosenServer *table.Server, body []byte) {
 	c.answered = true
+	c.ended(answer.StatusCode)
 	copyHeaders(c.w.Header(), answer.Header)
 	c.w.Header().Del("Content-Length")
 	c.w.Header().Set(HeaderServer, chosenServer.Name)
--- a/internal/request/cord/stream.go
+++ b/internal/request/cord/stream.go
@@ -95,6 +95,7 @@
 		return fateBroken
 	}
 	s.Counts.Broken.Add(1)
+	s.Counts.Bad.Add(1)
 	last, err := json.Marshal(broken{Run: chosenServer.Name + ":" + run, Broken: true, Next: next, Ran: RanUnknown})
 	if err == nil {
 		_, _ = c.w.Write(append(last, '\n'))
--- a/internal/request/cord/switch.go
+++ b/internal/request/cord/switch.go
@@ -45,7 +45,7 @@
 
 // Counts are what a switchboard did; they only rise.
 type Counts struct {
-	Came, Shed, Held, Shots, Retries, Broken, Refused, Pieces, Silent, Early atomic.Int64
+	Came, Shed, Held, Shots, Retries, Broken, Refused, Pieces, Silent, Early, Bad atomic.Int64
 }
 
 // Switch is the chain of filters with what it works on.
@@ -94,7 +94,7 @@
 //	http.Handle("/", board)
 func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.Counts.Came.Add(1)
-	s.run(&call{w: w, r: r, came: time.Now(), tried: map[string]bool{}})
+	s.run(&call{w: w, r: r, came: time.Now(), tried: map[string]bool{}, bad: &s.Counts.Bad})
 }
 
 // InWork is how many requests are in work now.
