Turns: workers that were not ordered lately need no whole lease of waiting

Seen first: loads stand still for 4 to 7 s after an owner's death: 3.2 s until its grant ends, half a second to claim, 3.2 s quiet.

Ruled out: a shorter lease; orders before the old grant's end.

Change: a worker may say for how long no order of a lower fence came; that counts towards the wait. Workers that do not say it are waited for as before.

What stays is the quiet time of the store's turns under a new owner, a lease that the rule on its rate asks for.

--- a/cmd/extension/worker.go
+++ b/cmd/extension/worker.go
@@ -34,11 +34,14 @@
 	runs       map[string]run
 	booked     map[string]booking
 	nextRun    int64
+	// orderedAt is when the last order came, beforeAt the last of a lower fence,
+	// or when this process began: what went before is not known.
+	orderedAt, beforeAt time.Time
 }
 
 // run is the thread that owns the state.
 func (w *worker) run(ctx context.Context) {
-	s := &state{items: map[string]*held{}, runs: map[string]run{}, booked: map[string]booking{}}
+	s := &state{beforeAt: time.Now(), orderedAt: time.Now(), items: map[string]*held{}, runs: map[string]run{}, booked: map[string]booking{}}
 	w.remember(s)
 	w.record(entry{Event: "start", RoomMb: w.roomMb})
 	for {
@@ -94,7 +97,7 @@
 	}
 	told := on(w, func(s *state) orders.Told {
 		why := w.take(s, asked)
-		told := orders.Told{Ok: why == "", Why: why, Fence: s.fence, Seq: s.seq, Born: w.born, RoomMb: w.roomMb, UsedMb: s.used()}
+		told := orders.Told{Ok: why == "", Why: why, Fence: s.fence, Seq: s.seq, Born: w.born, RoomMb: w.roomMb, UsedMb: s.used(), QuietMs: time.Since(s.beforeAt).Milliseconds()}
 		for name, one := range s.items {
 			told.Loaded = append(told.Loaded, orders.Held{Item: name, Ready: one.ready(), SizeMb: one.sizeMb})
 		}
@@ -122,7 +125,7 @@
 		return "the fence is lower"
 	}
 	if asked.Fence > s.fence {
-		s.fence, s.seq = asked.Fence, 0
+		s.fence, s.seq, s.beforeAt = asked.Fence, 0, s.orderedAt
 		w.record(entry{Event: "fence", Fence: asked.Fence})
 	}
 	if asked.Op == "look" {
@@ -131,7 +134,7 @@
 	if asked.Seq <= s.seq {
 		return ""
 	}
-	s.seq = asked.Seq
+	s.seq, s.orderedAt = asked.Seq, time.Now()
 	e.UsedMb = s.used()
 	switch asked.Op {
 	case "load":
--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -47,6 +47,9 @@
 	RoomMb int64  `json:"room_mb"`
 	UsedMb int64  `json:"used_mb"`
 	Loaded []Held `json:"loaded"`
+	// QuietMs is for how long, at least, no order of a lower fence came; nought
+	// where the worker does not say.
+	QuietMs int64 `json:"quiet_ms,omitempty"`
 }
 
 // Listed is one worker in the platform's list.
@@ -142,7 +145,7 @@
 	if err := read(answer, &told); err != nil {
 		return nil, err
 	}
-	seen := &wire.Seen{Partition: order.Partition, Worker: order.Worker, Fence: told.Fence, RoomMb: told.RoomMb, UsedMb: told.UsedMb, Born: told.Born, OrderSeq: told.Seq, OrderOk: told.Ok}
+	seen := &wire.Seen{Partition: order.Partition, Worker: order.Worker, Fence: told.Fence, RoomMb: told.RoomMb, UsedMb: told.UsedMb, Born: told.Born, OrderSeq: told.Seq, OrderOk: told.Ok, QuietMs: told.QuietMs}
 	if !told.Ok {
 		seen.OrderSeq = order.Seq
 	}
--- a/internal/process/partition/partition_test.go
+++ b/internal/process/partition/partition_test.go
@@ -18,6 +18,7 @@
 	writes []wire.Write
 	orders []*wire.Order
 	now    int64
+	quiet  int64 // what the worker says of orders by lower fences
 }
 
 func newRig(c *qt.C, fence int64, state *wire.PartitionState) *rig {
@@ -68,7 +69,7 @@
 	for _, held := range loaded {
 		used += held.SizeMb
 	}
-	r.do(r.p.Seen(r.now, &wire.Seen{Worker: "w1", Fence: r.p.state.Fence, RoomMb: 900, UsedMb: used, Born: "life", Loaded: loaded, OrderSeq: seq, OrderOk: true}))
+	r.do(r.p.Seen(r.now, &wire.Seen{Worker: "w1", Fence: r.p.state.Fence, RoomMb: 900, UsedMb: used, Born: "life", Loaded: loaded, OrderSeq: seq, OrderOk: true, QuietMs: r.quiet}))
 }
 
 func (r *rig) want(pos int64, item string, weight int64) wire.Outputs {
@@ -185,8 +186,10 @@
 		name    string
 		fence   int64
 		looksMs int64 // how long the worker was looked at before the restart
+		quietMs int64
 		waits   bool
-	}{{"first owner ever", 1, 0, false}, {"after another", 4, 0, true}, {"after another, then restarted too soon", 4, 1000, true}, {"restarted after it waited", 4, 4000, false}}
+	}{{"first owner ever", 1, 0, 0, false}, {"after another", 4, 0, 0, true}, {"after another, then restarted too soon", 4, 1000, 0, true}, {"restarted after it waited", 4, 4000, 0, false},
+		{"after another that is long quiet", 4, 0, 9000, false}, {"after another that is quiet for a moment", 4, 0, 50, true}}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			r := newRig(c, one.fence, nil)
@@ -201,6 +204,7 @@
 				r.tick(1500)
 			}
 			looked := r.now
+			r.quiet = one.quietMs
 			r.seen()
 			r.want(1, "m1", 1)
 			for r.now < looked+2700 {
--- a/internal/process/partition/seen.go
+++ b/internal/process/partition/seen.go
@@ -24,7 +24,12 @@
 			p.acked[seen.Worker] = max(p.acked[seen.Worker], seen.OrderSeq)
 		}
 		if _, looked := p.looked[seen.Worker]; !looked {
+			// A worker that says for how long no older owner has ordered it saves
+			// the new one that part of the wait.
 			p.looked[seen.Worker] = now
+			if seen.Fence == p.state.Fence {
+				p.looked[seen.Worker] -= min(max(seen.QuietMs, 0), p.limits.LeaseMs)
+			}
 		}
 	}
 	key := WorkerKey(seen.Worker)
--- a/internal/process/sim/worker.go
+++ b/internal/process/sim/worker.go
@@ -13,6 +13,8 @@
 	born       string
 	fence, seq int64
 	items      map[string]*loaded
+	// orderedAt is when the last order came, beforeAt the last of a lower fence.
+	orderedAt, beforeAt int64
 }
 
 type loaded struct {
@@ -33,6 +35,7 @@
 func (k *worker) reborn() {
 	k.born = k.name + "/" + string(rune('a'+k.world.random.Intn(26))) + string(rune('a'+k.world.random.Intn(26))) + string(rune('a'+k.world.random.Intn(26)))
 	k.fence, k.seq, k.items = 0, 0, map[string]*loaded{}
+	k.orderedAt, k.beforeAt = k.world.now, k.world.now
 	k.life++
 	k.up = true
 }
@@ -88,10 +91,13 @@
 func (k *worker) take(e *exchange, order *wire.Order) {
 	w := k.world
 	why := k.obey(e, order)
-	seen := &wire.Seen{Partition: order.Partition, Worker: k.name, Fence: k.fence, RoomMb: w.Shape.RoomMb, UsedMb: k.used(), Born: k.born, OrderSeq: k.seq, OrderOk: why == ""}
+	seen := &wire.Seen{Partition: order.Partition, Worker: k.name, Fence: k.fence, RoomMb: w.Shape.RoomMb, UsedMb: k.used(), Born: k.born, OrderSeq: k.seq, OrderOk: why == "", QuietMs: w.now - k.beforeAt}
 	if why != "" {
 		seen.OrderSeq = order.Seq
 	}
+	if w.mute {
+		seen.QuietMs = 0
+	}
 	names := []string{}
 	for name := range k.items {
 		names = append(names, name)
@@ -115,12 +121,12 @@
 		return "fence"
 	}
 	if order.Fence > k.fence {
-		k.fence, k.seq = order.Fence, 0
+		k.fence, k.seq, k.beforeAt = order.Fence, 0, k.orderedAt
 	}
 	if order.Op == "look" || order.Seq <= k.seq {
 		return ""
 	}
-	k.seq = order.Seq
+	k.seq, k.orderedAt = order.Seq, w.now
 	w.facts.ordered(w.now, k, e, order)
 	w.note("%s takes %s %s from %s fence %d seq %d", k.name, order.Op, order.Item, e.name, order.Fence, order.Seq)
 	if order.Op == "unload" {
--- a/internal/process/sim/world.go
+++ b/internal/process/sim/world.go
@@ -103,6 +103,8 @@
 	History []string
 	facts   facts
 	tills   *tills
+	// mute workers do not say for how long they were not ordered.
+	mute bool
 	// rolledBy names the kind by which a rolled out policy is told.
 	rolledBy string
 	Counts   Counts
