--- a/internal/process/fleet/rates.go
+++ b/internal/process/fleet/rates.go
@@ -184,3 +184,20 @@
 	}
 	return breaches
 }
+
+// FirstServed is the first second after the machines came back from which on
+// half of a kind's calls were served, second after second for three; -1 if none.
+//
+//	second := fleet.FirstServed(seen, "stream")
+func FirstServed(seen *Records, kind string) int {
+	inRow := 0
+	for at, one := range BySecond(seen, kind, 30) {
+		if inRow++; one[0] == 0 || one[1]*2 < one[0] {
+			inRow = 0
+		}
+		if inRow == 3 {
+			return at - 2
+		}
+	}
+	return -1
+}
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -167,3 +167,27 @@
 	host, _, _ := strings.Cut(addr, ":")
 	return host[strings.LastIndexByte(host, '.')+1:]
 }
+
+// Delivery is how long each acknowledged policy took to each front that had
+// nothing against it, as callers there saw it, sorted; looks are 100 ms apart.
+//
+//	median := fleet.At(fleet.Delivery(seen), 50)
+func Delivery(seen *Records) []int64 {
+	var out []int64
+	for _, note := range seen.Notes {
+		if note.Event != "acknowledged" {
+			continue
+		}
+		there := map[string]bool{}
+		for _, one := range seen.Watched {
+			if one.TimeMs >= note.TimeMs && one.Turn == note.Mark && one.There && !there[one.Front] {
+				there[one.Front] = true
+				if hindered(seen, one) < note.TimeMs {
+					out = append(out, one.TimeMs-note.TimeMs)
+				}
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
