--- a/internal/process/sim/breakdowns.go
+++ b/internal/process/sim/breakdowns.go
@@ -8,16 +8,16 @@
 //	world.Crash(0, true)
 func (w *World) Crash(core int, power bool) {
 	e := w.cores[core]
-	if !e.up {
+	if !e.Up {
 		return
 	}
-	w.note("%s crashes, power %v", e.name, power)
-	if power && e.busy && w.random.Intn(2) == 0 {
-		e.disk.tear = func(size int) int { return w.random.Intn(size + 1) }
+	w.Note("%s crashes, power %v", e.Name, power)
+	if power && e.busy && w.Random.Intn(2) == 0 {
+		e.disk.tear = func(size int) int { return w.Random.Intn(size + 1) }
 		_ = e.kept.Append([]wire.Write{{Kind: wire.KindAcceptorRecord, Body: wire.Encode(&wire.AcceptorRecord{Key: "torn"})}})
 	}
-	e.up = false
-	e.life++
+	e.Up = false
+	e.Life++
 	e.disk.lose()
 }
 
@@ -26,18 +26,18 @@
 //	world.Drain(0)
 func (w *World) Drain(core int) {
 	e := w.cores[core]
-	if !e.up {
+	if !e.Up {
 		return
 	}
-	w.note("%s drains", e.name)
-	e.on(func() {
-		e.perform(e.core.Leave(e.clock()))
-		life := e.life
-		w.after(w.Shape.LeaseMs/2, func() {
-			e.on(func() { e.perform(e.core.Gone(e.clock())) })
+	w.Note("%s drains", e.Name)
+	e.On(func() {
+		e.perform(e.core.Leave(e.Clock()))
+		life := e.Life
+		w.After(w.Shape.LeaseMs/2, func() {
+			e.On(func() { e.perform(e.core.Gone(e.Clock())) })
 		})
-		w.after(w.Shape.LeaseMs/2+w.Shape.ProbeMs, func() {
-			if e.life == life {
+		w.After(w.Shape.LeaseMs/2+w.Shape.ProbeMs, func() {
+			if e.Life == life {
 				w.Crash(core, false)
 			}
 		})
@@ -49,11 +49,11 @@
 //	world.Restart(0, false)
 func (w *World) Restart(core int, wiped bool) {
 	e := w.cores[core]
-	if e.up {
+	if e.Up {
 		return
 	}
 	if wiped {
-		w.note("%s disk lost", e.name)
+		w.Note("%s disk lost", e.Name)
 		e.disk = newDisk()
 	}
 	e.start()
@@ -63,8 +63,8 @@
 //
 //	world.Freeze(0, 6000)
 func (w *World) Freeze(core int, ms int64) {
-	w.note("%s freezes for %d", w.cores[core].name, ms)
-	w.cores[core].frozenTo = w.now + ms
+	w.Note("%s freezes for %d", w.cores[core].Name, ms)
+	w.cores[core].FrozenTo = w.NowMs + ms
 }
 
 // AddCore brings a new, empty core machine into the world.
--- a/internal/process/sim/checks.go
+++ b/internal/process/sim/checks.go
@@ -153,7 +153,7 @@
 	for _, f := range w.fronts {
 		for _, since := range f.waiting {
 			waiting++
-			oldestMs = max(oldestMs, w.now-since)
+			oldestMs = max(oldestMs, w.NowMs-since)
 		}
 	}
 	return taken, waiting, oldestMs
--- a/internal/process/sim/exchange.go
+++ b/internal/process/sim/exchange.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"strings"
 
+	ground "applequay/coordination/sim"
 	"applequay/internal/connection/wire"
 	"applequay/internal/process/frame"
 	"applequay/internal/process/journal"
@@ -34,51 +35,51 @@
 
 func (w *World) newExchange(name, addr string) *exchange {
 	e := &exchange{disk: newDisk()}
-	e.node = node{world: w, name: name, addr: addr}
+	e.node = w.newNode(name, addr)
 	for i := range w.Shape.Cores {
 		e.founder = append(e.founder, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
-	e.hear = func(from string, body wire.Record) { e.perform(e.core.Hear(e.clock(), from, body)) }
-	e.tick = e.ticked
-	w.nodes[addr] = &e.node
+	e.Hear = func(from string, body wire.Record) { e.perform(e.core.Hear(e.Clock(), from, body)) }
+	e.Tick = e.ticked
+	w.Add(&e.Node)
 	return e
 }
 
 func (e *exchange) start() {
 	w := e.world
-	e.life++
+	e.Life++
 	e.starts++
-	e.up, e.frozenTo = true, 0
-	kept, found, err := journal.Open(e.disk, fmt.Sprintf("%s~%x", e.name, w.random.Int63()&0xffffff), frame.EmptySnapshot())
+	e.Up, e.FrozenTo = true, 0
+	kept, found, err := journal.Open(e.disk, fmt.Sprintf("%s~%x", e.Name, w.Random.Int63()&0xffffff), frame.EmptySnapshot())
 	if err != nil {
-		panic(fmt.Sprintf("seed %d: %s cannot start: %v", w.Seed, e.name, err))
+		panic(fmt.Sprintf("seed %d: %s cannot start: %v", w.Seed, e.Name, err))
 	}
 	var snapshot wire.Snapshot
 	if err := snapshot.Unmarshal(found.Snapshot); err != nil {
 		panic(err)
 	}
-	e.kept, e.id = kept, found.Identity
+	e.kept, e.ID = kept, found.Identity
 	e.gate, e.pending, e.busy, e.stalled, e.local, e.answers = frame.Gate{}, nil, false, false, nil, map[int64]func(register.Outcome){}
-	e.offsetMs = w.random.Int63n(100000) - w.now
+	e.OffsetMs = w.Random.Int63n(100000) - w.NowMs
 	seeds, core := append([]string{}, e.founder...), e.founder
 	if e.late {
 		core = nil
 	}
-	e.core = frame.New(e.clock(), frame.Boot{
-		ID: e.id, Name: e.name, Addr: e.addr, Zone: "z0", Born: w.now + 1 + e.wallMs, Core: core, Seeds: seeds, Partitions: w.Shape.Partitions,
+	e.core = frame.New(e.Clock(), frame.Boot{
+		ID: e.ID, Name: e.Name, Addr: e.Addr, Zone: "z0", Born: w.NowMs + 1 + e.WallMs, Core: core, Seeds: seeds, Partitions: w.Shape.Partitions,
 		LeaseMs: w.Shape.LeaseMs, PollMs: w.Shape.PollMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs,
-	}, rand.New(rand.NewSource(w.random.Int63())), &snapshot, found.Writes)
-	w.note("%s starts as %s, %d records replayed", e.name, e.id, len(found.Writes))
-	e.every(w.Shape.TickMs)
+	}, rand.New(rand.NewSource(w.Random.Int63())), &snapshot, found.Writes)
+	w.Note("%s starts as %s, %d records replayed", e.Name, e.ID, len(found.Writes))
+	e.Every(w.Shape.TickMs)
 }
 
 func (e *exchange) ticked() {
-	e.perform(e.core.Tick(e.clock(), e.world.now+e.wallMs))
-	stalled := e.busy && e.world.now-e.busyAt > e.core.StallMs()
+	e.perform(e.core.Tick(e.Clock(), e.world.NowMs+e.WallMs))
+	stalled := e.busy && e.world.NowMs-e.busyAt > e.core.StallMs()
 	if stalled != e.stalled {
 		e.stalled = stalled
-		e.world.note("%s journal stalled: %v", e.name, stalled)
-		e.perform(e.core.Stall(e.clock(), stalled))
+		e.world.Note("%s journal stalled: %v", e.Name, stalled)
+		e.perform(e.core.Stall(e.Clock(), stalled))
 	}
 }
 
@@ -89,7 +90,7 @@
 	for len(e.local) > 0 {
 		send := e.local[0]
 		e.local = e.local[1:]
-		e.perform(e.core.Hear(e.clock(), e.id, send.Body))
+		e.perform(e.core.Hear(e.Clock(), e.ID, send.Body))
 	}
 	e.flush()
 }
@@ -97,16 +98,16 @@
 func (e *exchange) release(ready wire.Outputs) {
 	for _, send := range ready.Sends {
 		switch {
-		case send.To == e.id:
+		case send.To == e.ID:
 			e.local = append(e.local, send)
 		case send.To == "worker":
 			e.order(send.Body.(*wire.Order))
 		case send.To == "platform":
 			e.list(send.Body.(*wire.Order).Seq)
 		case strings.Contains(send.To, ":"):
-			e.world.send(&e.node, send.To, send.Kind, send.Body)
+			e.world.Send(&e.Node, send.To, send.Kind, send.Body)
 		default:
-			e.world.sendID(&e.node, e.core.Addr, send)
+			e.world.sendID(&e.Node, e.core.Addr, send)
 		}
 	}
 	for _, answer := range ready.Answers {
@@ -119,14 +120,14 @@
 
 // sendID finds a member's address; one not known yet is found by its letters,
 // as the trunk does.
-func (w *World) sendID(from *node, addr func(string) (string, bool), send wire.Send) {
+func (w *World) sendID(from *ground.Node, addr func(string) (string, bool), send wire.Send) {
 	if known, ok := addr(send.To); ok {
-		w.send(from, known, send.Kind, send.Body)
+		w.Send(from, known, send.Kind, send.Body)
 		return
 	}
-	for _, one := range w.nodes {
-		if one.id == send.To {
-			w.send(from, one.addr, send.Kind, send.Body)
+	for _, one := range w.Nodes {
+		if one.ID == send.To {
+			w.Send(from, one.Addr, send.Kind, send.Body)
 			return
 		}
 	}
@@ -139,19 +140,19 @@
 	}
 	w := e.world
 	batch, count := e.pending, e.gate.Written()
-	e.pending, e.busy, e.busyAt = nil, true, w.now
+	e.pending, e.busy, e.busyAt = nil, true, w.NowMs
 	var snapshot []byte
 	if e.kept.LogBytes() > 64<<10 {
 		snapshot = wire.Encode(e.core.Snapshot())
 	}
-	life := e.life
-	wait := w.Shape.SyncMs/2 + w.random.Int63n(w.Shape.SyncMs) + e.slowMs
+	life := e.Life
+	wait := w.Shape.SyncMs/2 + w.Random.Int63n(w.Shape.SyncMs) + e.slowMs
 	var write func()
 	write = func() {
-		if e.life != life || !e.up {
+		if e.Life != life || !e.Up {
 			return
 		}
-		if w.now < e.stallTo {
+		if w.NowMs < e.stallTo {
 			w.At(e.stallTo, write)
 			return
 		}
@@ -162,16 +163,16 @@
 			err = e.kept.Append(batch)
 		}
 		if err != nil {
-			w.after(1000, write)
+			w.After(1000, write)
 			return
 		}
 		w.Counts.Syncs++
 		w.Counts.Records += int64(len(batch))
-		e.on(func() {
+		e.On(func() {
 			e.busy = false
 			e.release(e.gate.Durable(count))
 			e.perform(wire.Outputs{})
 		})
 	}
-	w.after(wait, write)
+	w.After(wait, write)
 }
--- a/internal/process/sim/facts.go
+++ b/internal/process/sim/facts.go
@@ -64,7 +64,7 @@
 func newFacts() facts { return facts{leaving: map[string][]left{}} }
 
 func (f *facts) ordered(now int64, k *worker, e *exchange, order *wire.Order) {
-	f.orders = append(f.orders, Ordered{At: now, Worker: k.name, Life: k.born, Owner: e.id, Fence: order.Fence, Seq: order.Seq, Op: order.Op, Item: order.Item, SizeMb: order.SizeMb, UsedMb: k.used(), RoomMb: k.world.Shape.RoomMb})
+	f.orders = append(f.orders, Ordered{At: now, Worker: k.Name, Life: k.born, Owner: e.ID, Fence: order.Fence, Seq: order.Seq, Op: order.Op, Item: order.Item, SizeMb: order.SizeMb, UsedMb: k.used(), RoomMb: k.world.Shape.RoomMb})
 }
 
 func (f *facts) loaded(from, to, sizeMb int64) { f.loads = append(f.loads, Load{from, to, sizeMb}) }
@@ -80,7 +80,7 @@
 }
 
 func (f *facts) inForce(now int64, at *front, mark int64) {
-	f.force = append(f.force, InForce{At: now, Front: at.name, Life: at.board.life, Mark: mark})
+	f.force = append(f.force, InForce{At: now, Front: at.Name, Life: at.board.Life, Mark: mark})
 }
 
 func (f *facts) leaves(now int64, name string, leaving bool) {
--- a/internal/process/sim/front.go
+++ b/internal/process/sim/front.go
@@ -40,48 +40,49 @@
 
 func (w *World) newFront(name, addr, zone string) *front {
 	f := &front{zone: zone}
-	f.node = node{world: w, name: name, addr: addr}
-	f.hear = func(from string, body wire.Record) { f.perform(f.line.Hear(f.clock(), from, body)) }
-	f.tick = func() { f.perform(f.line.Tick(f.clock(), w.now+f.wallMs)) }
-	f.board = node{world: w, name: "s" + name[1:], addr: strings.Replace(addr, ":1", ":2", 1), id: "s" + name}
-	f.board.hear = f.fed
-	f.board.tick = f.report
-	w.nodes[addr] = &f.node
-	w.nodes[f.board.addr] = &f.board
+	f.node = w.newNode(name, addr)
+	f.Hear = func(from string, body wire.Record) { f.perform(f.line.Hear(f.Clock(), from, body)) }
+	f.Tick = func() { f.perform(f.line.Tick(f.Clock(), w.NowMs+f.WallMs)) }
+	f.board = w.newNode("s"+name[1:], strings.Replace(addr, ":1", ":2", 1))
+	f.board.ID = "s" + name
+	f.board.Hear = f.fed
+	f.board.Tick = f.report
+	w.Add(&f.Node)
+	w.Add(&f.board.Node)
 	return f
 }
 
 func (f *front) start() {
 	w := f.world
-	f.life++
-	f.up, f.frozenTo = true, 0
-	f.board.life++
-	f.board.up = true
-	f.id = fmt.Sprintf("%s~%x", f.name, w.random.Int63()&0xffffff)
-	f.offsetMs = w.random.Int63n(100000) - w.now
+	f.Life++
+	f.Up, f.FrozenTo = true, 0
+	f.board.Life++
+	f.board.Up = true
+	f.ID = fmt.Sprintf("%s~%x", f.Name, w.Random.Int63()&0xffffff)
+	f.OffsetMs = w.Random.Int63n(100000) - w.NowMs
 	f.answers, f.heard, f.mark = map[int64]func(register.Outcome){}, news.NewBoard(), 0
 	f.rooms, f.items = map[string]wire.WorkerNews{}, map[string]policy.Item{}
 	f.waiting, f.served = map[string]int64{}, map[string]int64{}
-	f.book, f.list = ticket.New(f.clock(), f.addr), wire.WorkerList{}
-	f.board.frozenTo = 0
+	f.book, f.list = ticket.New(f.Clock(), f.Addr), wire.WorkerList{}
+	f.board.FrozenTo = 0
 	seeds := f.seeds
 	if seeds == nil {
 		seeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.1.1:1"}
 	}
-	f.line = linework.New(f.clock(), linework.Boot{
-		ID: f.id, Name: f.name, Addr: f.addr, Zone: f.zone, Born: w.now + 1 + f.wallMs, Switchboard: f.board.addr, Seeds: seeds,
+	f.line = linework.New(f.Clock(), linework.Boot{
+		ID: f.ID, Name: f.Name, Addr: f.Addr, Zone: f.zone, Born: w.NowMs + 1 + f.WallMs, Switchboard: f.board.Addr, Seeds: seeds,
 		Partitions: w.Shape.Partitions, LeaseMs: w.Shape.LeaseMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs, KeyMs: KeyMs,
-	}, rand.New(rand.NewSource(w.random.Int63())))
-	f.every(w.Shape.TickMs)
-	f.board.every(100)
+	}, rand.New(rand.NewSource(w.Random.Int63())))
+	f.Every(w.Shape.TickMs)
+	f.board.Every(100)
 }
 
 func (f *front) perform(out wire.Outputs) {
 	for _, send := range out.Sends {
 		if strings.Contains(send.To, ":") {
-			f.world.send(&f.node, send.To, send.Kind, send.Body)
+			f.world.Send(&f.Node, send.To, send.Kind, send.Body)
 		} else {
-			f.world.sendID(&f.node, f.line.Addr, send)
+			f.world.sendID(&f.Node, f.line.Addr, send)
 		}
 	}
 	for _, answer := range out.Answers {
@@ -96,7 +97,7 @@
 func (f *front) fed(_ string, body wire.Record) {
 	told, ok := body.(*wire.News)
 	if !ok {
-		f.ticket(f.book.Hear(f.clock(), body))
+		f.ticket(f.book.Hear(f.Clock(), body))
 		return
 	}
 	w := f.world
@@ -109,7 +110,7 @@
 			table, _, _ := policy.Parse(topic.Body, topic.Step)
 			f.items, f.mark = table.Placement().Items, topic.Step
 			_, f.next = table.For(f.zone).Kinds[w.rolledBy]
-			w.facts.inForce(w.now, f, topic.Step)
+			w.facts.inForce(w.NowMs, f, topic.Step)
 		case topic.Name == "directory":
 			var list wire.WorkerList
 			if list.Unmarshal(topic.Body) == nil {
@@ -124,9 +125,9 @@
 	}
 	for item, since := range f.waiting {
 		if f.holds(item) {
-			f.served[item] = w.now - since
+			f.served[item] = w.NowMs - since
 			delete(f.waiting, item)
-			w.facts.served(w.now, w.now-since)
+			w.facts.served(w.NowMs, w.NowMs-since)
 		}
 	}
 }
@@ -148,8 +149,8 @@
 // report asks the lineman for what it knows and tells it what is held.
 func (f *front) report() {
 	w := f.world
-	f.ticket(f.book.Tick(f.clock()))
-	w.send(&f.board, f.addr, wire.KindSubscribe, &wire.Subscribe{Have: f.heard.Have(nil)})
+	f.ticket(f.book.Tick(f.Clock()))
+	w.Send(&f.board.Node, f.Addr, wire.KindSubscribe, &wire.Subscribe{Have: f.heard.Have(nil)})
 	told := &wire.Report{}
 	if f.bad != nil {
 		f.came += 10
@@ -167,14 +168,14 @@
 	slices.Sort(names)
 	for _, name := range names {
 		for _, held := range f.rooms[name].Loaded {
-			if _, mine := f.served[held.Item]; mine && held.Ready && w.random.Intn(20) == 0 {
+			if _, mine := f.served[held.Item]; mine && held.Ready && w.Random.Intn(20) == 0 {
 				told.Uses = append(told.Uses, wire.Use{Worker: name, Item: held.Item, Count: 1, Weight: 1})
 			}
 		}
 	}
 	slices.SortFunc(told.Uses, func(a, b wire.Use) int { return strings.Compare(a.Item+a.Worker, b.Item+b.Worker) })
 	if len(told.Wants)+len(told.Uses) > 0 || f.bad != nil {
-		w.send(&f.board, f.addr, wire.KindReport, told)
+		w.Send(&f.board.Node, f.Addr, wire.KindReport, told)
 	}
 }
 
@@ -184,13 +185,13 @@
 //	world.Ask(0, "m7")
 func (w *World) Ask(front int, item string) {
 	f := w.fronts[front]
-	if !f.up || f.mark == 0 {
+	if !f.Up || f.mark == 0 {
 		return
 	}
 	if _, waits := f.waiting[item]; waits || f.holds(item) {
 		return
 	}
-	f.waiting[item] = w.now
+	f.waiting[item] = w.NowMs
 }
 
 // AddFront brings a front into the world that knows these seeds and no others.
@@ -210,12 +211,12 @@
 //	world.CrashFront(0, 2000)
 func (w *World) CrashFront(at int, ms int64) {
 	f := w.fronts[at]
-	if !f.up {
+	if !f.Up {
 		return
 	}
-	w.note("%s crashes for %d", f.name, ms)
-	f.up, f.board.up = false, false
-	f.life++
-	f.board.life++
-	w.after(ms, f.start)
+	w.Note("%s crashes for %d", f.Name, ms)
+	f.Up, f.board.Up = false, false
+	f.Life++
+	f.board.Life++
+	w.After(ms, f.start)
 }
--- a/internal/process/sim/keys.go
+++ b/internal/process/sim/keys.go
@@ -34,7 +34,7 @@
 
 // tills are the callers with keys: new ones, and repeats at any front.
 type tills struct {
-	random *rand.Rand
+	Random *rand.Rand
 	keys   []string
 	first  map[string]int64
 	Booked []Booked
@@ -44,14 +44,14 @@
 }
 
 func newTills(seed int64) *tills {
-	return &tills{random: rand.New(rand.NewSource(seed ^ 0x7411)), first: map[string]int64{}, calls: map[int64]func(ticket.Decision){}}
+	return &tills{Random: rand.New(rand.NewSource(seed ^ 0x7411)), first: map[string]int64{}, calls: map[int64]func(ticket.Decision){}}
 }
 
 // AddApp lists an application server; Unlist takes one off the list.
 //
 //	world.AddApp("b1", "10.0.3.1:1")
 func (w *World) AddApp(name, addr string) {
-	w.note("%s at %s is listed", name, addr)
+	w.Note("%s at %s is listed", name, addr)
 	w.Unlist(name)
 	w.listed = append(slices.Clone(w.listed), wire.Worker{Name: name, Addr: addr, Zone: "z0", Pool: "app"})
 	slices.SortFunc(w.listed, func(a, b wire.Worker) int {
@@ -77,13 +77,13 @@
 	if key == "" {
 		key = fmt.Sprintf("k%d", len(t.keys))
 		t.keys = append(t.keys, key)
-		t.first[key] = w.now
+		t.first[key] = w.NowMs
 	}
-	if !f.board.up {
+	if !f.board.Up {
 		return
 	}
-	asked, life := w.now, f.board.life
-	f.board.on(func() {
+	asked, life := w.NowMs, f.board.Life
+	f.board.On(func() {
 		current := table.Empty().After(table.News{Policy: policy.Empty(), Workers: f.list.Workers, Rosters: f.list.Rosters})
 		t.next++
 		t.calls[t.next] = func(decision ticket.Decision) {
@@ -91,23 +91,23 @@
 			if decision.Server == "" {
 				return
 			}
-			decided := w.now
-			w.after(t.random.Int63n(40), func() {
-				f.board.on(func() {
-					if f.board.life == life && w.now-decided <= sendMs {
-						t.Booked = append(t.Booked, Booked{At: w.now, Asked: asked, Key: key, Server: decision.Server, Front: f.name})
+			decided := w.NowMs
+			w.After(t.Random.Int63n(40), func() {
+				f.board.On(func() {
+					if f.board.Life == life && w.NowMs-decided <= sendMs {
+						t.Booked = append(t.Booked, Booked{At: w.NowMs, Asked: asked, Key: key, Server: decision.Server, Front: f.Name})
 					}
 				})
 			})
 		}
-		f.ticket(f.book.Take(f.clock(), t.next, current.Call("app", key)))
+		f.ticket(f.book.Take(f.Clock(), t.next, current.Call("app", key)))
 	})
 }
 
 // ticket does what the book wants done.
 func (f *front) ticket(out wire.Outputs) {
 	for _, send := range out.Sends {
-		f.world.send(&f.board, send.To, send.Kind, send.Body)
+		f.world.Send(&f.board.Node, send.To, send.Kind, send.Body)
 	}
 	for _, answer := range out.Answers {
 		if told, ok := f.world.tills.calls[answer.Call]; ok {
@@ -124,12 +124,12 @@
 	t := w.tills
 	var young []string
 	for _, key := range t.keys[max(0, len(t.keys)-200):] {
-		if w.now-t.first[key] < KeyMs {
+		if w.NowMs-t.first[key] < KeyMs {
 			young = append(young, key)
 		}
 	}
 	if len(young) > 0 {
-		w.Call(t.random.Intn(len(w.fronts)), young[t.random.Intn(len(young))])
+		w.Call(t.Random.Intn(len(w.fronts)), young[t.Random.Intn(len(young))])
 	}
 }
 
@@ -156,8 +156,8 @@
 //	world.FreezeFront(1, 9000)
 func (w *World) FreezeFront(at int, ms int64) {
 	f := w.fronts[at]
-	w.note("%s freezes for %d", f.name, ms)
-	f.frozenTo, f.board.frozenTo = w.now+ms, w.now+ms
+	w.Note("%s freezes for %d", f.Name, ms)
+	f.FrozenTo, f.board.FrozenTo = w.NowMs+ms, w.NowMs+ms
 }
 
 // CutFront cuts a front off from everyone but the switchboard beside it.
@@ -165,10 +165,10 @@
 //	world.CutFront(1, true)
 func (w *World) CutFront(at int, cut bool) {
 	f := w.fronts[at]
-	for addr := range w.nodes {
-		if addr != f.addr && addr != f.board.addr {
-			w.Cut(f.addr, addr, cut)
-			w.Cut(addr, f.addr, cut)
+	for addr := range w.Nodes {
+		if addr != f.Addr && addr != f.board.Addr {
+			w.Cut(f.Addr, addr, cut)
+			w.Cut(addr, f.Addr, cut)
 		}
 	}
 }
--- a/internal/process/sim/keys_test.go
+++ b/internal/process/sim/keys_test.go
@@ -43,7 +43,7 @@
 		}
 		w.Run(12000)
 		for at := int64(12000); at < 60000; at += 50 {
-			w.At(at, func() { w.Call(w.tills.random.Intn(len(w.fronts)), "") })
+			w.At(at, func() { w.Call(w.tills.Random.Intn(len(w.fronts)), "") })
 			w.At(at+25, w.Repeat)
 		}
 		w.At(20000, func() { w.AddApp("b2", "10.0.3.22:1") })
--- a/internal/process/sim/moves_test.go
+++ b/internal/process/sim/moves_test.go
@@ -9,7 +9,7 @@
 func (w *World) ownedCounts() []int {
 	var out []int
 	for _, e := range w.cores {
-		out = append(out, len(e.core.Page(e.clock()).Owned))
+		out = append(out, len(e.core.Page(e.Clock()).Owned))
 	}
 	return out
 }
@@ -45,17 +45,17 @@
 		for _, dies := range []string{"next", "old", "both"} {
 			w := steady(shape, 22, 15000)
 			w.Drain(0)
-			w.Run(w.now + 30)
+			w.Run(w.NowMs + 30)
 			if dies != "old" {
 				w.Crash(1, true)
 			}
 			if dies != "next" {
 				w.Crash(0, true)
 			}
-			w.Run(w.now + 1500)
+			w.Run(w.NowMs + 1500)
 			w.Restart(0, false)
 			w.Restart(1, false)
-			w.Run(w.now + 25000)
+			w.Run(w.NowMs + 25000)
 			total := 0
 			for _, count := range w.ownedCounts() {
 				total += count
--- a/internal/process/sim/openings_test.go
+++ b/internal/process/sim/openings_test.go
@@ -21,7 +21,7 @@
 		w.openings = []any{map[string]any{"name": "crossword", "at": time.UnixMilli(moment).UTC().Format(time.RFC3339), "models": items, "adapters": []string{"a1", "a2"}, "lead_ms": 20000, "last_ms": 60000, "weights": map[string]int64{"ann-1": 9}}}
 		ann := w.NewOperator("ann")
 		w.At(4000, func() { ann.Set(-1) })
-		w.At(9000, func() { w.cores[0].wallMs = 5 * 3600 * 1000 })
+		w.At(9000, func() { w.cores[0].WallMs = 5 * 3600 * 1000 })
 		w.Run(moment - 20500)
 		c.Check(w.Counts.Loads, qt.Equals, int64(0), qt.Commentf("not before the lead, whatever one clock says"))
 		w.Run(moment)
--- a/internal/process/sim/operator.go
+++ b/internal/process/sim/operator.go
@@ -52,41 +52,41 @@
 // at picks a node that is up, a front or a core machine.
 func (o *Operator) at() (change func(key string, expected int64, body []byte, done func(register.Outcome)), read func(key string, done func(register.Outcome))) {
 	w := o.world
-	pick := w.random.Intn(len(w.fronts) + len(w.cores))
+	pick := w.Random.Intn(len(w.fronts) + len(w.cores))
 	if pick < len(w.fronts) {
 		f := w.fronts[pick]
-		if !f.up {
+		if !f.Up {
 			return nil, nil
 		}
 		return func(key string, expected int64, body []byte, done func(register.Outcome)) {
-				f.on(func() {
+				f.On(func() {
 					f.nextAsk++
 					f.answers[f.nextAsk] = done
-					f.perform(f.line.Change(f.clock(), f.nextAsk, key, expected, body))
+					f.perform(f.line.Change(f.Clock(), f.nextAsk, key, expected, body))
 				})
 			}, func(key string, done func(register.Outcome)) {
-				f.on(func() {
+				f.On(func() {
 					f.nextAsk++
 					f.answers[f.nextAsk] = done
-					f.perform(f.line.Read(f.clock(), f.nextAsk, key))
+					f.perform(f.line.Read(f.Clock(), f.nextAsk, key))
 				})
 			}
 	}
 	e := w.cores[pick-len(w.fronts)]
-	if !e.up {
+	if !e.Up {
 		return nil, nil
 	}
 	return func(key string, expected int64, body []byte, done func(register.Outcome)) {
-			e.on(func() {
+			e.On(func() {
 				e.nextAsk++
 				e.answers[e.nextAsk] = done
-				e.perform(e.core.Change(e.clock(), e.nextAsk, key, expected, body))
+				e.perform(e.core.Change(e.Clock(), e.nextAsk, key, expected, body))
 			})
 		}, func(key string, done func(register.Outcome)) {
-			e.on(func() {
+			e.On(func() {
 				e.nextAsk++
 				e.answers[e.nextAsk] = done
-				e.perform(e.core.Read(e.clock(), e.nextAsk, key))
+				e.perform(e.core.Read(e.Clock(), e.nextAsk, key))
 			})
 		}
 }
@@ -102,10 +102,10 @@
 	w := o.world
 	o.turn++
 	name := fmt.Sprintf("%s-%d", o.name, o.turn)
-	op := w.facts.begin(w.now, "set", name, expected)
+	op := w.facts.begin(w.NowMs, "set", name, expected)
 	change(frame.PolicyKey, expected, w.Body(name), func(outcome register.Outcome) {
-		w.facts.end(w.now, op, outcome, nameOf(outcome.Value))
-		w.note("%s set %s expecting %d: fate %d mark %d", o.name, name, expected, outcome.Fate, outcome.Value.Mark)
+		w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
+		w.Note("%s set %s expecting %d: fate %d mark %d", o.name, name, expected, outcome.Fate, outcome.Value.Mark)
 	})
 }
 
@@ -118,9 +118,9 @@
 		return
 	}
 	w := o.world
-	op := w.facts.begin(w.now, "get", "", 0)
+	op := w.facts.begin(w.NowMs, "get", "", 0)
 	read(frame.PolicyKey, func(outcome register.Outcome) {
-		w.facts.end(w.now, op, outcome, nameOf(outcome.Value))
+		w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
 		if outcome.Fate == register.FateDone && then != nil {
 			then(outcome.Value.Mark)
 		}
--- a/internal/process/sim/owner_test.go
+++ b/internal/process/sim/owner_test.go
@@ -17,7 +17,7 @@
 			ann := w.NewOperator("ann")
 			w.At(4000, func() { ann.Set(-1) })
 			for at := int64(5000); at < 120000; at += 60 {
-				w.At(at, func() { w.Ask(w.random.Intn(len(w.fronts)), w.item()) })
+				w.At(at, func() { w.Ask(w.Random.Intn(len(w.fronts)), w.item()) })
 			}
 			turn := 0
 			for at := int64(12000); at < 110000; at += 9000 {
@@ -48,7 +48,7 @@
 func (w *World) troubleOwner(turn int) {
 	owner := -1
 	for at, e := range w.cores {
-		if e.up && len(e.core.Page(e.clock()).Owned) > 0 {
+		if e.Up && len(e.core.Page(e.Clock()).Owned) > 0 {
 			owner = at
 		}
 	}
@@ -59,23 +59,23 @@
 	switch turn % 6 {
 	case 0:
 		w.Drain(owner)
-		w.after(2500, func() { w.Restart(owner, false) })
+		w.After(2500, func() { w.Restart(owner, false) })
 	case 1:
-		w.note("%s is cut off from the core", w.cores[owner].name)
+		w.Note("%s is cut off from the core", w.cores[owner].Name)
 		for _, e := range w.cores {
 			if e != w.cores[owner] {
-				w.Cut(e.addr, w.cores[owner].addr, true)
-				w.Cut(w.cores[owner].addr, e.addr, true)
+				w.Cut(e.Addr, w.cores[owner].Addr, true)
+				w.Cut(w.cores[owner].Addr, e.Addr, true)
 			}
 		}
-		w.after(500, func() { w.Crash(other, true) })
-		w.after(900, func() { w.Restart(other, false) })
-		w.after(7000, w.Heal)
+		w.After(500, func() { w.Crash(other, true) })
+		w.After(900, func() { w.Restart(other, false) })
+		w.After(7000, w.Heal)
 	case 2:
 		w.Freeze(owner, 2500)
 	case 3:
 		w.Crash(owner, true)
-		w.after(700, func() { w.Restart(owner, false) })
+		w.After(700, func() { w.Restart(owner, false) })
 	case 4:
 		w.Freeze(owner, 6500)
 	case 5:
--- a/internal/process/sim/plan.go
+++ b/internal/process/sim/plan.go
@@ -14,8 +14,8 @@
 //	world := sim.Harder(sim.Krizanka(), 7)
 func Harder(shape Shape, seed int64) *World {
 	w := run(shape, seed, (*World).harder)
-	last := w.now
-	w.At(last, func() { w.Crash(w.random.Intn(len(w.cores)), true) })
+	last := w.NowMs
+	w.At(last, func() { w.Crash(w.Random.Intn(len(w.cores)), true) })
 	ann := w.NewOperator("last")
 	for at := last + 1000; at < last+15000; at += 1000 {
 		w.At(at, func() { ann.Get(ann.Set) })
@@ -30,12 +30,12 @@
 	w.At(4000, func() { ann.Set(-1) })
 	last := int64(60000)
 	for at := int64(5000); at < last+20000; at += 200 {
-		w.At(at, func() { w.Ask(w.random.Intn(len(w.fronts)), w.item()) })
+		w.At(at, func() { w.Ask(w.Random.Intn(len(w.fronts)), w.item()) })
 	}
 	for _, one := range []*Operator{ann, ben} {
-		for at := int64(6000); at < last; at += 300 + w.random.Int63n(3000) {
+		for at := int64(6000); at < last; at += 300 + w.Random.Int63n(3000) {
 			w.At(at, func() {
-				if w.random.Intn(4) == 0 {
+				if w.Random.Intn(4) == 0 {
 					one.Set(-1)
 				} else {
 					one.Get(func(mark int64) { one.Set(mark) })
@@ -43,7 +43,7 @@
 			})
 		}
 	}
-	for at := int64(9000); at < last; at += 500 + w.random.Int63n(6000) {
+	for at := int64(9000); at < last; at += 500 + w.Random.Int63n(6000) {
 		w.At(at, func() { fault(w) })
 	}
 	w.At(last, w.Heal)
@@ -53,19 +53,19 @@
 }
 
 func (w *World) item() string {
-	if w.random.Intn(3) == 0 {
-		return fmt.Sprintf("a%d", w.random.Intn(w.Shape.Adapters))
+	if w.Random.Intn(3) == 0 {
+		return fmt.Sprintf("a%d", w.Random.Intn(w.Shape.Adapters))
 	}
-	return fmt.Sprintf("m%d", w.random.Intn(w.Shape.Models))
+	return fmt.Sprintf("m%d", w.Random.Intn(w.Shape.Models))
 }
 
 // Heal ends all that hinders: every machine is up and every link whole.
 //
 //	world.Heal()
 func (w *World) Heal() {
-	w.note("all is healed")
-	w.cut = map[[2]string]bool{}
-	w.loss, w.delay = w.Shape.LossPercent, 2
+	w.Note("all is healed")
+	w.Cuts = map[[2]string]bool{}
+	w.Loss, w.DelayMs = w.Shape.LossPercent, 2
 	for i, e := range w.cores {
 		e.slowMs, e.stallTo, e.disk.full = 0, 0, false
 		w.Restart(i, false)
@@ -76,7 +76,7 @@
 func (w *World) upCores() int {
 	count := 0
 	for _, e := range w.cores {
-		if e.up {
+		if e.Up {
 			count++
 		}
 	}
@@ -86,43 +86,43 @@
 // fault causes one breakdown. No more than one core machine's disk is lost in
 // a run, since more is beyond what the core is meant to bear.
 func (w *World) fault() {
-	core := w.random.Intn(len(w.cores))
+	core := w.Random.Intn(len(w.cores))
 	e := w.cores[core]
-	switch w.random.Intn(12) {
+	switch w.Random.Intn(12) {
 	case 0, 1:
-		w.Crash(core, w.random.Intn(2) == 0)
-		w.after(200+w.random.Int63n(8000), func() { w.Restart(core, false) })
+		w.Crash(core, w.Random.Intn(2) == 0)
+		w.After(200+w.Random.Int63n(8000), func() { w.Restart(core, false) })
 	case 2:
-		w.Freeze(core, 500+w.random.Int63n(9000))
+		w.Freeze(core, 500+w.Random.Int63n(9000))
 	case 3:
-		w.note("%s disk slow", e.name)
-		e.slowMs = w.random.Int63n(600)
+		w.Note("%s disk slow", e.Name)
+		e.slowMs = w.Random.Int63n(600)
 	case 4:
-		w.note("%s disk stalls", e.name)
-		e.stallTo = w.now + w.random.Int63n(6000)
+		w.Note("%s disk stalls", e.Name)
+		e.stallTo = w.NowMs + w.Random.Int63n(6000)
 	case 5:
 		w.cutSome()
 	case 6:
-		w.KillWorker(w.random.Intn(len(w.workers)), w.random.Int63n(5000))
+		w.KillWorker(w.Random.Intn(len(w.workers)), w.Random.Int63n(5000))
 	case 7:
-		one := w.workers[w.random.Intn(len(w.workers))].name
+		one := w.workers[w.Random.Intn(len(w.workers))].Name
 		w.Leave(one, true)
-		w.after(4000+w.random.Int63n(8000), func() { w.Leave(one, false) })
+		w.After(4000+w.Random.Int63n(8000), func() { w.Leave(one, false) })
 	case 8:
-		w.CrashFront(w.random.Intn(len(w.fronts)), w.random.Int63n(5000))
+		w.CrashFront(w.Random.Intn(len(w.fronts)), w.Random.Int63n(5000))
 	case 9:
-		e.wallMs = w.random.Int63n(7200000) - 3600000
-		w.note("%s clock set by %d", e.name, e.wallMs)
+		e.WallMs = w.Random.Int63n(7200000) - 3600000
+		w.Note("%s clock set by %d", e.Name, e.WallMs)
 	case 10:
-		w.note("all core machines lose power")
+		w.Note("all core machines lose power")
 		for i := range w.cores {
 			w.Crash(i, true)
-			w.after(500+w.random.Int63n(1500), func() { w.Restart(i, false) })
+			w.After(500+w.Random.Int63n(1500), func() { w.Restart(i, false) })
 		}
 	case 11:
-		w.loss, w.delay = w.random.Intn(20), 1+w.random.Int63n(40)
-		w.note("links lose %d in 100 and take %d", w.loss, w.delay)
-		w.after(4000, func() { w.loss, w.delay = w.Shape.LossPercent, 2 })
+		w.Loss, w.DelayMs = w.Random.Intn(20), 1+w.Random.Int63n(40)
+		w.Note("links lose %d in 100 and take %d", w.Loss, w.DelayMs)
+		w.After(4000, func() { w.Loss, w.DelayMs = w.Shape.LossPercent, 2 })
 	}
 }
 
@@ -130,56 +130,56 @@
 func (w *World) cutSome() {
 	side := map[string]bool{}
 	for _, e := range w.cores {
-		side[e.addr] = w.random.Intn(2) == 0
+		side[e.Addr] = w.Random.Intn(2) == 0
 	}
-	both := w.random.Intn(2) == 0
-	w.note("core split %v both ways %v", side, both)
+	both := w.Random.Intn(2) == 0
+	w.Note("core split %v both ways %v", side, both)
 	for _, one := range w.cores {
 		for _, other := range w.cores {
-			if side[one.addr] && !side[other.addr] {
-				w.Cut(one.addr, other.addr, true)
-				w.Cut(other.addr, one.addr, both)
+			if side[one.Addr] && !side[other.Addr] {
+				w.Cut(one.Addr, other.Addr, true)
+				w.Cut(other.Addr, one.Addr, both)
 			}
 		}
 	}
-	w.after(1000+w.random.Int63n(8000), func() {
-		w.note("cuts end")
-		w.cut = map[[2]string]bool{}
+	w.After(1000+w.Random.Int63n(8000), func() {
+		w.Note("cuts end")
+		w.Cuts = map[[2]string]bool{}
 	})
 }
 
 // harder causes breakdowns that fault does not, and those it does.
 func (w *World) harder() {
-	core := w.random.Intn(len(w.cores))
+	core := w.Random.Intn(len(w.cores))
 	e := w.cores[core]
-	switch w.random.Intn(12) {
+	switch w.Random.Intn(12) {
 	case 0:
-		w.note("%s disk is full", e.name)
+		w.Note("%s disk is full", e.Name)
 		e.disk.full = true
-		w.after(1000+w.random.Int63n(6000), func() {
-			w.note("%s disk has space again", e.name)
+		w.After(1000+w.Random.Int63n(6000), func() {
+			w.Note("%s disk has space again", e.Name)
 			e.disk.full = false
 		})
 	case 1:
 		w.loseDisk(core)
 	case 2:
-		w.note("a zone's fronts and a core machine go together")
+		w.Note("a zone's fronts and a core machine go together")
 		w.Crash(core, true)
-		w.after(500+w.random.Int63n(4000), func() { w.Restart(core, false) })
+		w.After(500+w.Random.Int63n(4000), func() { w.Restart(core, false) })
 		for at := range w.fronts {
 			if at%w.Shape.Zones == core%w.Shape.Zones {
-				w.CrashFront(at, 500+w.random.Int63n(3000))
+				w.CrashFront(at, 500+w.Random.Int63n(3000))
 			}
 		}
 	case 3:
 		for at := range w.workers {
-			if w.random.Intn(2) == 0 {
-				w.KillWorker(at, w.random.Int63n(4000))
+			if w.Random.Intn(2) == 0 {
+				w.KillWorker(at, w.Random.Int63n(4000))
 			}
 		}
 	case 4:
 		w.Drain(core)
-		w.after(400+w.random.Int63n(5000), func() { w.Restart(core, false) })
+		w.After(400+w.Random.Int63n(5000), func() { w.Restart(core, false) })
 	default:
 		w.fault()
 	}
@@ -189,15 +189,15 @@
 // is still being mended: two at once are more than the core is meant to bear.
 func (w *World) loseDisk(core int) {
 	for _, e := range w.cores {
-		set := e.core.Page(e.clock()).Core
+		set := e.core.Page(e.Clock()).Core
 		seated := false
 		for _, seat := range set.Seats {
-			seated = seated || seat.ID == e.id
+			seated = seated || seat.ID == e.ID
 		}
-		if !e.up || !set.Swept || !seated || len(set.Seats) != len(w.cores) {
+		if !e.Up || !set.Swept || !seated || len(set.Seats) != len(w.cores) {
 			return
 		}
 	}
 	w.Crash(core, true)
-	w.after(500+w.random.Int63n(3000), func() { w.Restart(core, true) })
+	w.After(500+w.Random.Int63n(3000), func() { w.Restart(core, true) })
 }
--- a/internal/process/sim/rollout_test.go
+++ b/internal/process/sim/rollout_test.go
@@ -34,7 +34,7 @@
 	w.rolledBy = "next"
 	f.nextAsk++
 	f.answers[f.nextAsk] = func(outcome register.Outcome) { c.Check(outcome.Fate, qt.Equals, register.FateDone) }
-	f.perform(f.line.Change(f.clock(), f.nextAsk, "policy", kept.Step, body))
+	f.perform(f.line.Change(f.Clock(), f.nextAsk, "policy", kept.Step, body))
 }
 
 // goes lists the zones whose fronts all go by the next policy.
@@ -83,24 +83,24 @@
 			c.Run(one.name, func(c *qt.C) {
 				w := steady(shape, 23, 15000)
 				w.roll(c, 6000, one.bad)
-				w.Run(w.now + 3500)
+				w.Run(w.NowMs + 3500)
 				seen := len(w.goes())
 				if len(one.zones) > 0 {
 					c.Check(seen, qt.Equals, one.zones[0])
 				}
 				for _, want := range slices.Clone(one.zones)[min(1, len(one.zones)):] {
-					w.Run(w.now + 6000)
+					w.Run(w.NowMs + 6000)
 					c.Check(len(w.goes()), qt.Equals, want)
 				}
 				if one.crash {
 					w.Crash(0, true)
-					w.Run(w.now + 12000)
+					w.Run(w.NowMs + 12000)
 					w.Crash(1, true)
 					w.Restart(0, false)
-					w.Run(w.now + 12000)
+					w.Run(w.NowMs + 12000)
 					w.Restart(1, false)
 				}
-				w.Run(w.now + 6000*int64(shape.Zones+2))
+				w.Run(w.NowMs + 6000*int64(shape.Zones+2))
 				c.Check(w.goes(), qt.HasLen, one.ends, qt.Commentf("%v", w.goes()))
 				calm(c, w)
 			})
--- a/internal/process/sim/scenarios_test.go
+++ b/internal/process/sim/scenarios_test.go
@@ -18,13 +18,13 @@
 	ann := w.NewOperator("ann")
 	w.At(4000, func() { ann.Set(-1) })
 	for at := int64(5000); at < 120000; at += 400 {
-		w.At(at, func() { w.Ask(w.random.Intn(len(w.fronts)), w.item()) })
+		w.At(at, func() { w.Ask(w.Random.Intn(len(w.fronts)), w.item()) })
 	}
 	w.Run(until)
 	return w
 }
 
-func (w *World) coreAt(at int) wire.CoreSet { return w.cores[at].core.Page(w.cores[at].clock()).Core }
+func (w *World) coreAt(at int) wire.CoreSet { return w.cores[at].core.Page(w.cores[at].Clock()).Core }
 
 func seated(core wire.CoreSet, id string) bool {
 	return slices.ContainsFunc(core.Seats, func(s wire.Seat) bool { return s.ID == id })
@@ -52,7 +52,7 @@
 func TestLostDisk(t *testing.T) {
 	each(qt.New(t), func(c *qt.C, shape Shape) {
 		w := steady(shape, 11, 12000)
-		old := w.cores[1].id
+		old := w.cores[1].ID
 		w.Crash(1, true)
 		w.Run(13000)
 		w.Restart(1, true)
@@ -61,7 +61,7 @@
 		c.Check(core.Seats, qt.HasLen, shape.Cores)
 		c.Check(core.Swept, qt.IsTrue)
 		c.Check(seated(core, old), qt.IsFalse)
-		c.Check(seated(core, w.cores[1].id), qt.IsTrue)
+		c.Check(seated(core, w.cores[1].ID), qt.IsTrue)
 		w.Crash(0, true)
 		done := false
 		ben := w.NewOperator("ben")
@@ -79,14 +79,14 @@
 func TestLostDiskAtOnce(t *testing.T) {
 	each(qt.New(t), func(c *qt.C, shape Shape) {
 		w := steady(shape, 19, 12000)
-		old := w.cores[1].id
+		old := w.cores[1].ID
 		w.Crash(1, true)
 		w.Restart(1, true)
 		w.Run(30000)
 		core := w.coreAt(0)
 		c.Check(core.Seats, qt.HasLen, shape.Cores)
 		c.Check(seated(core, old), qt.IsFalse)
-		c.Check(seated(core, w.cores[1].id), qt.IsTrue)
+		c.Check(seated(core, w.cores[1].ID), qt.IsTrue)
 		calm(c, w)
 	})
 }
@@ -95,7 +95,7 @@
 func TestReplacedCore(t *testing.T) {
 	each(qt.New(t), func(c *qt.C, shape Shape) {
 		w := steady(shape, 12, 12000)
-		gone := w.cores[0].id
+		gone := w.cores[0].ID
 		w.Crash(0, true)
 		fresh := w.AddCore("c9", "10.0.0.9:1")
 		w.Run(60000)
@@ -103,7 +103,7 @@
 		c.Check(core.Seats, qt.HasLen, shape.Cores)
 		c.Check(core.Swept, qt.IsTrue)
 		c.Check(seated(core, gone), qt.IsFalse)
-		c.Check(seated(core, fresh.id), qt.IsTrue)
+		c.Check(seated(core, fresh.ID), qt.IsTrue)
 		calm(c, w)
 	})
 }
@@ -119,16 +119,16 @@
 			w.Crash(turn, true)
 			fresh = append(fresh, fmt.Sprintf("10.0.0.%d:1", 20+turn))
 			w.AddCore(fmt.Sprintf("b%d", turn), fresh[turn])
-			w.Run(w.now + 45000)
+			w.Run(w.NowMs + 45000)
 		}
 		core := w.coreAt(shape.Cores)
 		c.Check(core.Seats, qt.HasLen, shape.Cores, qt.Commentf("%v", core.Seats))
 		c.Check(core.Swept, qt.IsTrue)
 		joined := w.AddFront("l99", "10.0.1.99:1", "z0", fresh)
-		w.Run(w.now + 4000)
+		w.Run(w.NowMs + 4000)
 		c.Check(joined.mark > 0, qt.IsTrue, qt.Commentf("the front has no policy"))
 		w.Ask(len(w.fronts)-1, "m1")
-		w.Run(w.now + 12000)
+		w.Run(w.NowMs + 12000)
 		c.Check(joined.holds("m1"), qt.IsTrue)
 		calm(c, w)
 	})
@@ -164,7 +164,7 @@
 		w := steady(shape, 14, 10000)
 		for at := range w.cores {
 			w.Freeze(at, 7000)
-			w.Run(w.now + 12000)
+			w.Run(w.NowMs + 12000)
 		}
 		c.Check(len(w.facts.orders) > 20, qt.IsTrue)
 		calm(c, w)
@@ -183,8 +183,8 @@
 		half := len(w.cores) / 2
 		for _, one := range w.cores[:half] {
 			for _, other := range w.cores[half:] {
-				w.Cut(one.addr, other.addr, true)
-				w.Cut(other.addr, one.addr, true)
+				w.Cut(one.Addr, other.Addr, true)
+				w.Cut(other.Addr, one.Addr, true)
 			}
 		}
 		w.Run(20000)
@@ -192,8 +192,8 @@
 		w.Run(24000)
 		for _, e := range w.cores {
 			for _, f := range w.fronts {
-				w.Cut(e.addr, f.addr, true)
-				w.Cut(f.addr, e.addr, true)
+				w.Cut(e.Addr, f.Addr, true)
+				w.Cut(f.Addr, e.Addr, true)
 			}
 		}
 		w.CrashFront(0, 500)
@@ -214,24 +214,24 @@
 		var mark int64
 		for turn := range 6 {
 			name := fmt.Sprintf("kay-%d", turn)
-			op := w.facts.begin(w.now, "set", name, -1)
+			op := w.facts.begin(w.NowMs, "set", name, -1)
 			e.nextAsk++
 			e.answers[e.nextAsk] = func(outcome register.Outcome) {
-				w.facts.end(w.now, op, outcome, nameOf(outcome.Value))
+				w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
 				mark = outcome.Value.Mark
 				w.Crash(0, true)
 			}
-			e.perform(e.core.Change(e.clock(), e.nextAsk, "policy", -1, w.Body(name)))
-			w.Run(w.now + 8000)
+			e.perform(e.core.Change(e.Clock(), e.nextAsk, "policy", -1, w.Body(name)))
+			w.Run(w.NowMs + 8000)
 			for _, f := range w.fronts {
-				c.Check(f.mark >= mark, qt.IsTrue, qt.Commentf("%s has %d of %d", f.name, f.mark, mark))
+				c.Check(f.mark >= mark, qt.IsTrue, qt.Commentf("%s has %d of %d", f.Name, f.mark, mark))
 			}
 			w.Restart(0, false)
-			w.Run(w.now + 2000)
+			w.Run(w.NowMs + 2000)
 		}
 		fronts := []string{}
 		for _, f := range w.fronts {
-			fronts = append(fronts, f.name)
+			fronts = append(fronts, f.Name)
 		}
 		c.Check(CheckForce(w.facts.ops, w.facts.force, fronts, 2000, func(string, int64, int64) bool { return true }), qt.HasLen, 0)
 		calm(c, w)
--- a/internal/process/sim/worker.go
+++ b/internal/process/sim/worker.go
@@ -25,24 +25,25 @@
 
 func (w *World) addWorker(name string) {
 	one := &worker{items: map[string]*loaded{}}
-	one.node = node{world: w, name: name, addr: name + ":1", up: true}
+	one.node = w.newNode(name, name+":1")
+	one.Up = true
 	one.reborn()
 	w.workers = append(w.workers, one)
-	w.nodes[one.addr] = &one.node
-	w.listed = append(w.listed, wire.Worker{Name: name, Addr: one.addr, Zone: "z0", Pool: "llm", RoomMb: w.Shape.RoomMb})
+	w.Add(&one.Node)
+	w.listed = append(w.listed, wire.Worker{Name: name, Addr: one.Addr, Zone: "z0", Pool: "llm", RoomMb: w.Shape.RoomMb})
 }
 
 func (k *worker) reborn() {
-	k.born = k.name + "/" + string(rune('a'+k.world.random.Intn(26))) + string(rune('a'+k.world.random.Intn(26))) + string(rune('a'+k.world.random.Intn(26)))
+	k.born = k.Name + "/" + string(rune('a'+k.world.Random.Intn(26))) + string(rune('a'+k.world.Random.Intn(26))) + string(rune('a'+k.world.Random.Intn(26)))
 	k.fence, k.seq, k.items = 0, 0, map[string]*loaded{}
-	k.orderedAt, k.beforeAt = k.world.now, k.world.now
-	k.life++
-	k.up = true
+	k.orderedAt, k.beforeAt = k.world.NowMs, k.world.NowMs
+	k.Life++
+	k.Up = true
 }
 
 func (w *World) worker(name string) *worker {
 	for _, one := range w.workers {
-		if one.name == name {
+		if one.Name == name {
 			return one
 		}
 	}
@@ -59,30 +60,30 @@
 
 func (k *worker) ready(item string) bool {
 	one, ok := k.items[item]
-	return ok && one.readyAt <= k.world.now
+	return ok && one.readyAt <= k.world.NowMs
 }
 
 // order carries an exchange's order to a worker and the answer back.
 func (e *exchange) order(order *wire.Order) {
 	w := e.world
-	until, may := e.core.May(e.clock(), order)
+	until, may := e.core.May(e.Clock(), order)
 	k := w.worker(order.Worker)
 	if !may || k == nil {
 		return
 	}
 	sent := *order
 	// As in the daemon, the order may wait in a line; it leaves only in time.
-	life := e.life
-	w.after(w.random.Int63n(3), func() {
-		e.on(func() {
-			if e.life != life || e.clock() >= until || w.cut[[2]string{e.addr, k.addr}] {
+	life := e.Life
+	w.After(w.Random.Int63n(3), func() {
+		e.On(func() {
+			if e.Life != life || e.Clock() >= until || w.Cuts[[2]string{e.Addr, k.Addr}] {
 				return
 			}
-			w.after(1+w.random.Int63n(w.delay*2), func() {
-				if !k.up {
+			w.After(1+w.Random.Int63n(w.DelayMs*2), func() {
+				if !k.Up {
 					return
 				}
-				k.on(func() { k.take(e, &sent) })
+				k.On(func() { k.take(e, &sent) })
 			})
 		})
 	})
@@ -91,7 +92,7 @@
 func (k *worker) take(e *exchange, order *wire.Order) {
 	w := k.world
 	why := k.obey(e, order)
-	seen := &wire.Seen{Partition: order.Partition, Worker: k.name, Fence: k.fence, RoomMb: w.Shape.RoomMb, UsedMb: k.used(), Born: k.born, OrderSeq: k.seq, OrderOk: why == "", QuietMs: w.now - k.beforeAt}
+	seen := &wire.Seen{Partition: order.Partition, Worker: k.Name, Fence: k.fence, RoomMb: w.Shape.RoomMb, UsedMb: k.used(), Born: k.born, OrderSeq: k.seq, OrderOk: why == "", QuietMs: w.NowMs - k.beforeAt}
 	if why != "" {
 		seen.OrderSeq = order.Seq
 	}
@@ -106,10 +107,10 @@
 	for _, name := range names {
 		seen.Loaded = append(seen.Loaded, wire.Loaded{Item: name, Ready: k.ready(name), SizeMb: k.items[name].sizeMb})
 	}
-	if !w.cut[[2]string{k.addr, e.addr}] && w.random.Intn(100) >= w.loss {
-		w.after(1+w.random.Int63n(w.delay*2), func() {
-			if e.up {
-				e.on(func() { e.perform(e.core.Hear(e.clock(), "worker", seen)) })
+	if !w.Cuts[[2]string{k.Addr, e.Addr}] && w.Random.Intn(100) >= w.Loss {
+		w.After(1+w.Random.Int63n(w.DelayMs*2), func() {
+			if e.Up {
+				e.On(func() { e.perform(e.core.Hear(e.Clock(), "worker", seen)) })
 			}
 		})
 	}
@@ -126,9 +127,9 @@
 	if order.Op == "look" || order.Seq <= k.seq {
 		return ""
 	}
-	k.seq, k.orderedAt = order.Seq, w.now
-	w.facts.ordered(w.now, k, e, order)
-	w.note("%s takes %s %s from %s fence %d seq %d", k.name, order.Op, order.Item, e.name, order.Fence, order.Seq)
+	k.seq, k.orderedAt = order.Seq, w.NowMs
+	w.facts.ordered(w.NowMs, k, e, order)
+	w.Note("%s takes %s %s from %s fence %d seq %d", k.Name, order.Op, order.Item, e.Name, order.Fence, order.Seq)
 	if order.Op == "unload" {
 		delete(k.items, order.Item)
 		return ""
@@ -143,8 +144,8 @@
 		return "base"
 	}
 	took := order.SizeMb * 1000 / max(order.MbPerS, 1)
-	k.items[order.Item] = &loaded{sizeMb: order.SizeMb, base: order.Base, readyAt: w.now + took}
-	w.facts.loaded(w.now, w.now+took, order.SizeMb)
+	k.items[order.Item] = &loaded{sizeMb: order.SizeMb, base: order.Base, readyAt: w.NowMs + took}
+	w.facts.loaded(w.NowMs, w.NowMs+took, order.SizeMb)
 	w.Counts.Loads++
 	return ""
 }
@@ -152,16 +153,16 @@
 // list reads the platform's list, as the daemon does over HTTP.
 func (e *exchange) list(mark int64) {
 	w := e.world
-	if w.cut[[2]string{e.addr, "platform"}] {
+	if w.Cuts[[2]string{e.Addr, "platform"}] {
 		return
 	}
-	life := e.life
-	w.after(1+w.random.Int63n(5), func() {
+	life := e.Life
+	w.After(1+w.Random.Int63n(5), func() {
 		list := &wire.WorkerList{Workers: slices.Clone(w.listed)}
 		slices.SortFunc(list.Workers, func(a, b wire.Worker) int { return strings.Compare(a.Name, b.Name) })
-		w.after(1+w.random.Int63n(5), func() {
-			if e.up && e.life == life {
-				e.on(func() { e.perform(e.core.Platform(e.clock(), mark, list)) })
+		w.After(1+w.Random.Int63n(5), func() {
+			if e.Up && e.Life == life {
+				e.On(func() { e.perform(e.core.Platform(e.Clock(), mark, list)) })
 			}
 		})
 	})
@@ -172,25 +173,25 @@
 //	world.KillWorker(2, 3000)
 func (w *World) KillWorker(at int, ms int64) {
 	k := w.workers[at]
-	if !k.up {
+	if !k.Up {
 		return
 	}
-	w.note("%s dies for %d", k.name, ms)
-	k.up = false
-	k.life++
-	w.after(ms, k.reborn)
+	w.Note("%s dies for %d", k.Name, ms)
+	k.Up = false
+	k.Life++
+	w.After(ms, k.reborn)
 }
 
 // Leave marks a worker as leaving in the platform's list.
 //
 //	world.Leave("w3", true)
 func (w *World) Leave(name string, leaving bool) {
-	w.note("%s leaving: %v", name, leaving)
+	w.Note("%s leaving: %v", name, leaving)
 	w.listed = slices.Clone(w.listed)
 	for i := range w.listed {
 		if w.listed[i].Name == name {
 			w.listed[i].Leaving = leaving
 		}
 	}
-	w.facts.leaves(w.now, name, leaving)
+	w.facts.leaves(w.NowMs, name, leaving)
 }
