--- a/internal/process/fleet/rollout.go
+++ b/internal/process/fleet/rollout.go
@@ -28,7 +28,7 @@
 	for at := range w.Shape.Zones {
 		zones = append(zones, fmt.Sprintf("z%d", at))
 	}
-	url := fmt.Sprintf("http://%s/v1/policy?rollout=%s&pause_ms=%d&halt_percent=20", w.Node(name), strings.Join(zones, ","), pause.Milliseconds())
+	url := fmt.Sprintf("http://%s/v1/policy?rollout=%s&pause_ms=%d&halt_percent=8", w.Node(name), strings.Join(zones, ","), pause.Milliseconds())
 	status, told, err := w.call(http.MethodPut, url, w.Shape.Policy(w.withTurns(more, w.turns.Load())))
 	if err != nil || status != http.StatusOK {
 		return oops.Wrapf(err, "the roll-out was answered with %d %s", status, told)
@@ -46,11 +46,11 @@
 			routes[at]["service"] = "since"
 		}
 	}
-	if err := w.Roll("l1", object{"routes": routes}, 10*time.Second); err != nil {
+	if err := w.Roll("l1", object{"routes": routes}, 15*time.Second); err != nil {
 		return err
 	}
 	var told rolledOut
-	if !w.Until(9*time.Second, func() bool {
+	if !w.Until(14*time.Second, func() bool {
 		told = rolledOut{}
 		return w.Ask("l2", "/v1/policy", &told) == nil && told.Policy.Rollout != nil && told.Policy.Rollout.Halted != ""
 	}) {
--- a/internal/process/frame/rollout.go
+++ b/internal/process/frame/rollout.go
@@ -91,6 +91,14 @@
 	return out
 }
 
+// clearly tells whether so many bad calls are more than usual by so many in a
+// hundred, and by three times what chance would make of the usual.
+func clearly(bad, calls, usual, percent int64) bool {
+	over := bad*100 - usual*calls
+	chance := calls*usual*(100-usual) + 10000
+	return over >= percent*calls && over*over >= 9*chance
+}
+
 // worse says why a roll-out is to be halted, if it is: since this step began,
 // more calls ended badly in the zones that go by the next policy than in the
 // others by so many in a hundred.
@@ -119,7 +127,7 @@
 	if others[1] >= leastCalls {
 		f.rolling.usual = others[0] * 100 / others[1]
 	}
-	if usual := f.rolling.usual; usual < 0 || staged[0]*100/staged[1] < usual+rollout.HaltPercent {
+	if usual := f.rolling.usual; usual < 0 || !clearly(staged[0], staged[1], usual, rollout.HaltPercent) {
 		return ""
 	}
 	return fmt.Sprintf("of %d calls in the zones that go by it %d ended badly, elsewhere %d of %d", staged[1], staged[0], others[0], others[1])
