--- a/cmd/testdesk/main.go
+++ b/cmd/testdesk/main.go
@@ -54,6 +54,7 @@
 	dir := set.String("dir", "", "folder for data, logs and records; a new one if empty")
 	which := set.String("scenarios", "calm", "scenarios, with commas, or all")
 	seed := set.Int64("seed", 1, "seed of the scenario random")
+	net := set.Int("net", 0, "second number of all addresses, for two runs at once; the deployment's own if nought")
 	factor := set.Float64("factor", 1, "traffic, as a multiple of the deployment's")
 	var help strings.Builder
 	for _, scenario := range fleet.Scenarios() {
@@ -65,6 +66,9 @@
 			if err != nil {
 				return err
 			}
+			if *net > 0 {
+				shape.Net = *net
+			}
 			chosenScenarios, err := scenariosOf(*which)
 			if err != nil {
 				return err
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -64,13 +64,15 @@
 func (w *World) Watch() func() []Watched {
 	ctx, cancel := context.WithCancel(w.ctx)
 	seen := make(chan []Watched)
-	for _, front := range w.Fronts {
+	// Fronts that join later are not watched.
+	fronts := slices.Clone(w.Fronts)
+	for _, front := range fronts {
 		go func() { seen <- w.watchFront(ctx, front) }()
 	}
 	return func() []Watched {
 		cancel()
 		var all []Watched
-		for range w.Fronts {
+		for range fronts {
 			all = append(all, <-seen...)
 		}
 		slices.SortStableFunc(all, func(a, b Watched) int { return int(a.TimeMs - b.TimeMs) })
