--- a/internal/process/frame/rosters.go
+++ b/internal/process/frame/rosters.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 
 	"applequay/internal/connection/wire"
@@ -39,12 +40,7 @@
 		}
 	}
 	slices.Reverse(list.Rosters)
-	pools := make([]string, 0, len(open))
-	for pool := range open {
-		pools = append(pools, pool)
-	}
-	slices.Sort(pools)
-	for _, pool := range pools {
+	for _, pool := range slices.Sorted(maps.Keys(open)) {
 		list.Rosters = append(list.Rosters, wire.Roster{Pool: pool, FromMs: wallMs, Servers: open[pool]})
 	}
 }
--- a/internal/process/linework/fronts.go
+++ b/internal/process/linework/fronts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -139,7 +140,8 @@
 // in force from a moment on, until the one with a mark: those that went since.
 // A reason says that one of them may have sent keys that nobody else knows of.
 func (l *Line) judge(fromMs, mark int64) (lost []string, bad string) {
-	for _, front := range l.fronts {
+	for _, id := range slices.Sorted(maps.Keys(l.fronts)) {
+		front := l.fronts[id]
 		last := front.stoodAt + l.boot.LeaseMs
 		if front.stands || last+l.boot.KeyMs/2 < fromMs {
 			continue
--- a/internal/process/linework/tickets.go
+++ b/internal/process/linework/tickets.go
@@ -1,8 +1,8 @@
 package linework
 
 import (
+	"maps"
 	"slices"
-	"sort"
 	"strconv"
 
 	"applequay/internal/connection/wire"
@@ -84,11 +84,7 @@
 // askOn asks those who have not told yet, or some of them.
 func (l *Line) askOn(now int64, out *wire.Outputs, asked *asking) {
 	asked.saidMs = now
-	ids := make([]string, 0, len(asked.silent))
-	for id := range asked.silent {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
+	ids := slices.Sorted(maps.Keys(asked.silent))
 	if asked.wish.Few {
 		l.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 		ids = ids[:min(len(ids), witnesses)]
@@ -182,12 +178,7 @@
 // ticketsTick asks again where letters were lost, and drops what the
 // switchboard has given up.
 func (l *Line) ticketsTick(now int64, out *wire.Outputs) {
-	ops := make([]int64, 0, len(l.asking))
-	for op := range l.asking {
-		ops = append(ops, op)
-	}
-	slices.Sort(ops)
-	for _, op := range ops {
+	for _, op := range slices.Sorted(maps.Keys(l.asking)) {
 		asked := l.asking[op]
 		if now-asked.sinceMs > l.boot.LeaseMs {
 			delete(l.asking, op)
--- a/internal/process/ticket/hear.go
+++ b/internal/process/ticket/hear.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"maps"
 	"slices"
 
 	"applequay/internal/connection/wire"
@@ -81,12 +82,7 @@
 	if b.bareMs > 0 && now-b.bareMs < 2*b.keyMs {
 		out.Send(b.lineman, wire.KindBare, &wire.Bare{AgeMs: now - b.bareMs})
 	}
-	ops := make([]int64, 0, len(b.wishes))
-	for op := range b.wishes {
-		ops = append(ops, op)
-	}
-	slices.Sort(ops)
-	for _, op := range ops {
+	for _, op := range slices.Sorted(maps.Keys(b.wishes)) {
 		asked := b.wishes[op]
 		switch {
 		case now-asked.sentMs > b.answerMs:
