--- a/internal/process/frame/rollout.go
+++ b/internal/process/frame/rollout.go
@@ -25,11 +25,14 @@
 	mark, sinceMs int64
 	begun         map[string][2]int64
 	asked         bool
-	// usual is how many in a hundred end badly where the old policy stands, as of
-	// this step or one before; below nought where that is not known.
-	usual int64
+	// usual is what is bad, and all, where the old policy stands, as of this step
+	// or one before.
+	usual tally
 }
 
+// tally is how many calls ended badly, and how many there were.
+type tally struct{ bad, calls int64 }
+
 // rolloutTick drives a roll-out: after each pause one zone more, or a halt as
 // soon as calls in the zones that go by the next policy end badly more often than
 // elsewhere.
@@ -40,7 +43,7 @@
 		return
 	}
 	if f.rolling == nil || f.rolling.mark != table.Mark {
-		usual := int64(-1)
+		var usual tally
 		if f.rolling != nil {
 			usual = f.rolling.usual
 		}
@@ -91,12 +94,14 @@
 	return out
 }
 
-// clearly tells whether so many bad calls are more than usual by so many in a
-// hundred, and by three times what chance would make of the usual.
-func clearly(bad, calls, usual, percent int64) bool {
-	over := bad*100 - usual*calls
-	chance := calls*usual*(100-usual) + 10000
-	return over >= percent*calls && over*over >= 9*chance
+// clearly tells whether calls end badly more often than usual by so many in a
+// hundred, and by three times what chance would make of two such tallies.
+func clearly(now, usual tally, percent int64) bool {
+	n, m := float64(now.calls), float64(usual.calls)
+	over := float64(now.bad)/n - float64(usual.bad)/m
+	// One call more on either side, so that nought of some is not taken as never.
+	share := float64(now.bad+usual.bad+1) / (n + m + 2)
+	return over*100 >= float64(percent) && over*over >= 9*share*(1-share)*(1/n+1/m)
 }
 
 // worse says why a roll-out is to be halted, if it is: since this step began,
@@ -125,9 +130,9 @@
 		return ""
 	}
 	if others[1] >= leastCalls {
-		f.rolling.usual = others[0] * 100 / others[1]
+		f.rolling.usual = tally{others[0], others[1]}
 	}
-	if usual := f.rolling.usual; usual < 0 || !clearly(staged[0], staged[1], usual, rollout.HaltPercent) {
+	if usual := f.rolling.usual; usual.calls == 0 || !clearly(tally{staged[0], staged[1]}, usual, rollout.HaltPercent) {
 		return ""
 	}
 	return fmt.Sprintf("of %d calls in the zones that go by it %d ended badly, elsewhere %d of %d", staged[1], staged[0], others[0], others[1])
