--- a/cmd/testdesk/figures.go
+++ b/cmd/testdesk/figures.go
@@ -4,9 +4,11 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -64,14 +66,24 @@
 			return err
 		}
 	}
-	fmt.Printf("\n### %s, %s (%d runs)\n\n| | median | range |\n| --- | --- | --- |\n", shape.Name, scenario.Name, runs)
+	fmt.Printf("\n### %s, %s (%d runs)\n\n| | median | range | told by |\n| --- | --- | --- | --- |\n", shape.Name, scenario.Name, runs)
 	for _, one := range rows {
 		slices.Sort(one.numbers)
-		fmt.Printf("| %s | %.4g | %.4g–%.4g |\n", one.name, one.numbers[len(one.numbers)/2], one.numbers[0], one.numbers[len(one.numbers)-1])
+		count := len(one.numbers)
+		fmt.Printf("| %s | %s | %s–%s | %d |\n", one.name, short(one.numbers[count/2]), short(one.numbers[0]), short(one.numbers[count-1]), count)
 	}
 	return nil
 }
 
+// short writes a number with no more digits than mean something.
+func short(number float64) string {
+	digits := 0
+	if number < 100 && number != math.Trunc(number) {
+		digits = 2
+	}
+	return strconv.FormatFloat(number, 'f', digits, 64)
+}
+
 // once plays a scenario and adds up what it came to.
 func once(shape fleet.Shape, scenario fleet.Scenario, bin string, add func(string, float64)) error {
 	dir, err := os.MkdirTemp("", "figures-")
