Tickets: only lists by which a key went elsewhere count; no key bound to nothing

Cause: all old lists that still mattered were counted against a doubtful key, those too by which its server is the same; so fronts lost long before the change in question made it be refused. And where no server was left, with lists before that were settled, a key was bound to no server and refused ever after.

Change: the marks of the lists by which the server differs, as of the first round.

TestBook has the key bound to nothing, and failed before.

--- a/internal/process/ticket/book.go
+++ b/internal/process/ticket/book.go
@@ -44,6 +44,7 @@
 
 type wish struct {
 	call   Call
+	marks  []int64 // of the lists by which the key may have gone elsewhere
 	calls  []int64
 	sentMs int64
 	toldMs int64
@@ -100,17 +101,16 @@
 		b.wishes[op].calls = append(b.wishes[op].calls, id)
 		return out
 	}
-	if call.Choice == "" && len(call.Past) == 0 {
-		b.refuse(&out, "no server can take this now", id)
-		return out
-	}
-	doubts := slices.ContainsFunc(call.Past, func(p Past) bool { return p.Mark > b.settled && p.Server != call.Choice })
+	marks := b.elsewhere(call)
+	doubts := len(marks) > 0
 	for _, server := range b.claimed(call.Key, own) {
 		doubts = doubts || server != call.Choice
 	}
 	quiet := now - b.contactMs
 	switch {
-	case doubts && call.Choice == "":
+	case !doubts && call.Choice == "":
+		b.refuse(&out, "no server can take this now", id)
+	case call.Choice == "":
 		b.refuse(&out, "the key's server is gone, and no other can take it now", id)
 	case !doubts && quiet > b.graceMs:
 		// Nobody can be told. The others take this front for one that may send
@@ -122,9 +122,9 @@
 		b.refuse(&out, "this front has lost sight of the others", id)
 	case doubts:
 		b.Asked++
-		b.ask(now, &out, &wish{call: call, calls: []int64{id}, round: 1})
+		b.ask(now, &out, &wish{call: call, marks: marks, calls: []int64{id}, round: 1})
 	default:
-		b.ask(now, &out, &wish{call: call, calls: []int64{id}})
+		b.ask(now, &out, &wish{call: call, marks: marks, calls: []int64{id}})
 	}
 	return out
 }
@@ -191,11 +191,18 @@
 }
 
 func (b *Book) say(now int64, out *wire.Outputs, op int64, asked *wish) {
-	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Few: asked.round == 0, AgeMs: now - b.startMs}
-	for _, past := range asked.call.Past {
-		if past.Mark > b.settled {
-			told.Marks = append(told.Marks, past.Mark)
+	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Marks: asked.marks, Few: asked.round == 0, AgeMs: now - b.startMs}
+	out.Send(b.lineman, wire.KindTicketWish, told)
+}
+
+// elsewhere lists the marks that replaced lists which still matter and by which
+// a key has another server than by the one in force.
+func (b *Book) elsewhere(call Call) []int64 {
+	var marks []int64
+	for _, past := range call.Past {
+		if past.Mark > b.settled && past.Server != call.Choice {
+			marks = append(marks, past.Mark)
 		}
 	}
-	out.Send(b.lineman, wire.KindTicketWish, told)
+	return marks
 }
--- a/internal/process/ticket/book_test.go
+++ b/internal/process/ticket/book_test.go
@@ -123,6 +123,11 @@
 			p.do("x", p.books["x"].Take(3, 1, call(b2, "", both...)))
 		}, b1, b1, 1},
 		{"no word of the others for too long", func(p *pair) { p.do("x", p.books["x"].Take(40000, 1, old)) }, "", "", 0},
+		{"no server now, and one long before", func(p *pair) {
+			p.contact(2, 5)
+			p.do("x", p.books["x"].Take(2, 1, call("", b1)))
+			p.do("x", p.books["x"].Take(3, 2, call(b2, b1, b2)))
+		}, b2, "", 0},
 		{"no server now, and one before", func(p *pair) { p.do("x", p.books["x"].Take(2, 1, call("", b1))) }, "", "", 0},
 		{"the server of a known key is gone", func(p *pair) {
 			p.do("x", p.books["x"].Take(2, 1, old))
