Tickets: a refused key is told when it may go better, if ever

Cause: every refusal for a key's sake said to come back in two seconds. A key whose server is gone never goes better; one that a lost front may have sent goes better only once that may not be repeated any more.

Change: the lineman tells how long, the switchboard says so, and says nothing where it will not go better.

--- a/cmd/subscriber/calls.go
+++ b/cmd/subscriber/calls.go
@@ -20,6 +20,8 @@
 	mostShots  = 4
 	callWait   = 30 * time.Second
 	mostResume = 6
+	// mostPatience is how much later a caller still comes back.
+	mostPatience = 40 * time.Second
 )
 
 func (c *callers) front() string { return c.plan.Fronts[rand.Intn(len(c.plan.Fronts))] }
@@ -109,6 +111,9 @@
 	if answer.Header.Get("Retry-After") == "" {
 		return 0
 	}
+	if refusal.RetryMs > mostPatience.Milliseconds() {
+		return 0
+	}
 	return max(time.Duration(refusal.RetryMs)*time.Millisecond, 200*time.Millisecond)
 }
 
--- a/internal/process/linework/tickets.go
+++ b/internal/process/linework/tickets.go
@@ -22,6 +22,9 @@
 	lost    map[string]bool
 	judged  bool
 	bad     string
+	// retryMs is when a refused key may go better: at the latest once what was
+	// sent before may not be repeated any more.
+	retryMs int64
 }
 
 // witnesses is how many fronts are asked to know a new key; one is enough.
@@ -32,7 +35,7 @@
 	if _, already := l.asking[wish.Op]; already {
 		return
 	}
-	asked := &asking{wish: wish, sinceMs: now, silent: map[string]bool{}, lost: map[string]bool{}}
+	asked := &asking{wish: wish, sinceMs: now, retryMs: l.boot.KeyMs, silent: map[string]bool{}, lost: map[string]bool{}}
 	for _, roster := range l.rosters {
 		if roster.Mark > l.settled && slices.Contains(wish.Marks, roster.Mark) {
 			if asked.mark = max(asked.mark, roster.Mark); asked.fromMs == 0 || roster.FromMs < asked.fromMs {
@@ -53,6 +56,7 @@
 	}
 	switch {
 	case len(asked.silent) == 0 && len(l.fronts) > 0 && now-lately < l.graceMs():
+		asked.retryMs = l.graceMs() - (now - lately)
 		l.tell(out, asked, "this front has lost sight of the others")
 	case len(asked.silent) == 0 && asked.mark > 0:
 		l.tell(out, asked, l.verdict(now, asked))
@@ -78,7 +82,7 @@
 
 func (l *Line) tell(out *wire.Outputs, asked *asking, why string) {
 	delete(l.asking, asked.wish.Op)
-	out.Send(l.boot.Switchboard, wire.KindTicketDone, &wire.TicketDone{Op: asked.wish.Op, Ok: why == "", Others: asked.others, Why: why})
+	out.Send(l.boot.Switchboard, wire.KindTicketDone, &wire.TicketDone{Op: asked.wish.Op, Ok: why == "", Others: asked.others, Why: why, RetryMs: asked.retryMs})
 }
 
 // askOn asks those who have not told yet, or some of them.
--- a/internal/process/ticket/book.go
+++ b/internal/process/ticket/book.go
@@ -28,7 +28,7 @@
 }
 
 // Decision is where a call goes; with no server it is refused, since it may
-// have run elsewhere.
+// have run elsewhere. RetryMs is when it may go better; never if nought.
 type Decision struct {
 	Server, Why string
 	RetryMs     int64
@@ -39,6 +39,9 @@
 //	name := ticket.Name("b1", "10.0.0.9:7800")
 func Name(name, addr string) string { return name + "@" + addr }
 
+// soonMs is when to come back to a front that has only just started.
+const soonMs = 1000
+
 // own is the asker under which a front notes its own wishes.
 const own = ""
 
@@ -90,7 +93,7 @@
 func (b *Book) Take(now, id int64, call Call) wire.Outputs {
 	var out wire.Outputs
 	if b.contactMs == 0 || now-b.contactMs > b.contactTime() {
-		b.refuse(&out, "this front does not know what the others do", id)
+		b.refuse(&out, "this front does not know what the others do", max(b.answerMs, soonMs), id)
 		return out
 	}
 	if server, known := b.server(call.Key); known {
@@ -109,9 +112,9 @@
 	quiet := now - b.contactMs
 	switch {
 	case !doubts && call.Choice == "":
-		b.refuse(&out, "no server can take this now", id)
+		b.refuse(&out, "no server can take this now", b.answerMs, id)
 	case call.Choice == "":
-		b.refuse(&out, "the key's server is gone, and no other can take it now", id)
+		b.refuse(&out, "the key's server is gone, and no other can take it now", b.answerMs, id)
 	case !doubts && quiet > b.graceMs:
 		// Nobody can be told. The others take this front for one that may send
 		// keys which nobody knows of.
@@ -119,7 +122,7 @@
 		b.bind(call.Key, call.Choice)
 		b.answer(&out, call, call.Choice, id)
 	case quiet > b.quietTime():
-		b.refuse(&out, "this front has lost sight of the others", id)
+		b.refuse(&out, "this front has lost sight of the others", max(b.graceMs-quiet, b.answerMs), id)
 	case doubts:
 		b.Asked++
 		b.ask(now, &out, &wish{call: call, marks: marks, calls: []int64{id}, round: 1})
@@ -131,7 +134,7 @@
 
 func (b *Book) answer(out *wire.Outputs, call Call, server string, ids ...int64) {
 	if !call.Open(server) {
-		b.refuse(out, "the server that this key was sent to is gone", ids...)
+		b.refuse(out, "the server that this key was sent to is gone", 0, ids...)
 		return
 	}
 	for _, id := range ids {
@@ -139,10 +142,10 @@
 	}
 }
 
-func (b *Book) refuse(out *wire.Outputs, why string, ids ...int64) {
+func (b *Book) refuse(out *wire.Outputs, why string, retryMs int64, ids ...int64) {
 	for _, id := range ids {
 		b.Refused++
-		out.Answers = append(out.Answers, wire.Answer{Call: id, Body: Decision{Why: why, RetryMs: b.answerMs}})
+		out.Answers = append(out.Answers, wire.Answer{Call: id, Body: Decision{Why: why, RetryMs: retryMs}})
 	}
 }
 
--- a/internal/process/ticket/hear.go
+++ b/internal/process/ticket/hear.go
@@ -62,9 +62,9 @@
 		asked.call.Choice, asked.round = others[0], 2
 		b.ask(now, out, asked)
 	case told.Ok:
-		b.refuse(out, "this key was sent to another server, which is gone, or to more than one front at once", asked.calls...)
+		b.refuse(out, "this key was sent to another server, which is gone, or to more than one front at once", 0, asked.calls...)
 	default:
-		b.refuse(out, told.Why, asked.calls...)
+		b.refuse(out, told.Why, told.RetryMs, asked.calls...)
 	}
 }
 
@@ -88,7 +88,7 @@
 		case now-asked.sentMs > b.answerMs:
 			delete(b.wishes, op)
 			delete(b.byKey, asked.call.Key)
-			b.refuse(&out, "not all other fronts say whether they know this key", asked.calls...)
+			b.refuse(&out, "not all other fronts say whether they know this key", b.answerMs, asked.calls...)
 		case now-asked.toldMs > b.againTime():
 			asked.toldMs = now
 			b.say(now, &out, op, asked)
--- a/internal/request/cord/call.go
+++ b/internal/request/cord/call.go
@@ -42,27 +42,29 @@
 
 // call is one request on its way.
 type call struct {
-	w        http.ResponseWriter
-	r        *http.Request
-	ctx      context.Context
-	cancel   context.CancelFunc
-	came     time.Time
-	current  *table.Table
-	route    policy.Route
-	service  policy.Service
-	weight   int64
-	body     []byte
-	item     string
-	prefix   string
-	key      string
-	run      string
-	runAt    *table.Server
-	from     int64
-	chosen   *table.Server
-	tried    map[string]bool
-	bad      *atomic.Int64
-	wrote    bool
-	why      string
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	cancel  context.CancelFunc
+	came    time.Time
+	current *table.Table
+	route   policy.Route
+	service policy.Service
+	weight  int64
+	body    []byte
+	item    string
+	prefix  string
+	key     string
+	run     string
+	runAt   *table.Server
+	from    int64
+	chosen  *table.Server
+	tried   map[string]bool
+	bad     *atomic.Int64
+	wrote   bool
+	why     string
+	// decided says that the key's ticket refused the call, and when to come back.
+	decided  bool
 	retry    time.Duration
 	answered bool
 }
--- a/internal/request/cord/cord_test.go
+++ b/internal/request/cord/cord_test.go
@@ -239,5 +239,6 @@
 	b.put()
 	answer := b.ask("/v1/book", `{}`, HeaderKey, "k0")
 	c.Check(answer.Code, qt.Equals, 502)
+	c.Check(answer.Header().Get("Retry-After"), qt.Equals, "", qt.Commentf("it will not go better"))
 	c.Check(ran(answer), qt.Equals, "unknown")
 }
--- a/internal/request/cord/shot.go
+++ b/internal/request/cord/shot.go
@@ -33,7 +33,7 @@
 	decision := s.ledger.Ticket(c.ctx, c.current.Call(c.service.Pool, c.key))
 	chosenServer := c.current.Named(decision.Server)
 	if chosenServer == nil {
-		c.wrote, c.why = true, decision.Why
+		c.wrote, c.decided, c.why = true, true, decision.Why
 		c.retry = time.Duration(decision.RetryMs) * time.Millisecond
 	}
 	return chosenServer
@@ -107,7 +107,11 @@
 	if c.wrote {
 		status = http.StatusBadGateway
 	}
-	c.refuse(status, said, max(s.limits.Retry, c.retry))
+	retry := s.limits.Retry
+	if c.decided {
+		retry = c.retry
+	}
+	c.refuse(status, said, retry)
 }
 
 // hopHeaders concern one connection only.
