Tickets: a front that had none before it lost no memory

Change: lost is only what somebody older saw go, or a switchboard that another took the place of beside the same lineman, which now tells so.

--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -49,12 +49,13 @@
 	startMs  int64
 	listAt   int64
 	bareAt   int64
+	boardAt  int64 // when another switchboard took the place of the one before
+	boardID  string
 	settled  int64
 	rosters  []wire.Roster
 	fronts   map[string]*otherFront
 	asking   map[int64]*asking
-	// begun says that the first read came to its end, fedMark which policy mark
-	// the switchboard was given, newest which one anybody has heard of.
+	// begun: the first read has ended; fedMark was given on; newest was heard of.
 	begun, beginning bool
 	fedMark, newest  int64
 }
@@ -118,6 +119,7 @@
 		}
 		l.feed(&out)
 	case *wire.Report:
+		l.sawBoard(now, from)
 		l.reported(now, &out, told)
 	case *wire.PostAck:
 		l.acked(told)
--- a/internal/process/linework/tickets.go
+++ b/internal/process/linework/tickets.go
@@ -105,8 +105,11 @@
 	if told.Asker != l.boot.ID {
 		told.LineMs = now - l.startMs
 		told.Lost, told.Bad = l.judge(told.FromMs, told.Mark)
-		if told.AgeMs < l.need(now, told.FromMs) && l.bareAt >= told.FromMs {
-			told.Bad = lostAlone
+		if l.boardAt >= told.FromMs {
+			told.Lost = append(told.Lost, l.boot.Name)
+			if l.bareAt >= told.FromMs {
+				told.Bad = lostAlone
+			}
 		}
 		out.Send(told.Asker, wire.KindTicketTold, told)
 		return
@@ -125,25 +128,30 @@
 		l.tell(out, asked, "")
 		return
 	}
-	l.weigh(now, asked, from, told)
+	l.weigh(now, asked, told)
 	if len(asked.silent) == 0 {
 		l.tell(out, asked, l.verdict(now, asked))
 	}
 }
 
-// weigh counts a front that started after the key may have gone elsewhere as
-// one that lost its memory. Fronts that are older than that judge the others.
-func (l *Line) weigh(now int64, asked *asking, from string, told *wire.TicketTold) {
-	needMs := l.need(now, asked.fromMs)
-	if front := l.fronts[from]; front != nil && told.AgeMs < needMs {
-		asked.lost[front.name] = true
+// sawBoard notes when another switchboard is beside this lineman than before:
+// the memory of the one before is lost.
+func (l *Line) sawBoard(now int64, id string) {
+	if l.boardID != "" && l.boardID != id {
+		l.boardAt = l.members.Wall(now)
 	}
-	if told.LineMs >= needMs {
-		asked.judged = true
-		asked.bad = max(asked.bad, told.Bad)
-		for _, name := range told.Lost {
-			asked.lost[name] = true
-		}
+	l.boardID = id
+}
+
+// weigh takes what another front knows of memories that were lost. Fronts older
+// than what is in question judge those that went; a front that is younger and
+// had none before it lost nothing.
+func (l *Line) weigh(now int64, asked *asking, told *wire.TicketTold) {
+	needMs := l.need(now, asked.fromMs)
+	asked.judged = asked.judged || told.LineMs >= needMs
+	asked.bad = max(asked.bad, told.Bad)
+	for _, name := range told.Lost {
+		asked.lost[name] = true
 	}
 }
 
@@ -155,7 +163,7 @@
 		return ""
 	}
 	needMs := l.need(now, asked.fromMs)
-	if asked.wish.AgeMs < needMs {
+	if l.boardAt >= asked.fromMs {
 		asked.lost[l.boot.Name] = true
 		if l.bareAt >= asked.fromMs {
 			asked.bad = lostAlone
--- a/internal/process/linework/tickets_test.go
+++ b/internal/process/linework/tickets_test.go
@@ -31,9 +31,10 @@
 		{"all know enough", old, &wire.TicketTold{AgeMs: old, LineMs: old}, nil, 0, []int64{7}, true, true},
 		{"an old list that does not matter", 10, &wire.TicketTold{AgeMs: 10}, nil, 0, []int64{3}, true, true},
 		{"the other is silent", old, nil, nil, 0, []int64{7}, false, false},
-		{"the other lost its memory", old, &wire.TicketTold{AgeMs: young, LineMs: old}, nil, 0, []int64{7}, true, true},
+		{"fronts that were not there before lost nothing", old, &wire.TicketTold{AgeMs: young, LineMs: young}, nil, 0, []int64{7}, true, true},
+		{"the other lost its memory", old, &wire.TicketTold{AgeMs: young, LineMs: old, Lost: []string{"l2"}}, nil, 0, []int64{7}, true, true},
 		{"the other was started, and an older one before it had sent alone", old, &wire.TicketTold{AgeMs: young, LineMs: young}, []*otherFront{gone("l2", 70000, 7, 60000)}, 0, []int64{7}, false, true},
-		{"both lost their memory", young, &wire.TicketTold{AgeMs: young, LineMs: old}, nil, 0, []int64{7}, false, true},
+		{"both lost their memory", young, &wire.TicketTold{AgeMs: young, LineMs: old, Lost: []string{"l2"}}, nil, 0, []int64{7}, false, true},
 		{"this one lost its memory after sending alone", young, &wire.TicketTold{AgeMs: old, LineMs: old}, nil, 60000, []int64{7}, false, true},
 		{"one went while the list was in force", old, &wire.TicketTold{AgeMs: old, LineMs: old}, []*otherFront{gone("l3", 70000, 7, 0)}, 0, []int64{7}, true, true},
 		{"it may still go by that list", old, &wire.TicketTold{AgeMs: old, LineMs: old}, []*otherFront{gone("l3", 70000, 6, 0)}, 0, []int64{7}, false, true},
@@ -50,6 +51,9 @@
 			line.members.Clock(now, now)
 			line.rosters = []wire.Roster{{Pool: "app", Mark: 3, FromMs: 10, UntilMs: 20}, {Pool: "app", Mark: 7, FromMs: 50000, UntilMs: 90000}}
 			line.settled, line.bareAt = 3, one.bare
+			if one.ageMs == young {
+				line.boardAt = 70000
+			}
 			line.fronts["l2~b"] = &otherFront{name: "l2", stands: true, stoodMs: now, stoodAt: now, seenAt: 99100, mark: 7}
 			for at, front := range one.gone {
 				line.fronts[front.name+"~g"+string(rune('a'+at))] = front
