Read again: dead ages, one tally, one reading of a policy, one fault of the list

Nothing behaves otherwise. Gone: the ages in two letters and the book's start, which nobody reads since a lineman tells of its switchboard's loss itself (the cases keep their verdicts). Called instead of written again: Learnt, where a step of a roll-out takes its outcome; the reading of a policy, for the next one of a roll-out too; the tally, for what fronts tell.

--- a/cmd/exchange/main.go
+++ b/cmd/exchange/main.go
@@ -80,19 +80,18 @@
 			log.Warn("the platform's worker list", zap.String("fault", why), zap.Bool("well", why == ""))
 		}
 		unread = why
+		core.Fact("list_fault", why)
 	}
 	clerk.List = func(mark int64, list *wire.WorkerList) {
 		control.Do(work, func(now int64) wire.Outputs {
 			out := core.Platform(now, mark, list)
 			listFault(core.Unbelieved())
-			core.Fact("list_fault", core.Unbelieved())
 			return out
 		})
 	}
 	clerk.Failed = func(err error) {
 		control.Do(work, func(int64) wire.Outputs {
 			listFault(err.Error())
-			core.Fact("list_fault", err.Error())
 			return wire.Outputs{}
 		})
 	}
--- a/internal/mark/policy/parse.go
+++ b/internal/mark/policy/parse.go
@@ -33,11 +33,16 @@
 	table = Empty()
 	table.Mark = mark
 	p := &parse{table: table, faults: &faults}
+	p.read(value)
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return table, faults, false
+}
+
+// read reads and checks one policy, be it whole or the next one of a roll-out.
+func (p *parse) read(value *fastjson.Value) {
 	p.whole(value)
 	p.links()
 	p.duplicates()
-	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
-	return table, faults, false
 }
 
 type parse struct {
--- a/internal/mark/policy/rollout.go
+++ b/internal/mark/policy/rollout.go
@@ -39,9 +39,7 @@
 		var faults Faults
 		inner := &parse{table: Empty(), faults: &faults}
 		inner.table.Mark = p.table.Mark
-		inner.whole(next)
-		inner.links()
-		inner.duplicates()
+		inner.read(next)
 		if inner.table.Rollout != nil {
 			faults = append(faults, Fault{Path: "rollout", Said: "must not stand in another"})
 		}
--- a/internal/process/frame/rollout.go
+++ b/internal/process/frame/rollout.go
@@ -23,7 +23,7 @@
 // rolling is what the driver of a roll-out remembers of one step.
 type rolling struct {
 	mark, sinceMs int64
-	begun         map[string][2]int64
+	begun         map[string]tally
 	asked         bool
 	// usual is what is bad, and all, where the old policy stands, as of this step
 	// or one before.
@@ -70,25 +70,24 @@
 	}
 	f.rolling.asked = true
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
-		var out wire.Outputs
 		if f.rolling != nil {
 			f.rolling.asked = false
 		}
-		if outcome.Has {
-			f.learn(now, &out, PolicyKey, outcome.Value)
+		if !outcome.Has {
+			return wire.Outputs{}
 		}
-		return out
+		return f.Learnt(now, PolicyKey, outcome.Value)
 	})
 	out.Add(f.proposer.Change(now, call, PolicyKey, kept.Step, body, f.writeName()))
 }
 
 // callsTold is what each standing front tells of its calls: bad ones, and all.
-func (f *Frame) callsTold() map[string][2]int64 {
-	out := map[string][2]int64{}
+func (f *Frame) callsTold() map[string]tally {
+	out := map[string]tally{}
 	for _, member := range f.members.Alive("lineman") {
 		var bad, came int64
 		if _, err := fmt.Sscanf(member.Fact[CallsFact], "%d/%d", &bad, &came); err == nil {
-			out[member.ID] = [2]int64{bad, came}
+			out[member.ID] = tally{bad, came}
 		}
 	}
 	return out
@@ -108,7 +107,7 @@
 // more calls ended badly in the zones that go by the next policy than in the
 // others by so many in a hundred.
 func (f *Frame) worse(rollout *policy.Rollout) string {
-	var staged, others [2]int64
+	var staged, others tally
 	told := f.callsTold()
 	for _, member := range f.members.Alive("lineman") {
 		calls, ok := told[member.ID]
@@ -124,16 +123,16 @@
 		if f.view.Policy.For(member.Zone) != f.view.Policy {
 			sum = &staged
 		}
-		sum[0], sum[1] = sum[0]+calls[0]-begun[0], sum[1]+calls[1]-begun[1]
+		sum.bad, sum.calls = sum.bad+calls.bad-begun.bad, sum.calls+calls.calls-begun.calls
 	}
-	if staged[1] < leastCalls {
+	if staged.calls < leastCalls {
 		return ""
 	}
-	if others[1] >= leastCalls {
-		f.rolling.usual = tally{others[0], others[1]}
+	if others.calls >= leastCalls {
+		f.rolling.usual = others
 	}
-	if usual := f.rolling.usual; usual.calls == 0 || !clearly(tally{staged[0], staged[1]}, usual, rollout.HaltPercent) {
+	if usual := f.rolling.usual; usual.calls == 0 || !clearly(staged, usual, rollout.HaltPercent) {
 		return ""
 	}
-	return fmt.Sprintf("of %d calls in the zones that go by it %d ended badly, elsewhere %d of %d", staged[1], staged[0], others[0], others[1])
+	return fmt.Sprintf("of %d calls in the zones that go by it %d ended badly, elsewhere %d of %d", staged.calls, staged.bad, others.bad, others.calls)
 }
--- a/internal/process/linework/tickets_test.go
+++ b/internal/process/linework/tickets_test.go
@@ -28,21 +28,21 @@
 		ok    bool
 		done  bool
 	}{
-		{"all know enough", old, &wire.TicketTold{AgeMs: old, LineMs: old}, nil, 0, []int64{7}, true, true},
-		{"an old list that does not matter", 10, &wire.TicketTold{AgeMs: 10}, nil, 0, []int64{3}, true, true},
+		{"all know enough", old, &wire.TicketTold{LineMs: old}, nil, 0, []int64{7}, true, true},
+		{"an old list that does not matter", 10, &wire.TicketTold{}, nil, 0, []int64{3}, true, true},
 		{"the other is silent", old, nil, nil, 0, []int64{7}, false, false},
-		{"fronts that were not there before lost nothing", old, &wire.TicketTold{AgeMs: young, LineMs: young}, nil, 0, []int64{7}, true, true},
-		{"the other lost its memory", old, &wire.TicketTold{AgeMs: young, LineMs: old, Lost: []string{"l2"}}, nil, 0, []int64{7}, true, true},
-		{"the other was started, and an older one before it had sent alone", old, &wire.TicketTold{AgeMs: young, LineMs: young}, []*otherFront{gone("l2", 70000, 7, 60000)}, 0, []int64{7}, false, true},
-		{"both lost their memory", young, &wire.TicketTold{AgeMs: young, LineMs: old, Lost: []string{"l2"}}, nil, 0, []int64{7}, false, true},
-		{"this one lost its memory after sending alone", young, &wire.TicketTold{AgeMs: old, LineMs: old}, nil, 60000, []int64{7}, false, true},
-		{"one went while the list was in force", old, &wire.TicketTold{AgeMs: old, LineMs: old}, []*otherFront{gone("l3", 70000, 7, 0)}, 0, []int64{7}, true, true},
-		{"it may still go by that list", old, &wire.TicketTold{AgeMs: old, LineMs: old}, []*otherFront{gone("l3", 70000, 6, 0)}, 0, []int64{7}, false, true},
-		{"it was started again at once", old, &wire.TicketTold{AgeMs: old, LineMs: old}, []*otherFront{gone("l2", 99000, 6, 0)}, 0, []int64{7}, true, true},
-		{"two went", old, &wire.TicketTold{AgeMs: old, LineMs: old}, []*otherFront{gone("l3", 70000, 7, 0), gone("l4", 60000, 7, 0)}, 0, []int64{7}, false, true},
-		{"two went before the list", old, &wire.TicketTold{AgeMs: old, LineMs: old}, []*otherFront{gone("l3", 15000, 5, 0), gone("l4", 10000, 5, 0)}, 0, []int64{7}, true, true},
-		{"the other knows of one more that went", old, &wire.TicketTold{AgeMs: old, LineMs: old, Lost: []string{"l4"}}, []*otherFront{gone("l3", 70000, 7, 0)}, 0, []int64{7}, false, true},
-		{"the other knows of one that may still send", old, &wire.TicketTold{AgeMs: old, LineMs: old, Lost: []string{"l4"}, Bad: "so"}, nil, 0, []int64{7}, false, true},
+		{"fronts that were not there before lost nothing", old, &wire.TicketTold{LineMs: young}, nil, 0, []int64{7}, true, true},
+		{"the other lost its memory", old, &wire.TicketTold{LineMs: old, Lost: []string{"l2"}}, nil, 0, []int64{7}, true, true},
+		{"the other was started, and an older one before it had sent alone", old, &wire.TicketTold{LineMs: young}, []*otherFront{gone("l2", 70000, 7, 60000)}, 0, []int64{7}, false, true},
+		{"both lost their memory", young, &wire.TicketTold{LineMs: old, Lost: []string{"l2"}}, nil, 0, []int64{7}, false, true},
+		{"this one lost its memory after sending alone", young, &wire.TicketTold{LineMs: old}, nil, 60000, []int64{7}, false, true},
+		{"one went while the list was in force", old, &wire.TicketTold{LineMs: old}, []*otherFront{gone("l3", 70000, 7, 0)}, 0, []int64{7}, true, true},
+		{"it may still go by that list", old, &wire.TicketTold{LineMs: old}, []*otherFront{gone("l3", 70000, 6, 0)}, 0, []int64{7}, false, true},
+		{"it was started again at once", old, &wire.TicketTold{LineMs: old}, []*otherFront{gone("l2", 99000, 6, 0)}, 0, []int64{7}, true, true},
+		{"two went", old, &wire.TicketTold{LineMs: old}, []*otherFront{gone("l3", 70000, 7, 0), gone("l4", 60000, 7, 0)}, 0, []int64{7}, false, true},
+		{"two went before the list", old, &wire.TicketTold{LineMs: old}, []*otherFront{gone("l3", 15000, 5, 0), gone("l4", 10000, 5, 0)}, 0, []int64{7}, true, true},
+		{"the other knows of one more that went", old, &wire.TicketTold{LineMs: old, Lost: []string{"l4"}}, []*otherFront{gone("l3", 70000, 7, 0)}, 0, []int64{7}, false, true},
+		{"the other knows of one that may still send", old, &wire.TicketTold{LineMs: old, Lost: []string{"l4"}, Bad: "so"}, nil, 0, []int64{7}, false, true},
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
@@ -58,7 +58,7 @@
 			for at, front := range one.gone {
 				line.fronts[front.name+"~g"+string(rune('a'+at))] = front
 			}
-			out := line.Hear(now, "s1", &wire.TicketWish{Op: 1, Key: "k", Server: "b2@x", Marks: one.marks, AgeMs: one.ageMs})
+			out := line.Hear(now, "s1", &wire.TicketWish{Op: 1, Key: "k", Server: "b2@x", Marks: one.marks})
 			if one.told != nil {
 				one.told.Op, one.told.Asker = 1, "l1~a"
 				out.Add(line.Hear(now+5, "l2~b", one.told))
--- a/internal/process/ticket/book.go
+++ b/internal/process/ticket/book.go
@@ -57,7 +57,6 @@
 // Book is one switchboard's memory of keys, with its part of the asking.
 type Book struct {
 	lineman   string
-	startMs   int64
 	turnedMs  int64
 	contactMs int64
 	keyMs     int64
@@ -78,7 +77,7 @@
 //
 //	book := ticket.New(now, "127.0.0.1:7201")
 func New(now int64, lineman string) *Book {
-	return &Book{lineman: lineman, startMs: now, turnedMs: now, keys: [2]map[string]string{{}, {}},
+	return &Book{lineman: lineman, turnedMs: now, keys: [2]map[string]string{{}, {}},
 		claims: [2]map[string]map[string]string{{}, {}}, wishes: map[int64]*wish{}, byKey: map[string]int64{}}
 }
 
@@ -190,11 +189,11 @@
 	asked.sentMs, asked.toldMs = now, now
 	b.wishes[b.nextOp], b.byKey[asked.call.Key] = asked, b.nextOp
 	b.claim(asked.call.Key, own, asked.call.Choice)
-	b.say(now, out, b.nextOp, asked)
+	b.say(out, b.nextOp, asked)
 }
 
-func (b *Book) say(now int64, out *wire.Outputs, op int64, asked *wish) {
-	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Marks: asked.marks, Few: asked.round == 0, AgeMs: now - b.startMs}
+func (b *Book) say(out *wire.Outputs, op int64, asked *wish) {
+	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Marks: asked.marks, Few: asked.round == 0}
 	out.Send(b.lineman, wire.KindTicketWish, told)
 }
 
--- a/internal/process/ticket/hear.go
+++ b/internal/process/ticket/hear.go
@@ -17,7 +17,7 @@
 		b.contactMs, b.keyMs, b.answerMs, b.graceMs = now, told.KeyMs, told.AnswerMs, told.GraceMs
 		b.settled = max(b.settled, told.Settled)
 	case *wire.TicketAsk:
-		out.Send(b.lineman, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), FromMs: told.FromMs, Mark: told.Mark, AgeMs: now - b.startMs})
+		out.Send(b.lineman, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), FromMs: told.FromMs, Mark: told.Mark})
 	case *wire.TicketDone:
 		b.done(now, &out, told)
 	}
@@ -91,7 +91,7 @@
 			b.refuse(&out, "not all other fronts say whether they know this key", b.answerMs, asked.calls...)
 		case now-asked.toldMs > b.againTime():
 			asked.toldMs = now
-			b.say(now, &out, op, asked)
+			b.say(&out, op, asked)
 		}
 	}
 	return out
