Table: the servers of lists before are made once a table, not at every call

Each booking and check cut names apart and made servers for up to eight old lists of its pool; a table that is swapped in has them ready. Nothing behaves otherwise.

--- a/internal/mark/table/table.go
+++ b/internal/mark/table/table.go
@@ -38,11 +38,11 @@
 	Waits   map[string]int64
 	WaitsTo int64
 	Budgets map[string]*Budget
-	// Rosters are what the servers of each pool were by lists before.
-	Rosters map[string][]wire.Roster
 	// Next is closed when a newer table is there.
 	Next   chan struct{}
 	routes map[string]policy.Route
+	// pasts are what the servers of each pool were by lists before.
+	pasts map[string][]past
 }
 
 // Empty is the table of a switchboard that knows nothing yet.
@@ -70,12 +70,7 @@
 func (t *Table) After(told News) *Table {
 	next := Empty()
 	next.Waits, next.WaitsTo = told.Waits, told.WaitsTo
-	next.Policy, next.Known, next.Refused, next.Rosters = told.Policy, told.Policy.Mark > 0, told.Refused, map[string][]wire.Roster{}
-	for _, roster := range told.Rosters {
-		if roster.UntilMs > 0 {
-			next.Rosters[roster.Pool] = append(next.Rosters[roster.Pool], roster)
-		}
-	}
+	next.Policy, next.Known, next.Refused, next.pasts = told.Policy, told.Policy.Mark > 0, told.Refused, pastsOf(told.Rosters)
 	for _, worker := range told.Workers {
 		server := &Server{Name: worker.Name, Addr: worker.Addr, Pool: worker.Pool, Leaving: worker.Leaving, Loaded: map[string]bool{}}
 		if old, ok := t.Servers[worker.Name]; ok && old.Addr == worker.Addr {
--- a/internal/mark/table/ticket.go
+++ b/internal/mark/table/ticket.go
@@ -3,22 +3,41 @@
 import (
 	"strings"
 
+	"applequay/internal/connection/wire"
 	"applequay/internal/process/ticket"
 )
 
+// past is a pool's servers by a list that the one with the mark replaced.
+type past struct {
+	mark    int64
+	servers []*Server
+}
+
+// pastsOf are the lists of each pool that were replaced.
+func pastsOf(rosters []wire.Roster) map[string][]past {
+	out := map[string][]past{}
+	for _, roster := range rosters {
+		if roster.UntilMs == 0 {
+			continue
+		}
+		one := past{mark: roster.Mark}
+		for _, named := range roster.Servers {
+			name, addr, _ := strings.Cut(named, "@")
+			one.servers = append(one.servers, &Server{Name: name, Addr: addr})
+		}
+		out[roster.Pool] = append(out[roster.Pool], one)
+	}
+	return out
+}
+
 // Call is what a key's ticket is made out for: its server by this table, and
 // those by the lists before it.
 //
 //	call := current.Call("app", "till-4-991")
 func (t *Table) Call(pool, key string) ticket.Call {
 	call := ticket.Call{Key: key, Choice: first(t.Open(pool), key)}
-	for _, roster := range t.Rosters[pool] {
-		var servers []*Server
-		for _, named := range roster.Servers {
-			name, addr, _ := strings.Cut(named, "@")
-			servers = append(servers, &Server{Name: name, Addr: addr})
-		}
-		call.Past = append(call.Past, ticket.Past{Mark: roster.Mark, Server: first(servers, key)})
+	for _, past := range t.pasts[pool] {
+		call.Past = append(call.Past, ticket.Past{Mark: past.mark, Server: first(past.servers, key)})
 	}
 	call.Open = func(server string) bool { return t.Named(server) != nil }
 	return call
