--- a/cmd/lineman/main.go
+++ b/cmd/agent/main.go
@@ -1,5 +1,5 @@
-// Command lineman is the agent beside a switchboard: it keeps the link to the
-// core and the other fronts, and feeds the switchboard over loopback.
+// Command agent runs beside a proxy: it keeps the link to the
+// core and the other fronts, and feeds the proxy over loopback.
 package main
 
 import (
@@ -22,8 +22,8 @@
 )
 
 func main() {
-	start := platform.Start("lineman", boot.PartNode|boot.PartLine)
-	log := boot.Log("lineman", start.Settings.Name)
+	start := platform.Start("agent", boot.PartNode|boot.PartLine)
+	log := boot.Log("agent", start.Settings.Name)
 	ctx, stop := boot.Signals()
 	defer stop()
 	if err := run(ctx, stop, start, log); err != nil {
@@ -39,7 +39,7 @@
 	id := standing.Identity(settings.Name)
 	line := linework.New(1, linework.Boot{
 		ID: id, Name: settings.Name, Addr: settings.Advertise, Zone: settings.Zone, Outward: settings.Listen, Born: epoch.UnixMilli(),
-		Switchboard: settings.Switchboard, Seeds: settings.Seeds, Partitions: settings.Partitions,
+		Proxy: settings.Proxy, Seeds: settings.Seeds, Partitions: settings.Partitions,
 		LeaseMs: settings.LeaseMs, ProbeMs: settings.ProbeMs, CallMs: settings.CallMs, KeyMs: settings.KeyMs, Form: start.Form,
 	}, rand.New(rand.NewSource(epoch.UnixNano())))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -49,7 +49,7 @@
 	router := mux.NewRouter()
 	router.Handle("/trunk", cable.Handler(control.Deliver)).Methods("POST")
 	desk.Routes(router, control, start.Form, boot.Ms(settings.CallMs)*2, stop)
-	gauges := standing.New("lineman", settings.Name)
+	gauges := standing.New("agent", settings.Name)
 	standing.Trunk(gauges, cable.Counts)
 	standing.Control(gauges, control.Page)
 	gauges.Routes(router)
@@ -57,7 +57,7 @@
 	start.Desk(operators, control, boot.Ms(settings.CallMs)*2, stop)
 	go start.Watch(work, log, func(next *boot.Boot) { control.Seeds(work, next.Seeds) })
 	go func() {
-		// SIGTERM: the switchboard beside is fed while it takes callers' leave.
+		// SIGTERM: the proxy beside is fed while it takes callers' leave.
 		<-ctx.Done()
 		boot.Beside(settings)
 		control.Do(work, line.Leave)
--- a/cmd/dial/main.go
+++ b/cmd/applequayctl/main.go
@@ -1,4 +1,4 @@
-// Command dial is the operators' command line: it reaches any node and gets
+// Command applequayctl is the operators' command line: it reaches any node and gets
 // the same answer from each.
 package main
 
@@ -46,17 +46,17 @@
 	case errors.Is(err, errRefused):
 		os.Exit(exitRefused)
 	default:
-		_, _ = fmt.Fprintln(os.Stderr, "dial:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "applequayctl:", err)
 		os.Exit(exitAsk)
 	}
 }
 
 func (c *caller) commands() *ffcli.Command {
-	set := flag.NewFlagSet("dial", flag.ContinueOnError)
+	set := flag.NewFlagSet("applequayctl", flag.ContinueOnError)
 	set.StringVar(&c.nodes, "nodes", "127.0.0.1:7100", "addresses of nodes, with commas: the first that answers is asked")
 	set.DurationVar(&c.wait, "wait", 10*time.Second, "how long a node may take")
 	options := []ff.Option{ff.WithEnvVarPrefix("DIAL")}
-	root := &ffcli.Command{ShortUsage: "dial [-nodes a,b] <command>", FlagSet: set, Options: options, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+	root := &ffcli.Command{ShortUsage: "applequayctl [-nodes a,b] <command>", FlagSet: set, Options: options, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 	for _, page := range []struct{ name, help string }{
 		{"openings", "openings, and what of each stands ready"}, {"homes", "which worker holds which model"},
 		{"members", "nodes, and how they stand"}, {"core", "the core set, and who owns which partition"}, {"standing", "how the node asked stands"},
@@ -106,7 +106,7 @@
 			return c.ask(ctx, method, "/v1/policy?"+query.Encode(), body)
 		}}
 	}
-	return &ffcli.Command{Name: "policy", ShortUsage: "dial policy get|set|patch|halt", ShortHelp: "the policy and its mark",
+	return &ffcli.Command{Name: "policy", ShortUsage: "applequayctl policy get|set|patch|halt", ShortHelp: "the policy and its mark",
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{
 			{Name: "get", ShortHelp: "show the policy", Exec: func(ctx context.Context, _ []string) error { return c.ask(ctx, http.MethodGet, "/v1/policy", nil) }},
--- a/cmd/exchange/main.go
+++ b/cmd/controller/main.go
@@ -1,4 +1,4 @@
-// Command exchange is a core machine: it keeps registers, votes on grants and
+// Command controller is a core machine: it keeps registers, votes on grants and
 // owns partitions.
 package main
 
@@ -27,8 +27,8 @@
 )
 
 func main() {
-	start := platform.Start("exchange", boot.PartNode|boot.PartDisk)
-	log := boot.Log("exchange", start.Settings.Name)
+	start := platform.Start("controller", boot.PartNode|boot.PartDisk)
+	log := boot.Log("controller", start.Settings.Name)
 	ctx, stop := boot.Signals()
 	defer stop()
 	err := run(ctx, stop, start, log)
@@ -117,7 +117,7 @@
 	router := mux.NewRouter()
 	router.Handle("/trunk", cable.Handler(control.Deliver)).Methods("POST")
 	desk.Routes(router, control, start.Form, boot.Ms(settings.CallMs)*2, stop)
-	gauges := standing.New("exchange", settings.Name)
+	gauges := standing.New("controller", settings.Name)
 	standing.Trunk(gauges, cable.Counts)
 	standing.Control(gauges, control.Page)
 	standing.Journal(gauges, writer)
--- a/cmd/directory/main.go
+++ b/cmd/fakeregistry/main.go
@@ -1,4 +1,4 @@
-// Command directory stands in for the platform's list of workers.
+// Command fakeregistry stands in for the platform's list of workers.
 package main
 
 import (
@@ -24,18 +24,18 @@
 	Workers []orders.Listed `json:"workers"`
 }
 
-// fault is how the directory answers wrongly, when tests ask for it.
+// fault is how the registry answers wrongly, when tests ask for it.
 type fault struct {
 	Mode string `json:"mode"` // empty, malformed or older
 }
 
 func main() {
-	set := flag.NewFlagSet("directory", flag.ContinueOnError)
+	set := flag.NewFlagSet("fakeregistry", flag.ContinueOnError)
 	listen := set.String("listen", "127.0.0.1:7900", "address, IP:port")
 	if err := ff.Parse(set, os.Args[1:]); err != nil {
 		os.Exit(boot.ExitSettings)
 	}
-	log := boot.Log("directory", "directory")
+	log := boot.Log("fakeregistry", "fakeregistry")
 	var kept, older atomic.Pointer[list]
 	var faulty atomic.Pointer[fault]
 	kept.Store(&list{Workers: []orders.Listed{}})
--- a/cmd/extension/main.go
+++ b/cmd/fakeworker/main.go
@@ -1,4 +1,4 @@
-// Command extension stands in for the back ends: a model worker that takes
+// Command fakeworker stands in for the back ends: a model worker that takes
 // orders and streams pieces, or a booking or paywall application.
 package main
 
@@ -27,7 +27,7 @@
 
 func main() {
 	var s settings
-	set := flag.NewFlagSet("extension", flag.ContinueOnError)
+	set := flag.NewFlagSet("fakeworker", flag.ContinueOnError)
 	set.StringVar(&s.name, "name", "w1", "name of this worker")
 	set.StringVar(&s.listen, "listen", "127.0.0.1:7800", "address, IP:port")
 	set.StringVar(&s.role, "role", "model", "model or app")
@@ -41,7 +41,7 @@
 	if err := ff.Parse(set, os.Args[1:]); err != nil {
 		os.Exit(boot.ExitSettings)
 	}
-	log := boot.Log("extension", s.name)
+	log := boot.Log("fakeworker", s.name)
 	out := os.Stdout
 	if s.recordFile != "" {
 		file, err := os.OpenFile(s.recordFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
--- a/cmd/subscriber/calls.go
+++ b/cmd/loadgen/calls.go
@@ -81,7 +81,7 @@
 }
 
 // compare looks at an application's whole answer: it must be the one to this
-// very key and path, from the server that the switchboard names, and hold
+// very key and path, from the server that the proxy names, and hold
 // nothing else. A repeat may get the answer to an earlier try.
 func compare(line *Line, answer *http.Response, told []byte) string {
 	var done struct {
@@ -100,7 +100,7 @@
 	return ""
 }
 
-// refused reads the switchboard's own error answer.
+// refused reads the proxy's own error answer.
 func refused(line *Line, answer *http.Response, told []byte) time.Duration {
 	var refusal speech.Answer
 	if json.Unmarshal(told, &refusal) != nil || (refusal.Ran != speech.RanNo && refusal.Ran != speech.RanUnknown) {
@@ -234,7 +234,7 @@
 	return true
 }
 
-// sameText checks what an extension puts in a piece: tag, run and number.
+// sameText checks what a worker puts in a piece: tag, run and number.
 func sameText(text, tag string, number int64) bool {
 	head, tail := tag+"|", fmt.Sprintf("|%d", number)
 	return len(text) > len(head)+len(tail) && text[:len(head)] == head && text[len(text)-len(tail):] == tail
--- a/cmd/subscriber/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Command subscriber stands in for callers: tills, shops, solvers and editors.
+// Command loadgen stands in for callers: tills, shops, solvers and editors.
 // It checks every answer and records it.
 package main
 
@@ -66,13 +66,13 @@
 }
 
 func main() {
-	set := flag.NewFlagSet("subscriber", flag.ContinueOnError)
+	set := flag.NewFlagSet("loadgen", flag.ContinueOnError)
 	file := set.String("plan", "", "file with the plan, JSON")
 	record := set.String("record", "", "file for the record, JSON lines")
 	if err := ff.Parse(set, os.Args[1:]); err != nil {
 		os.Exit(boot.ExitSettings)
 	}
-	log := boot.Log("subscriber", "subscriber")
+	log := boot.Log("loadgen", "loadgen")
 	if err := run(*file, *record); err != nil {
 		log.Error("stopped", zap.Error(err))
 		os.Exit(boot.ExitFault)
--- a/cmd/switchboard/main.go
+++ b/cmd/proxy/main.go
@@ -1,4 +1,4 @@
-// Command switchboard is the proxy on each front: it takes callers' requests
+// Command proxy runs on each front: it takes callers' requests
 // and relays them where the newest marks say.
 package main
 
@@ -22,8 +22,8 @@
 )
 
 func main() {
-	start := platform.Start("switchboard", boot.PartCallers)
-	log := boot.Log("switchboard", start.Settings.Name)
+	start := platform.Start("proxy", boot.PartCallers)
+	log := boot.Log("proxy", start.Settings.Name)
 	ctx, stop := boot.Signals()
 	defer stop()
 	if err := run(ctx, start, log); err != nil {
@@ -38,7 +38,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	cable := trunk.New(work, standing.Identity(settings.Name), settings.Listen, settings.Listen, time.Second)
-	plugs := plugboard.New(settings.Lineman, cable, start.Form)
+	plugs := plugboard.New(settings.Agent, cable, start.Form)
 	limits := cord.LimitsFor(settings.Slots, settings.BodyKb<<10, boot.Ms(settings.HoldMs))
 	limits.RetrySlack = settings.RetrySlack
 	board := cord.New(limits, line.New(limits.Avoid/4), plugs, start.Speech, time.Now())
@@ -46,7 +46,7 @@
 
 	router := mux.NewRouter()
 	router.Handle("/trunk", cable.Handler(plugs.Deliver)).Methods(http.MethodPost)
-	gauges := standing.New("switchboard", settings.Name)
+	gauges := standing.New("proxy", settings.Name)
 	gauges.Ready(func() bool {
 		known := board.Table()
 		return known.Known && len(known.Servers) > 0 && ctx.Err() == nil
--- a/cmd/testdesk/day.go
+++ b/cmd/testbed/day.go
@@ -68,7 +68,7 @@
 func playDay(ctx context.Context, plan stand.Plan, bin, dir, picture string, straight bool) error {
 	var launch stand.Launch
 	if !straight {
-		if !fleet.HasPrograms(bin, "exchange", "lineman", "switchboard") {
+		if !fleet.HasPrograms(bin, "controller", "agent", "proxy") {
 			return fmt.Errorf("%w: folder %q lacks the programs; build them with go build -o %s/ ./cmd/...", errUsage, bin, bin)
 		}
 		launch = func(name, program string, env []string, log string) stand.Process {
@@ -76,7 +76,7 @@
 		}
 	}
 	if dir == "" {
-		made, err := os.MkdirTemp("", "testdesk-day-")
+		made, err := os.MkdirTemp("", "testbed-day-")
 		if err != nil {
 			return err
 		}
--- a/cmd/testdesk/main.go
+++ b/cmd/testbed/main.go
@@ -1,4 +1,4 @@
-// Command testdesk runs whole deployments on one machine, brings their
+// Command testbed runs whole deployments on one machine, brings their
 // failures about and checks what callers and back ends saw; it also replays
 // seeds of the simulator.
 package main
@@ -25,12 +25,12 @@
 )
 
 func main() {
-	root := &ffcli.Command{ShortUsage: "testdesk run|figures|sim|day", FlagSet: flag.NewFlagSet("testdesk", flag.ContinueOnError),
+	root := &ffcli.Command{ShortUsage: "testbed run|figures|sim|day", FlagSet: flag.NewFlagSet("testbed", flag.ContinueOnError),
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 		Subcommands: []*ffcli.Command{runCommand(), figuresCommand(), simCommand(), dayCommand()}}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
-		_, _ = fmt.Fprintln(os.Stderr, "testdesk:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "testbed:", err)
 		if errors.Is(err, errUsage) {
 			os.Exit(2)
 		}
@@ -109,7 +109,7 @@
 func play(shape fleet.Shape, scenario fleet.Scenario, bin, dir string, factor float64, seed int64) bool {
 	var err error
 	if dir == "" {
-		dir, err = os.MkdirTemp("", "testdesk-")
+		dir, err = os.MkdirTemp("", "testbed-")
 	} else {
 		dir = filepath.Join(dir, shape.Name+"-"+scenario.Name)
 		err = os.MkdirAll(dir, 0o755)
--- a/internal/connection/line/line.go
+++ b/internal/connection/line/line.go
@@ -1,4 +1,4 @@
-// Package line holds the connections from a switchboard to servers: one
+// Package line holds the connections from a proxy to servers: one
 // request at a time on each, kept for the next where the server agrees.
 package line
 
--- a/internal/mark/table/load.go
+++ b/internal/mark/table/load.go
@@ -7,14 +7,14 @@
 	"applequay/internal/connection/line"
 )
 
-// keptSlots is how many beginnings of prompts a switchboard remembers of each
+// keptSlots is how many beginnings of prompts a proxy remembers of each
 // server; a power of two.
 const keptSlots = 512
 
-// Load is what a switchboard itself knows of a server. It lives on from one
+// Load is what a proxy itself knows of a server. It lives on from one
 // table to the next, as long as the server is at its address.
 type Load struct {
-	// InWork counts this switchboard's requests there, Pending the tokens of
+	// InWork counts this proxy's requests there, Pending the tokens of
 	// prompts whose first piece has not come.
 	InWork, Pending atomic.Int64
 	AvoidToMs       atomic.Int64
@@ -23,7 +23,7 @@
 	// Plug holds the connections.
 	Plug line.Plug
 	// told is how many requests the server said it has, beyond this
-	// switchboard's own; toldMs is when; places is how many it runs at once.
+	// proxy's own; toldMs is when; places is how many it runs at once.
 	told, toldMs, places atomic.Int64
 	// missing is an item that the server said it does not hold, and until when
 	// that counts.
@@ -45,7 +45,7 @@
 const staleMs = 400
 
 // All is how many requests the server has by all that is known: this
-// switchboard's own, and those of others as it last said, fading.
+// proxy's own, and those of others as it last said, fading.
 //
 //	busy := server.Load.All(nowMs)
 func (l *Load) All(nowMs int64) int64 {
--- a/internal/mark/table/table.go
+++ b/internal/mark/table/table.go
@@ -1,4 +1,4 @@
-// Package table is what a switchboard routes by: one mark of policy, worker
+// Package table is what a proxy routes by: one mark of policy, worker
 // list and homes together. A table is never changed once made; only the
 // counters that servers keep live on from one to the next.
 package table
@@ -11,7 +11,7 @@
 	"applequay/internal/mark/policy"
 )
 
-// Server is one worker as a switchboard uses it.
+// Server is one worker as a proxy uses it.
 type Server struct {
 	Name, Addr, Pool, Zone string
 	Leaving, Dark          bool
@@ -39,7 +39,7 @@
 	pasts map[string][]past
 }
 
-// Empty is the table of a switchboard that knows nothing yet.
+// Empty is the table of a proxy that knows nothing yet.
 //
 //	start := table.Empty()
 func Empty() *Table {
--- a/internal/process/boot/beside.go
+++ b/internal/process/boot/beside.go
@@ -21,7 +21,7 @@
 	look := time.NewTicker(drain / 50)
 	defer look.Stop()
 	for {
-		conn, err := net.DialTimeout("tcp", settings.Switchboard, drain/50)
+		conn, err := net.DialTimeout("tcp", settings.Proxy, drain/50)
 		if err != nil {
 			return
 		}
--- a/internal/process/boot/boot.go
+++ b/internal/process/boot/boot.go
@@ -16,7 +16,7 @@
 
 // Boot holds the settings of every program; each asks for those it needs.
 type Boot struct {
-	Name, Zone, Listen, Advertise, Ready, Operators, Callers, Lineman, Switchboard, Data, Directory, Settings, DiskTrial, ClockTrial string
+	Name, Zone, Listen, Advertise, Ready, Operators, Callers, Agent, Proxy, Data, Directory, Settings, DiskTrial, ClockTrial string
 
 	Seeds, Core []string
 	// Bootstrap is true at the very first start of the whole system; Fenced
@@ -67,7 +67,7 @@
 // Read reads settings from flags, or from a file of JSON named by -settings.
 // All faults come back at once.
 //
-//	settings, faults := boot.Read("exchange", boot.PartNode|boot.PartDisk, os.Args[1:], os.Stderr)
+//	settings, faults := boot.Read("controller", boot.PartNode|boot.PartDisk, os.Args[1:], os.Stderr)
 func Read(program string, parts Part, args []string, help io.Writer) (*Boot, []string) {
 	b := &Boot{}
 	set := flag.NewFlagSet(program, flag.ContinueOnError)
--- a/internal/process/boot/boot_test.go
+++ b/internal/process/boot/boot_test.go
@@ -27,7 +27,7 @@
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
-			_, faults := Read("exchange", PartNode|PartDisk, strings.Fields(one.args), io.Discard)
+			_, faults := Read("controller", PartNode|PartDisk, strings.Fields(one.args), io.Discard)
 			c.Assert(faults, qt.HasLen, len(one.faults), qt.Commentf("%q", faults))
 			for at, fault := range one.faults {
 				c.Check(strings.Contains(faults[at], fault), qt.IsTrue, qt.Commentf("%q", faults[at]))
@@ -39,8 +39,8 @@
 func TestSettingsFile(t *testing.T) {
 	c := qt.New(t)
 	file := filepath.Join(c.TempDir(), "s.json")
-	c.Assert(os.WriteFile(file, []byte(`{"name":"l1","zone":"z1","listen":"127.0.0.1:7200","switchboard":"127.0.0.1:7300","seeds":"127.0.0.1:7100,127.0.0.1:7101"}`), 0o644), qt.IsNil)
-	settings, faults := Read("lineman", PartNode|PartLine, []string{"-settings", file, "-zone", "z9"}, io.Discard)
+	c.Assert(os.WriteFile(file, []byte(`{"name":"l1","zone":"z1","listen":"127.0.0.1:7200","proxy":"127.0.0.1:7300","seeds":"127.0.0.1:7100,127.0.0.1:7101"}`), 0o644), qt.IsNil)
+	settings, faults := Read("agent", PartNode|PartLine, []string{"-settings", file, "-zone", "z9"}, io.Discard)
 	c.Assert(faults, qt.HasLen, 0)
 	c.Check(settings.Name, qt.Equals, "l1")
 	c.Check(settings.Zone, qt.Equals, "z9", qt.Commentf("flags go first"))
--- a/internal/process/boot/numbers.go
+++ b/internal/process/boot/numbers.go
@@ -85,9 +85,9 @@
 		{PartAll, "ready", &b.Ready, false, "address at which it is told whether this process is ready, besides listen"},
 		{PartNode, "operators", &b.Operators, false, "address for operators, besides listen"},
 		{PartDisk, "directory", &b.Directory, true, "address of the platform's worker list, IP:port"},
-		{PartLine, "switchboard", &b.Switchboard, true, "address of the switchboard beside this lineman"},
+		{PartLine, "proxy", &b.Proxy, true, "address of the proxy beside this agent"},
 		{PartCallers, "callers", &b.Callers, true, "address for callers, IP:port"},
-		{PartCallers, "lineman", &b.Lineman, true, "address of the lineman beside this switchboard"},
+		{PartCallers, "agent", &b.Agent, true, "address of the agent beside this proxy"},
 	}
 	var out []address
 	for _, one := range every {
--- a/internal/process/boot/process.go
+++ b/internal/process/boot/process.go
@@ -22,7 +22,7 @@
 
 // Log makes the program's log: JSON lines on standard error.
 //
-//	log := boot.Log("exchange", settings.Name)
+//	log := boot.Log("controller", settings.Name)
 func Log(program, name string) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.TimeKey, encoding.EncodeTime = "time", zapcore.RFC3339NanoTimeEncoder
--- a/internal/process/boot/start.go
+++ b/internal/process/boot/start.go
@@ -32,7 +32,7 @@
 
 // Read reads the flags, and the file again.
 //
-//	settings, faults := boot.Own{Args: os.Args[1:], Help: os.Stderr}.Read("lineman", boot.PartNode|boot.PartLine)
+//	settings, faults := boot.Own{Args: os.Args[1:], Help: os.Stderr}.Read("agent", boot.PartNode|boot.PartLine)
 func (o Own) Read(program string, parts Part) (*Boot, []string) {
 	return Read(program, parts, o.Args, o.Help)
 }
@@ -62,7 +62,7 @@
 // Must reads settings from a source and ends the process with status 2, naming
 // each fault. The rest of what comes back is the product's own.
 //
-//	start := boot.Must("exchange", boot.PartNode|boot.PartDisk, boot.Own{Args: os.Args[1:], Help: os.Stderr})
+//	start := boot.Must("controller", boot.PartNode|boot.PartDisk, boot.Own{Args: os.Args[1:], Help: os.Stderr})
 func Must(program string, parts Part, source Source) *Start {
 	start := &Start{Form: policy.Native, Speech: speech.Own{}, ReadyPath: "/standing", source: source, program: program, parts: parts, hup: make(chan os.Signal, 1)}
 	start.Desk = func(router *mux.Router, control *position.Position, wait time.Duration, drain func()) {
--- a/internal/process/desk/capacity.go
+++ b/internal/process/desk/capacity.go
@@ -10,7 +10,7 @@
 
 // Bounds of what the doctor takes for a passing state.
 const (
-	// settleMs is how long a new exchange may be without a seat.
+	// settleMs is how long a new controller may be without a seat.
 	settleMs = 30000
 	// fullSeats is how many seats a core set may have.
 	fullSeats = 9
@@ -20,7 +20,7 @@
 	longWaitMs = 10000
 )
 
-// size looks at how many seats the core set has, and at exchanges that have none.
+// size looks at how many seats the core set has, and at controllers that have none.
 func (d *doctor) size() {
 	core := d.page.Core
 	if core.Epoch == 0 {
@@ -31,16 +31,16 @@
 	}
 	names := map[string]bool{}
 	for _, member := range d.page.Members {
-		if member.Role != "exchange" {
+		if member.Role != "controller" {
 			continue
 		}
 		names[member.Name] = true
 		if stands(member) && !seated(member.ID) && len(core.Seats) < fullSeats && d.wallMs-member.Born > settleMs {
-			d.find("an exchange has no seat", member.Name, "look at its log and its links to the others: a newcomer is seated within seconds", "it stands, and the core set of epoch %d with %d seats does not name it", core.Epoch, len(core.Seats))
+			d.find("a controller has no seat", member.Name, "look at its log and its links to the others: a newcomer is seated within seconds", "it stands, and the core set of epoch %d with %d seats does not name it", core.Epoch, len(core.Seats))
 		}
 	}
 	if len(core.Seats) < leastSeats && len(names) > 1 {
-		d.find("the core bears no loss", "core", "start exchanges until there are three: the set takes them in by itself", "it has %d seats, and more than half of them must stand", len(core.Seats))
+		d.find("the core bears no loss", "core", "start controllers until there are three: the set takes them in by itself", "it has %d seats, and more than half of them must stand", len(core.Seats))
 	}
 }
 
--- a/internal/process/desk/doctor.go
+++ b/internal/process/desk/doctor.go
@@ -81,7 +81,7 @@
 func (d *doctor) seats() {
 	core, standing := d.page.Core, 0
 	if core.Epoch == 0 {
-		d.find("there is no core set", d.page.ID, "check that every exchange named in -core runs: the first set is founded only when all answer", "no exchange told this node of a core set")
+		d.find("there is no core set", d.page.ID, "check that every controller named in -core runs: the first set is founded only when all answer", "no controller told this node of a core set")
 		return
 	}
 	for _, seat := range core.Seats {
@@ -89,10 +89,10 @@
 			standing++
 			continue
 		}
-		d.find("a core set member is absent", seat.Name+" ("+seat.ID+")", "start it, or start an empty exchange in its place: it is seated after a while", "the core set of epoch %d names it and it does not answer", core.Epoch)
+		d.find("a core set member is absent", seat.Name+" ("+seat.ID+")", "start it, or start an empty controller in its place: it is seated after a while", "the core set of epoch %d names it and it does not answer", core.Epoch)
 	}
 	if standing < len(core.Seats)/2+1 {
-		d.find("the core has no majority", "core", "start absent exchanges; fronts serve on from their last marks meanwhile", "%d of %d members stand", standing, len(core.Seats))
+		d.find("the core has no majority", "core", "start absent controllers; fronts serve on from their last marks meanwhile", "%d of %d members stand", standing, len(core.Seats))
 	}
 	if !core.Swept || len(core.Joining) > 0 {
 		d.find("a change of the core set is under way", "core", "nothing, unless it lasts for minutes: then look for slow disks", "epoch %d is not swept", core.Epoch)
@@ -115,7 +115,7 @@
 			d.find("a disk is slow", member.Name, "look at the machine's disk; policies and placement wait for the slower half of the core", "the last write took %d ms", ms)
 		}
 		if free, ok := number(member, "disk_free_pct"); ok && free < leastFreePct {
-			d.find("a disk is nearly full", member.Name, "free some space: an exchange with a full disk acknowledges nothing and lets its partitions go", "%d%% are free", free)
+			d.find("a disk is nearly full", member.Name, "free some space: a controller with a full disk acknowledges nothing and lets its partitions go", "%d%% are free", free)
 		}
 		if fault := member.Fact["list_fault"]; fault != "" {
 			d.find("the platform's worker list cannot be used", member.Name, "look at the platform's directory; the last good list stays in force", "%s", fault)
@@ -147,7 +147,7 @@
 	}
 	for _, member := range d.page.Members {
 		mark, _ := number(member, "mark")
-		if member.Role == "lineman" && stands(member) && mark < newest && d.wallMs-member.Born > behindMs {
+		if member.Role == "agent" && stands(member) && mark < newest && d.wallMs-member.Born > behindMs {
 			d.find("a front is behind", member.Name, "look at its link to its zone and to the core", "it has policy mark %d, the newest known is %d", mark, newest)
 		}
 	}
@@ -165,7 +165,7 @@
 		}
 	}
 	if len(loose) > 0 {
-		d.find("partitions have no owner", strings.Join(loose, ","), "wait for two leases; if it lasts, look for a core without majority or with stalled disks", "no standing exchange says that it owns them")
+		d.find("partitions have no owner", strings.Join(loose, ","), "wait for two leases; if it lasts, look for a core without majority or with stalled disks", "no standing controller says that it owns them")
 	}
 }
 
--- a/internal/process/desk/doctor_test.go
+++ b/internal/process/desk/doctor_test.go
@@ -23,10 +23,10 @@
 		Core:    wire.CoreSet{Epoch: 2, Swept: true, Seats: []wire.Seat{{ID: "c1~1", Name: "c1"}, {ID: "c2~1", Name: "c2"}, {ID: "c3~1", Name: "c3"}}},
 		Workers: map[string]wire.Worker{"w1": {Name: "w1", Pool: "llm", RoomMb: 1000}}, Rooms: map[string]wire.WorkerNews{"w1": {Worker: "w1"}}}
 	for _, name := range []string{"c1", "c2", "c3"} {
-		page.Members = append(page.Members, wire.Member{ID: name + "~1", Name: name, Role: "exchange", Addr: map[string]string{"c1": "a:1"}[name],
+		page.Members = append(page.Members, wire.Member{ID: name + "~1", Name: name, Role: "controller", Addr: map[string]string{"c1": "a:1"}[name],
 			Fact: map[string]string{"mark": "3", "owned": map[string]string{"c1": "0", "c2": "1"}[name], "settings": "same", "sync_ms": "50", "disk_free_pct": "60"}})
 	}
-	page.Members = append(page.Members, wire.Member{ID: "l1~1", Name: "l1", Role: "lineman", Fact: map[string]string{"mark": "3", "settings": "same"}})
+	page.Members = append(page.Members, wire.Member{ID: "l1~1", Name: "l1", Role: "agent", Fact: map[string]string{"mark": "3", "settings": "same"}})
 	return page
 }
 
@@ -58,8 +58,8 @@
 		{"partitions have no owner", "1", fact(1, "owned", "")},
 		{"a model fits nowhere", "items.m1", func(p *frame.Page) { p.Workers["w1"] = wire.Worker{Name: "w1", Pool: "llm", RoomMb: 800} }},
 		{"an opening cannot be ready in time", "o", func(p *frame.Page) { p.Policy.Store.MbPerS = 10 }},
-		{"an exchange has no seat", "c4", func(p *frame.Page) {
-			p.Members = append(p.Members, wire.Member{ID: "c4~1", Name: "c4", Role: "exchange", Born: wall - 60000})
+		{"a controller has no seat", "c4", func(p *frame.Page) {
+			p.Members = append(p.Members, wire.Member{ID: "c4~1", Name: "c4", Role: "controller", Born: wall - 60000})
 		}},
 		{"the core bears no loss", "core", func(p *frame.Page) {
 			p.Core.Seats = p.Core.Seats[:2]
--- a/internal/process/fleet/callers.go
+++ b/internal/process/fleet/callers.go
@@ -29,7 +29,7 @@
 	if err := os.WriteFile(file, plan, 0o644); err != nil {
 		return nil, err
 	}
-	w.add(name, "subscriber", "-plan", file, "-record", filepath.Join(w.Dir, name+".rec"))
+	w.add(name, "loadgen", "-plan", file, "-record", filepath.Join(w.Dir, name+".rec"))
 	if err := w.Start(name); err != nil {
 		return nil, err
 	}
--- a/internal/process/fleet/control.go
+++ b/internal/process/fleet/control.go
@@ -173,7 +173,7 @@
 	return done.Mark, status, nil
 }
 
-// Mark returns the mark of the policy in force at a switchboard, or -1.
+// Mark returns the mark of the policy in force at a proxy, or -1.
 //
 //	mark := world.Mark("s1")
 func (w *World) Mark(name string) int64 { return int64(w.Metric(name, "applequay_policy_mark")) }
@@ -211,7 +211,7 @@
 	return json.Unmarshal(told, into)
 }
 
-// InForce waits until every switchboard named has a mark in force, and returns
+// InForce waits until every proxy named has a mark in force, and returns
 // how long each took.
 //
 //	took, ok := world.InForce(3, 2*time.Second, "s1", "s2")
@@ -228,10 +228,10 @@
 	return took, ok
 }
 
-// Switchboards lists the switchboards' names.
+// Proxies lists the proxies' names.
 //
-//	for _, name := range world.Switchboards() { ... }
-func (w *World) Switchboards() []string {
+//	for _, name := range world.Proxies() { ... }
+func (w *World) Proxies() []string {
 	var out []string
 	for i := range w.Shape.Fronts {
 		out = append(out, fmt.Sprintf("s%d", i+1))
--- a/internal/process/fleet/corefaults.go
+++ b/internal/process/fleet/corefaults.go
@@ -17,7 +17,7 @@
 
 // inForce checks that an acknowledged mark is in force everywhere in time.
 func (w *World) inForce(mark int64) error {
-	took, ok := w.InForce(mark, 2*time.Second, w.Switchboards()...)
+	took, ok := w.InForce(mark, 2*time.Second, w.Proxies()...)
 	if !ok {
 		return oops.Errorf("mark %d is in force within 2 s only at %v", mark, took)
 	}
@@ -117,7 +117,7 @@
 	}
 	var names []string
 	for _, name := range w.names {
-		if p := w.procs[name]; p.program != "subscriber" && p.program != "directory" && name[0] != 'b' {
+		if p := w.procs[name]; p.program != "loadgen" && p.program != "fakeregistry" && name[0] != 'b' {
 			names = append(names, name)
 		}
 	}
@@ -133,7 +133,7 @@
 	}
 	var names []string
 	for _, name := range w.names {
-		if w.procs[name].program != "subscriber" {
+		if w.procs[name].program != "loadgen" {
 			names = append(names, name)
 		}
 	}
@@ -151,7 +151,7 @@
 	if !w.Until(5*time.Second, func() bool { return w.List() == nil }) {
 		return oops.Errorf("the directory does not answer")
 	}
-	if _, ok := w.InForce(mark, 10*time.Second, w.Switchboards()...); !ok {
+	if _, ok := w.InForce(mark, 10*time.Second, w.Proxies()...); !ok {
 		return oops.Errorf("mark %d is not back", mark)
 	}
 	return nil
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -39,7 +39,7 @@
 			return err
 		}
 		w.Kill("c1")
-		if _, ok := w.InForce(mark, 20*time.Second, w.Switchboards()...); !ok {
+		if _, ok := w.InForce(mark, 20*time.Second, w.Proxies()...); !ok {
 			c.Errorf("mark %d is not in force everywhere", mark)
 		}
 		if err := w.Leave("w1", true); err != nil {
@@ -57,7 +57,7 @@
 }
 
 // The doctor, asked at a front of a running fleet, finds each fault that it
-// knows while it is there; dial tells programs by its exit status.
+// knows while it is there; applequayctl tells programs by its exit status.
 func TestDoctorOnFleet(t *testing.T) {
 	c := qt.New(t)
 	bin := build(c)
@@ -68,14 +68,14 @@
 	defer w.Close()
 	c.Assert(ails(w), qt.IsNil)
 	c.Assert(w.Open(), qt.IsNil)
-	dial := func() int {
-		err := exec.Command(filepath.Join(bin, "dial"), "-nodes", "127.0.0.1:1,"+w.Node("l1"), "doctor", "-json").Run()
+	doctor := func() int {
+		err := exec.Command(filepath.Join(bin, "applequayctl"), "-nodes", "127.0.0.1:1,"+w.Node("l1"), "doctor", "-json").Run()
 		if ended, ok := err.(*exec.ExitError); ok {
 			return ended.ExitCode()
 		}
 		return 0
 	}
-	c.Check(dial(), qt.Equals, 1, qt.Commentf("the pool nowhere has no server"))
+	c.Check(doctor(), qt.Equals, 1, qt.Commentf("the pool nowhere has no server"))
 	c.Assert(w.Ail(), qt.IsNil)
 	c.Assert(w.Until(30*time.Second, func() bool {
 		_, status, err := w.SetPolicy("l1", shape.Policy(nil), -1)
@@ -85,7 +85,7 @@
 	c.Assert(w.Stop(20*time.Second, "l2"), qt.IsTrue)
 	c.Assert(w.Clock("l2", 0), qt.IsNil)
 	c.Assert(w.Start("l2"), qt.IsNil)
-	c.Check(w.Until(30*time.Second, func() bool { return dial() == 0 }), qt.IsTrue, qt.Commentf("all is mended"))
+	c.Check(w.Until(30*time.Second, func() bool { return doctor() == 0 }), qt.IsTrue, qt.Commentf("all is mended"))
 }
 
 // Bookings while servers freeze, are replaced, added, marked, delisted and
@@ -158,7 +158,7 @@
 		}
 		return 0, string(out)
 	}
-	code, said := status("exchange", "-name", "c1", "-lease-ms", "5")
+	code, said := status("controller", "-name", "c1", "-lease-ms", "5")
 	c.Check(code, qt.Equals, 2)
 	c.Check(said, qt.Contains, "lease-ms")
 	c.Check(said, qt.Contains, "zone")
@@ -170,9 +170,9 @@
 		c.Assert(kept.Append([]wire.Write{{Kind: wire.KindAcceptorRecord, Body: wire.Encode(&wire.AcceptorRecord{Key: "policy"})}}), qt.IsNil)
 	}
 	c.Assert(folder.Write("log.1", 60, []byte{0xff}), qt.IsNil)
-	code, said = status("exchange", "-name", "c1", "-zone", "z", "-listen", "127.30.9.1:7100", "-directory", "127.30.9.1:7900", "-data", folder.Dir())
+	code, said = status("controller", "-name", "c1", "-zone", "z", "-listen", "127.30.9.1:7100", "-directory", "127.30.9.1:7900", "-data", folder.Dir())
 	c.Check(code, qt.Equals, 3)
 	c.Check(said, qt.Contains, "damaged")
-	code, _ = status("dial", "-nodes", "127.0.0.1:1", "policy", "get")
+	code, _ = status("applequayctl", "-nodes", "127.0.0.1:1", "policy", "get")
 	c.Check(code, qt.Equals, 2)
 }
--- a/internal/process/fleet/listing.go
+++ b/internal/process/fleet/listing.go
@@ -21,7 +21,7 @@
 		name, pool, role, group = fmt.Sprintf("b%d", number), "app", "app", groupApp
 	}
 	addr := w.addr(group, number, 7800)
-	w.add(name, "extension", "-name", name, "-listen", addr, "-role", role, "-room-mb", fmt.Sprint(w.Shape.RoomMb), "-piece-ms", fmt.Sprint(w.Shape.PieceMs), "-record", filepath.Join(w.Dir, name+".rec"))
+	w.add(name, "fakeworker", "-name", name, "-listen", addr, "-role", role, "-room-mb", fmt.Sprint(w.Shape.RoomMb), "-piece-ms", fmt.Sprint(w.Shape.PieceMs), "-record", filepath.Join(w.Dir, name+".rec"))
 	if p := w.procs[name]; app {
 		p.args = append(p.args, w.appArgs...)
 	}
--- a/internal/process/fleet/program.go
+++ b/internal/process/fleet/program.go
@@ -16,7 +16,7 @@
 
 // NewProgram lays a program out; it is not started yet. Its log is appended to.
 //
-//	program := fleet.NewProgram("bin", "core1", "exchange", []string{"SETTINGS=/tmp/a"}, "/tmp/core1.log")
+//	program := fleet.NewProgram("bin", "core1", "controller", []string{"SETTINGS=/tmp/a"}, "/tmp/core1.log")
 func NewProgram(bin, name, program string, env []string, log string) *Program {
 	return &Program{bin: bin, of: process{name: name, program: program, env: env, log: log}}
 }
@@ -53,7 +53,7 @@
 
 // HasPrograms tells whether a folder holds programs of all these names.
 //
-//	if !fleet.HasPrograms("bin", "exchange", "lineman") { ... }
+//	if !fleet.HasPrograms("bin", "controller", "agent") { ... }
 func HasPrograms(bin string, names ...string) bool {
 	for _, name := range names {
 		if about, err := os.Stat(filepath.Join(bin, name)); err != nil || about.IsDir() {
--- a/internal/process/fleet/records.go
+++ b/internal/process/fleet/records.go
@@ -9,7 +9,7 @@
 	"strings"
 )
 
-// Served is one line of an extension's record.
+// Served is one line of a fakeworker's record.
 type Served struct {
 	TimeMs int64  `json:"t"`
 	Worker string `json:"worker"`
@@ -29,7 +29,7 @@
 	Why    string `json:"why"`
 }
 
-// Called is one line of a subscriber's record.
+// Called is one line of a loadgen's record.
 type Called struct {
 	TimeMs  int64  `json:"t"`
 	Event   string `json:"event"`
--- a/internal/process/fleet/scenarios.go
+++ b/internal/process/fleet/scenarios.go
@@ -21,7 +21,7 @@
 	Cold bool
 }
 
-// Scenarios are all that testdesk can bring about.
+// Scenarios are all that testbed can bring about.
 //
 //	for _, scenario := range fleet.Scenarios() { ... }
 func Scenarios() []Scenario {
@@ -45,7 +45,7 @@
 		{Name: "away", Help: "model workers are replaced one by one, and taken away in mid-stream", Seconds: 40, Run: away},
 		{Name: "unwilling", Help: "model workers turn away or cut off most requests, and applications refuse connections", Seconds: 40, Run: unwilling},
 		{Name: "fronts", Help: "fronts are killed, drained and restarted", Seconds: 30, Run: fronts},
-		{Name: "frozen-fronts", Help: "fronts and linemen freeze and wake, and a group of processes is killed", Seconds: 40, Run: frozenFronts},
+		{Name: "frozen-fronts", Help: "fronts and agents freeze and wake, and a group of processes is killed", Seconds: 40, Run: frozenFronts},
 		{Name: "apps", Help: "booking workers are killed and restarted", Seconds: 25, Run: apps},
 		{Name: "keys", Help: "booking workers freeze in mid-call, are replaced, added and delisted, and a front is killed", Seconds: 45, Run: keys},
 		{Name: "careful", Help: "the same with applications that know no keys, and callers who repeat only what did not run", Seconds: 45, Run: keys, Setup: keyless, Careful: true},
@@ -80,7 +80,7 @@
 	}) {
 		return oops.Errorf("no policy is taken: %s", w.ReadLog("l1"))
 	}
-	if took, ok := w.InForce(mark, 5*time.Second, w.Switchboards()...); !ok {
+	if took, ok := w.InForce(mark, 5*time.Second, w.Proxies()...); !ok {
 		return oops.Errorf("the policy is in force only at %v", took)
 	}
 	return nil
--- a/internal/process/fleet/shape.go
+++ b/internal/process/fleet/shape.go
@@ -1,5 +1,5 @@
 // Package fleet runs whole deployments as real processes on one machine, and
-// brings their failures about. Only tests and testdesk use it.
+// brings their failures about. Only tests and testbed use it.
 package fleet
 
 import (
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -150,7 +150,7 @@
 				away, last = false, note.TimeMs
 			}
 		case "freeze", "kill":
-			// Its switchboard may serve on while the lineman is away.
+			// Its proxy may serve on while the agent is away.
 			away = away || mine
 		case "cut", "lossy":
 			open = note.TimeMs
--- a/internal/process/fleet/world.go
+++ b/internal/process/fleet/world.go
@@ -93,7 +93,7 @@
 	w := &World{Shape: shape, Dir: dir, Bin: bin, ctx: ctx, cancel: cancel, links: newLinks(shape.LinkKbPerS), notes: make(chan Note), noted: make(chan []Note), procs: map[string]*process{}, client: &http.Client{Timeout: 8 * time.Second}}
 	go w.keepNotes()
 	w.directory = w.addr(groupPlatform, 1, 7900)
-	w.add("directory", "directory", "-listen", w.directory)
+	w.add("directory", "fakeregistry", "-listen", w.directory)
 	for i := range shape.Cores {
 		w.seeds = append(w.seeds, w.addr(groupPublicCore, i+1, 7100))
 	}
@@ -122,13 +122,13 @@
 //	err := world.AddFront(10, []string{"127.20.5.9:7100"})
 func (w *World) AddFront(number int, seeds []string) error {
 	i, shape := number-1, w.Shape
-	lineman, public := w.addr(groupFront, number, 7200), w.addr(groupPublicFront, number, 7200)
-	if err := w.links.relay(w.ctx, public, lineman); err != nil {
+	agent, public := w.addr(groupFront, number, 7200), w.addr(groupPublicFront, number, 7200)
+	if err := w.links.relay(w.ctx, public, agent); err != nil {
 		return err
 	}
 	plugs := w.addr(groupFront, number, 7300)
-	w.add(fmt.Sprintf("l%d", number), "lineman", "-name", fmt.Sprintf("l%d", number), "-zone", fmt.Sprintf("z%d", i%shape.Zones), "-listen", lineman, "-advertise", public, "-switchboard", plugs, "-seeds", strings.Join(seeds, ","), "-lease-ms", fmt.Sprint(shape.LeaseMs))
-	w.add(fmt.Sprintf("s%d", number), "switchboard", "-name", fmt.Sprintf("s%d", number), "-listen", plugs, "-callers", w.addr(groupFront, number, 7400), "-lineman", lineman)
+	w.add(fmt.Sprintf("l%d", number), "agent", "-name", fmt.Sprintf("l%d", number), "-zone", fmt.Sprintf("z%d", i%shape.Zones), "-listen", agent, "-advertise", public, "-proxy", plugs, "-seeds", strings.Join(seeds, ","), "-lease-ms", fmt.Sprint(shape.LeaseMs))
+	w.add(fmt.Sprintf("s%d", number), "proxy", "-name", fmt.Sprintf("s%d", number), "-listen", plugs, "-callers", w.addr(groupFront, number, 7400), "-agent", agent)
 	w.Fronts = append(w.Fronts, w.addr(groupFront, number, 7400))
 	return nil
 }
@@ -143,7 +143,7 @@
 	}
 	args := []string{"-name", name, "-zone", fmt.Sprintf("z%d", number%w.Shape.Zones), "-listen", private, "-advertise", public, "-seeds", strings.Join(w.seeds[:min(3, len(w.seeds))], ","),
 		"-core", core, "-data", filepath.Join(w.Dir, "data-"+name), "-directory", w.directory, "-sync-floor-ms", fmt.Sprint(w.Shape.SyncMs), "-lease-ms", fmt.Sprint(w.Shape.LeaseMs)}
-	w.add(name, "exchange", args...)
+	w.add(name, "controller", args...)
 	w.Cores = append(w.Cores, name)
 	return nil
 }
--- a/internal/process/frame/frame.go
+++ b/internal/process/frame/frame.go
@@ -1,4 +1,4 @@
-// Package frame is an exchange's control state in one pure machine: registers,
+// Package frame is a controller's control state in one pure machine: registers,
 // grants, the partitions it owns, members and news.
 package frame
 
@@ -25,7 +25,7 @@
 // LineageLen is how many writes a register remembers by name.
 const LineageLen = 64
 
-// Boot is what an exchange is told at its start.
+// Boot is what a controller is told at its start.
 type Boot struct {
 	ID, Name, Addr, Zone, Outward string
 	Born                          int64
@@ -44,7 +44,7 @@
 	Form policy.Form
 }
 
-// Frame is the control state of one exchange.
+// Frame is the control state of one controller.
 type Frame struct {
 	boot       Boot
 	random     *rand.Rand
@@ -97,7 +97,7 @@
 	if boot.CatchUpMs == 0 {
 		boot.CatchUpMs = 4000
 	}
-	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "exchange", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
+	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "controller", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
 	f := &Frame{
 		boot: boot, random: random, StartedMs: now,
 		acceptor: register.NewAcceptor(),
--- a/internal/process/frame/frame_test.go
+++ b/internal/process/frame/frame_test.go
@@ -10,7 +10,7 @@
 	"applequay/internal/process/partition"
 )
 
-// alone is one exchange that is the whole core; its disk is a list of records.
+// alone is one controller that is the whole core; its disk is a list of records.
 type alone struct {
 	f      *Frame
 	gate   Gate
--- a/internal/process/frame/page.go
+++ b/internal/process/frame/page.go
@@ -36,7 +36,7 @@
 //
 //	page := core.Page(now)
 func (f *Frame) Page(now int64) Page {
-	page := Page{ID: f.boot.ID, Role: "exchange", Core: f.proposer.Core(), Policy: f.view.Policy, Marks: map[string]int64{}, Members: f.members.All(),
+	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Marks: map[string]int64{}, Members: f.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
 		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
 	page.Events, page.Moving, page.Moves = f.events, len(f.moving), f.Moves
--- a/internal/process/frame/rollout.go
+++ b/internal/process/frame/rollout.go
@@ -84,7 +84,7 @@
 // callsTold is what each standing front tells of its calls: bad ones, and all.
 func (f *Frame) callsTold() map[string]tally {
 	out := map[string]tally{}
-	for _, member := range f.members.Alive("lineman") {
+	for _, member := range f.members.Alive("agent") {
 		var bad, came int64
 		if _, err := fmt.Sscanf(member.Fact[CallsFact], "%d/%d", &bad, &came); err == nil {
 			out[member.ID] = tally{bad, came}
@@ -109,7 +109,7 @@
 func (f *Frame) worse(rollout *policy.Rollout) string {
 	var staged, others tally
 	told := f.callsTold()
-	for _, member := range f.members.Alive("lineman") {
+	for _, member := range f.members.Alive("agent") {
 		calls, ok := told[member.ID]
 		begun, known := f.rolling.begun[member.ID]
 		if !ok {
--- a/internal/process/frame/seats.go
+++ b/internal/process/frame/seats.go
@@ -35,11 +35,11 @@
 	return standing, forMs
 }
 
-// newcomers are the exchanges that stand well without a seat, those first that
+// newcomers are the controllers that stand well without a seat, those first that
 // were not given up lately.
 func (f *Frame) newcomers(core wire.CoreSet) []wire.Seat {
 	var out []wire.Seat
-	for _, member := range f.members.Alive("exchange") {
+	for _, member := range f.members.Alive("controller") {
 		if wire.Standing(member.Standing) == wire.StandingWell && !seatOf(core.Seats, member.ID) {
 			out = append(out, wire.Seat{ID: member.ID, Name: member.Name, Addr: member.Addr})
 		}
@@ -49,7 +49,7 @@
 }
 
 // nextCore is the core set that should come after this one, if any should: all
-// exchanges that stand have seats. Where a newcomer waits, who does not stand
+// controllers that stand have seats. Where a newcomer waits, who does not stand
 // goes first, which leaves majorities small; else only who is gone for good.
 func (f *Frame) nextCore(now int64, core wire.CoreSet) (wire.CoreSet, bool) {
 	newcomers := f.newcomers(core)
--- a/internal/process/frame/seats_test.go
+++ b/internal/process/frame/seats_test.go
@@ -43,12 +43,12 @@
 			told := []wire.Member{}
 			for _, letter := range one.seats {
 				core.Seats = append(core.Seats, seat(string(letter)))
-				told = append(told, wire.Member{ID: string(letter), Name: string(letter), Addr: string(letter) + ":1", Role: "exchange", Born: 1})
+				told = append(told, wire.Member{ID: string(letter), Name: string(letter), Addr: string(letter) + ":1", Role: "controller", Born: 1})
 			}
 			if one.joining != "" {
 				core.Joining = []wire.Seat{seat(one.joining)}
 			}
-			told = append(told, wire.Member{ID: "x", Name: "x", Addr: "x:1", Role: "exchange", Born: 1})
+			told = append(told, wire.Member{ID: "x", Name: "x", Addr: "x:1", Role: "controller", Born: 1})
 			if _, there := one.others["x"]; !there {
 				told = told[:len(told)-1]
 			}
--- a/internal/process/frame/steward.go
+++ b/internal/process/frame/steward.go
@@ -8,7 +8,7 @@
 	"applequay/internal/process/register"
 )
 
-// steward changes the core set, one member at a time. Any seated exchange may
+// steward changes the core set, one member at a time. Any seated controller may
 // do it; the lowest one that stands does, and the others in turn where nothing
 // comes of it. The register settles races.
 type steward struct {
--- a/internal/process/frame/tick.go
+++ b/internal/process/frame/tick.go
@@ -41,7 +41,7 @@
 	return true
 }
 
-// newsTick fetches from another exchange what this one missed.
+// newsTick fetches from another controller what this one missed.
 func (f *Frame) newsTick(now int64, out *wire.Outputs) {
 	seats := f.proposer.Core().Seats
 	if len(seats) < 2 || !f.due(now, "news", f.often(now, f.boot.LeaseMs/4)) {
@@ -53,7 +53,7 @@
 }
 
 // platformTick asks for the platform's worker list to be read. The lowest
-// exchange that stands asks most often; others too, should it be deaf.
+// controller that stands asks most often; others too, should it be deaf.
 func (f *Frame) platformTick(now int64, out *wire.Outputs) {
 	if !f.founded() {
 		return
--- a/internal/process/grant/granter.go
+++ b/internal/process/grant/granter.go
@@ -27,7 +27,7 @@
 	until  int64
 }
 
-// Granter is one exchange's vote on who may own a partition.
+// Granter is one controller's vote on who may own a partition.
 type Granter struct {
 	limits  Limits
 	quietTo int64
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -1,4 +1,4 @@
-// Package journal keeps one exchange's state on its disk: two checkpoint slots
+// Package journal keeps one controller's state on its disk: two checkpoint slots
 // written in turn and a short checksummed log between, with one sync per batch.
 package journal
 
--- a/internal/process/linework/first.go
+++ b/internal/process/linework/first.go
@@ -74,7 +74,7 @@
 	return out
 }
 
-// withheld tells whether the switchboard is not to get the policy kept here: it
+// withheld tells whether the proxy is not to get the policy kept here: it
 // might be older than the one that callers here were served by before.
 func (l *Line) withheld(topic wire.Topic) bool {
 	if topic.Name != frame.PolicyKey || l.fedMark > 0 {
@@ -83,7 +83,7 @@
 	return !l.begun || topic.Step < l.newest
 }
 
-// fed is what of some topics the switchboard may get now; what is withheld
+// fed is what of some topics the proxy may get now; what is withheld
 // stays on the board, and goes with a later feed.
 func (l *Line) fed(topics []wire.Topic) []wire.Topic {
 	var out []wire.Topic
--- a/internal/process/linework/first_test.go
+++ b/internal/process/linework/first_test.go
@@ -12,7 +12,7 @@
 	"applequay/internal/process/register"
 )
 
-// A front that was started again feeds its switchboard no policy older than one
+// A front that was started again feeds its proxy no policy older than one
 // that it may have gone by before.
 func TestFirstPolicy(t *testing.T) {
 	c := qt.New(t)
@@ -28,7 +28,7 @@
 	}
 	heard := func(mark int) func(*Line) wire.Outputs {
 		return func(l *Line) wire.Outputs {
-			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "lineman", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(mark)}}}})
+			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "agent", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(mark)}}}})
 			return l.Tick(11, 11)
 		}
 	}
@@ -51,7 +51,7 @@
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
-			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Switchboard: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
+			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
 			line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 			var fed []int64
 			for _, step := range one.steps {
@@ -76,7 +76,7 @@
 // until the first answer, and questions that end without one change nothing then.
 func TestFirstPolicyIsAskedForAgain(t *testing.T) {
 	c := qt.New(t)
-	line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Switchboard: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
+	line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
 	line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 	asked := func(from, to int64) (queries int) {
 		for now := from; now < to; now += 25 {
--- a/internal/process/linework/fronts.go
+++ b/internal/process/linework/fronts.go
@@ -10,7 +10,7 @@
 	"applequay/internal/process/frame"
 )
 
-// otherFront is what this lineman knows of another front, for as long as keys
+// otherFront is what this agent knows of another front, for as long as keys
 // sent by it may come again.
 type otherFront struct {
 	name    string
@@ -51,7 +51,7 @@
 func (l *Line) watchFronts(now int64) {
 	wall := l.members.Wall(now)
 	for _, member := range l.members.All() {
-		if member.Role != "lineman" || member.ID == l.boot.ID {
+		if member.Role != "agent" || member.ID == l.boot.ID {
 			continue
 		}
 		stands := wire.Standing(member.Standing) < wire.StandingLeaving
@@ -119,13 +119,13 @@
 	}
 }
 
-// contact tells the switchboard that keys may be sent, and which old lists
+// contact tells the proxy that keys may be sent, and which old lists
 // still matter for them.
 func (l *Line) contact(now int64, out *wire.Outputs) {
 	l.watchFronts(now)
 	l.settle(now)
 	if l.inTouch() {
-		out.Send(l.boot.Switchboard, wire.KindContact, &wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4, GraceMs: l.graceMs()})
+		out.Send(l.boot.Proxy, wire.KindContact, &wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4, GraceMs: l.graceMs()})
 	}
 }
 
--- a/internal/process/linework/linework.go
+++ b/internal/process/linework/linework.go
@@ -1,4 +1,4 @@
-// Package linework is a lineman's control state in one pure machine: members,
+// Package linework is an agent's control state in one pure machine: members,
 // news, the proposer through which operators write, and posts to partitions.
 package linework
 
@@ -17,10 +17,10 @@
 	"applequay/internal/process/register"
 )
 
-// Boot is what a lineman is told at its start.
+// Boot is what an agent is told at its start.
 type Boot struct {
 	ID, Name, Addr, Zone, Outward string
-	Switchboard                   string
+	Proxy                         string
 	Born                          int64
 	Seeds                         []string
 	Partitions                    int64
@@ -31,7 +31,7 @@
 	Form policy.Form
 }
 
-// Line is the control state of one lineman.
+// Line is the control state of one agent.
 type Line struct {
 	boot     Boot
 	random   *rand.Rand
@@ -51,7 +51,7 @@
 	startMs  int64
 	listAt   int64
 	bareAt   int64
-	boardAt  int64 // when another switchboard took the place of the one before
+	boardAt  int64 // when another proxy took the place of the one before
 	boardID  string
 	settled  int64
 	rosters  []wire.Roster
@@ -65,14 +65,14 @@
 	toldMs, tallyMs, usesMs int64
 }
 
-// New makes a lineman that knows nothing but its seeds.
+// New makes an agent that knows nothing but its seeds.
 //
 //	line := linework.New(now, boot, random)
 func New(now int64, boot Boot, random *rand.Rand) *Line {
 	if boot.Form == nil {
 		boot.Form = policy.Native
 	}
-	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "lineman", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": frame.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
+	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "agent", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": frame.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
 	l := &Line{
 		boot: boot, random: random, now: now, startMs: now, fronts: map[string]*otherFront{}, asking: map[int64]*asking{},
 		members:  members.New(self, members.LimitsFor(boot.ProbeMs), random, boot.Seeds),
@@ -97,7 +97,7 @@
 	case *wire.Bare:
 		l.noteBare(now, told.AgeMs)
 	case *wire.TicketAsk:
-		out.Send(l.boot.Switchboard, wire.KindTicketAsk, told)
+		out.Send(l.boot.Proxy, wire.KindTicketAsk, told)
 	case *wire.TicketTold:
 		l.toldTicket(now, &out, from, told)
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
@@ -139,7 +139,7 @@
 	case *wire.PostAck:
 		l.acked(told)
 	case *wire.HomeTold:
-		out.Send(l.boot.Switchboard, wire.KindHomeTold, told)
+		out.Send(l.boot.Proxy, wire.KindHomeTold, told)
 	}
 	return out
 }
@@ -192,7 +192,7 @@
 	return true
 }
 
-// feed gives the switchboard beside this lineman what rose.
+// feed gives the proxy beside this agent what rose.
 func (l *Line) feed(out *wire.Outputs) {
 	fresh := l.board.Fresh()
 	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == partition.WaitsTopic }); at >= 0 {
@@ -200,15 +200,15 @@
 		fresh = slices.Delete(fresh, at, at+1)
 	}
 	if fresh = l.fed(fresh); len(fresh) > 0 {
-		out.Send(l.boot.Switchboard, wire.KindNews, &wire.News{Topics: fresh})
+		out.Send(l.boot.Proxy, wire.KindNews, &wire.News{Topics: fresh})
 	}
 }
 
-// zoneTopic tells the switchboard its zone, by which it picks its part of a
+// zoneTopic tells the proxy its zone, by which it picks its part of a
 // policy that is rolled out; it is nobody else's news.
 const zoneTopic = "zone"
 
-// feedWaits tells the switchboard when loads will be done, and how long ago
+// feedWaits tells the proxy when loads will be done, and how long ago
 // that was said by the clocks; what is old is of no use.
 func (l *Line) feedWaits(out *wire.Outputs, topic wire.Topic) {
 	var told wire.Waits
@@ -218,7 +218,7 @@
 	told.AgeMs, told.ValidMs = l.members.Wall(l.now)-told.WallMs, 2*l.boot.LeaseMs
 	if told.AgeMs < told.ValidMs && told.AgeMs > -told.ValidMs {
 		told.AgeMs = max(told.AgeMs, 0)
-		out.Send(l.boot.Switchboard, wire.KindWaits, &told)
+		out.Send(l.boot.Proxy, wire.KindWaits, &told)
 	}
 }
 
--- a/internal/process/linework/posts.go
+++ b/internal/process/linework/posts.go
@@ -38,7 +38,7 @@
 	kept.sentMs = 0
 }
 
-// reported takes what the switchboard saw: models it holds requests for, and
+// reported takes what the proxy saw: models it holds requests for, and
 // what it used.
 func (l *Line) reported(now int64, out *wire.Outputs, told *wire.Report) {
 	if l.policy.Rollout != nil && l.due(now, "calls", l.boot.LeaseMs/4) {
--- a/internal/process/linework/services.go
+++ b/internal/process/linework/services.go
@@ -32,12 +32,12 @@
 	l.members.SetSeeds(frame.SeedsWith(seeds, l.proposer.Core()))
 }
 
-// passOn tells the zone's peers what an exchange told this home, if it rose.
+// passOn tells the zone's peers what a controller told this home, if it rose.
 func (l *Line) passOn(out *wire.Outputs, from string, rose []wire.Topic) {
-	if len(rose) == 0 || l.members.Role(from) != "exchange" {
+	if len(rose) == 0 || l.members.Role(from) != "controller" {
 		return
 	}
-	for _, member := range l.members.Alive("lineman") {
+	for _, member := range l.members.Alive("agent") {
 		if member.ID != l.boot.ID && member.Zone == l.boot.Zone {
 			out.Send(member.ID, wire.KindNews, &wire.News{Topics: rose})
 		}
--- a/internal/process/linework/tallies.go
+++ b/internal/process/linework/tallies.go
@@ -15,7 +15,7 @@
 	tallyCalm  = 4
 )
 
-// tallied takes what the switchboard counted, and now and then passes it on to
+// tallied takes what the proxy counted, and now and then passes it on to
 // all who own a partition: which item stays, and which has to make way, is
 // worked out from all that is asked for. It is soft and in no log.
 func (l *Line) tallied(now int64, out *wire.Outputs, told *wire.Tally) {
@@ -61,7 +61,7 @@
 // much tells whether a count moved by more than a quarter and a little.
 func much(was, is, little int64) bool { return max(was-is, is-was) > little+max(was, is)/4 }
 
-// talliedUses makes demands of uses alone, for a switchboard that counts no more:
+// talliedUses makes demands of uses alone, for a proxy that counts no more:
 // they were counted since the report before.
 func (l *Line) talliedUses(now int64, out *wire.Outputs, uses []wire.Use) {
 	past := now - l.usesMs
--- a/internal/process/linework/tallies_test.go
+++ b/internal/process/linework/tallies_test.go
@@ -13,7 +13,7 @@
 // wants are posted only for what stands nowhere.
 func TestTalliesAreSoft(t *testing.T) {
 	c := qt.New(t)
-	l := New(1, Boot{ID: "l1~1", Switchboard: "s:1", Partitions: 3, LeaseMs: 3200, ProbeMs: 200, CallMs: 1000}, rand.New(rand.NewSource(1)))
+	l := New(1, Boot{ID: "l1~1", Proxy: "s:1", Partitions: 3, LeaseMs: 3200, ProbeMs: 200, CallMs: 1000}, rand.New(rand.NewSource(1)))
 	l.owners = map[int64]wire.Owner{0: {ID: "c1", Fence: 1}, 1: {Partition: 1, ID: "c2", Fence: 1}, 2: {Partition: 2, ID: "c1", Fence: 1}}
 	live := func(count int64) *wire.Tally {
 		return &wire.Tally{Demands: []wire.Demand{{Item: "m1", Rate: 4000, Live: count}}}
--- a/internal/process/linework/tick.go
+++ b/internal/process/linework/tick.go
@@ -30,8 +30,8 @@
 		l.contact(now, &out)
 	}
 	if l.due(now, "fleet", 4*l.boot.ProbeMs) {
-		fronts := l.members.Alive("lineman")
-		out.Send(l.boot.Switchboard, wire.KindFleet, &wire.Fleet{Fronts: int64(max(len(fronts), 1))})
+		fronts := l.members.Alive("agent")
+		out.Send(l.boot.Proxy, wire.KindFleet, &wire.Fleet{Fronts: int64(max(len(fronts), 1))})
 	}
 	l.wantsTick(now, &out)
 	l.resend(now, &out)
@@ -40,7 +40,7 @@
 }
 
 // subscribe asks the zone's home of each service for what is past the marks
-// here, which is little: homes pass on what they are told; a home asks an exchange. Once in a while, and while the core is deaf to
+// here, which is little: homes pass on what they are told; a home asks a controller. Once in a while, and while the core is deaf to
 // it, a home asks its zone's peers too, and a front that knows nothing asks all.
 func (l *Line) subscribe(now int64, out *wire.Outputs) {
 	if l.young(now) {
@@ -53,11 +53,11 @@
 	if !l.due(now, "subscribe", 2*l.boot.ProbeMs) {
 		return
 	}
-	linemen := l.members.Alive("lineman")
+	agents := l.members.Alive("agent")
 	seats := l.proposer.Core().Seats
 	for _, service := range l.services() {
 		asked := &wire.Subscribe{Service: service, Have: l.board.Have(frame.TopicsOf(service))}
-		home := news.Home(service, l.boot.Zone, linemen)
+		home := news.Home(service, l.boot.Zone, agents)
 		if home != l.boot.ID && home != "" {
 			out.Send(home, wire.KindSubscribe, asked)
 			continue
@@ -70,20 +70,20 @@
 		return
 	}
 	all := &wire.Subscribe{Have: l.board.Have(nil)}
-	if peer := l.peer(linemen, true); peer != "" {
+	if peer := l.peer(agents, true); peer != "" {
 		out.Send(peer, wire.KindSubscribe, all)
-	} else if peer := l.peer(linemen, false); peer != "" {
+	} else if peer := l.peer(agents, false); peer != "" {
 		out.Send(peer, wire.KindSubscribe, all)
 	}
 }
 
 // young tells whether this front started so lately that it may lack what others
-// know, and what all exchanges have is worth asking for.
+// know, and what all controllers have is worth asking for.
 func (l *Line) young(now int64) bool { return now-l.startMs < 8*l.boot.ProbeMs }
 
-func (l *Line) peer(linemen []wire.Member, inZone bool) string {
+func (l *Line) peer(agents []wire.Member, inZone bool) string {
 	var peers []string
-	for _, member := range linemen {
+	for _, member := range agents {
 		if member.ID != l.boot.ID && (!inZone || member.Zone == l.boot.Zone) {
 			peers = append(peers, member.ID)
 		}
@@ -155,7 +155,7 @@
 //
 //	page := line.Page(now)
 func (l *Line) Page(int64) frame.Page {
-	page := frame.Page{ID: l.boot.ID, Role: "lineman", Core: l.proposer.Core(), Policy: l.policy, Marks: map[string]int64{}, Members: l.members.All(),
+	page := frame.Page{ID: l.boot.ID, Role: "agent", Core: l.proposer.Core(), Policy: l.policy, Marks: map[string]int64{}, Members: l.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Rounds: l.proposer.Rounds, Seeds: l.boot.Seeds, Partitions: l.boot.Partitions}
 	for key, mark := range l.marks {
 		page.Marks[key] = mark
--- a/internal/process/linework/tickets.go
+++ b/internal/process/linework/tickets.go
@@ -82,7 +82,7 @@
 
 func (l *Line) tell(out *wire.Outputs, asked *asking, why string) {
 	delete(l.asking, asked.wish.Op)
-	out.Send(l.boot.Switchboard, wire.KindTicketDone, &wire.TicketDone{Op: asked.wish.Op, Ok: why == "", Others: asked.others, Why: why, RetryMs: asked.retryMs})
+	out.Send(l.boot.Proxy, wire.KindTicketDone, &wire.TicketDone{Op: asked.wish.Op, Ok: why == "", Others: asked.others, Why: why, RetryMs: asked.retryMs})
 }
 
 // askOn asks those who have not told yet, or some of them.
@@ -98,8 +98,8 @@
 	}
 }
 
-// toldTicket takes the word of a switchboard. This front's own goes to the front
-// that asked, with what this lineman knows of fronts that went; another's counts
+// toldTicket takes the word of a proxy. This front's own goes to the front
+// that asked, with what this agent knows of fronts that went; another's counts
 // here.
 func (l *Line) toldTicket(now int64, out *wire.Outputs, from string, told *wire.TicketTold) {
 	if told.Asker != l.boot.ID {
@@ -134,7 +134,7 @@
 	}
 }
 
-// sawBoard notes when another switchboard is beside this lineman than before:
+// sawBoard notes when another proxy is beside this agent than before:
 // the memory of the one before is lost.
 func (l *Line) sawBoard(now int64, id string) {
 	if l.boardID != "" && l.boardID != id {
@@ -188,7 +188,7 @@
 }
 
 // ticketsTick asks again where letters were lost, and drops what the
-// switchboard has given up.
+// proxy has given up.
 func (l *Line) ticketsTick(now int64, out *wire.Outputs) {
 	for _, op := range slices.Sorted(maps.Keys(l.asking)) {
 		asked := l.asking[op]
--- a/internal/process/linework/tickets_test.go
+++ b/internal/process/linework/tickets_test.go
@@ -20,7 +20,7 @@
 	}
 	cases := []struct {
 		name  string
-		ageMs int64            // of this front's switchboard
+		ageMs int64            // of this front's proxy
 		told  *wire.TicketTold // nothing if the other is silent
 		gone  []*otherFront
 		bare  int64
@@ -46,7 +46,7 @@
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
-			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Switchboard: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000}, rand.New(rand.NewSource(1)))
+			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000}, rand.New(rand.NewSource(1)))
 			now := int64(100000)
 			line.members.Clock(now, now)
 			line.rosters = []wire.Roster{{Pool: "app", Mark: 3, FromMs: 10, UntilMs: 20}, {Pool: "app", Mark: 7, FromMs: 50000, UntilMs: 90000}}
--- a/internal/process/members/clock.go
+++ b/internal/process/members/clock.go
@@ -33,7 +33,7 @@
 
 // Role is what a member does; empty if it is not known.
 //
-//	if picture.Role("c2~51") == "exchange" { ... }
+//	if picture.Role("c2~51") == "controller" { ... }
 func (m *Members) Role(id string) string {
 	if kept, ok := m.table[id]; ok {
 		return kept.member.Role
--- a/internal/process/members/members.go
+++ b/internal/process/members/members.go
@@ -113,7 +113,7 @@
 
 // Alive lists the members of a role that stand well or are only suspected.
 //
-//	for _, member := range picture.Alive("lineman") { ... }
+//	for _, member := range picture.Alive("agent") { ... }
 func (m *Members) Alive(role string) []wire.Member {
 	return slices.DeleteFunc(m.All(), func(one wire.Member) bool {
 		return (role != "" && one.Role != role) || wire.Standing(one.Standing) >= wire.StandingLeaving
--- a/internal/process/members/members_test.go
+++ b/internal/process/members/members_test.go
@@ -26,7 +26,7 @@
 }
 
 func (r *ring) join(id string, born int64) {
-	self := wire.Member{ID: id, Role: "lineman", Addr: id, Born: born, Fact: map[string]string{}}
+	self := wire.Member{ID: id, Role: "agent", Addr: id, Born: born, Fact: map[string]string{}}
 	r.all[id] = New(self, LimitsFor(200), rand.New(rand.NewSource(int64(len(r.all)))), []string{"n0"})
 }
 
@@ -72,7 +72,7 @@
 			r := newRing(6)
 			r.run(6000)
 			for i := range 6 {
-				c.Assert(r.all[fmt.Sprintf("n%d", i)].Alive("lineman"), qt.HasLen, 6)
+				c.Assert(r.all[fmt.Sprintf("n%d", i)].Alive("agent"), qt.HasLen, 6)
 			}
 			r.cut = one.cut
 			r.run(8000)
@@ -91,7 +91,7 @@
 	c := qt.New(t)
 	r := newRing(3)
 	r.run(3000)
-	self := wire.Member{ID: "n2", Role: "lineman", Addr: "elsewhere", Born: 0, Fact: map[string]string{}}
+	self := wire.Member{ID: "n2", Role: "agent", Addr: "elsewhere", Born: 0, Fact: map[string]string{}}
 	r.all["n2"] = New(self, LimitsFor(200), rand.New(rand.NewSource(9)), []string{"n0"})
 	r.run(4000)
 	addr, ok := r.all["n0"].Addr("n2")
--- a/internal/process/news/news.go
+++ b/internal/process/news/news.go
@@ -116,13 +116,13 @@
 	return told
 }
 
-// Home picks the lineman of a zone that the others there subscribe to for a
+// Home picks the agent of a zone that the others there subscribe to for a
 // service, by rendezvous hash over those that stand.
 //
-//	home := news.Home("hints", "north", picture.Alive("lineman"))
-func Home(service, zone string, linemen []wire.Member) string {
+//	home := news.Home("hints", "north", picture.Alive("agent"))
+func Home(service, zone string, agents []wire.Member) string {
 	best, bestScore := "", uint64(0)
-	for _, member := range linemen {
+	for _, member := range agents {
 		if member.Zone != zone {
 			continue
 		}
--- a/internal/process/news/news_test.go
+++ b/internal/process/news/news_test.go
@@ -38,19 +38,19 @@
 	c.Check(board.Fresh(), qt.HasLen, 0)
 }
 
-// All linemen of a zone agree on a home, homes are spread over services, and
+// All agents of a zone agree on a home, homes are spread over services, and
 // only those services move whose home broke down.
 func TestHomes(t *testing.T) {
 	c := qt.New(t)
-	linemen := []wire.Member{{ID: "l1", Zone: "z1"}, {ID: "l2", Zone: "z1"}, {ID: "l3", Zone: "z1"}, {ID: "l4", Zone: "z2"}}
+	agents := []wire.Member{{ID: "l1", Zone: "z1"}, {ID: "l2", Zone: "z1"}, {ID: "l3", Zone: "z1"}, {ID: "l4", Zone: "z2"}}
 	homes := map[string]int{}
 	for _, service := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
-		home := Home(service, "z1", linemen)
+		home := Home(service, "z1", agents)
 		homes[home]++
 		if home != "l2" {
-			c.Check(Home(service, "z1", append(linemen[:1:1], linemen[2:]...)), qt.Equals, home)
+			c.Check(Home(service, "z1", append(agents[:1:1], agents[2:]...)), qt.Equals, home)
 		}
 	}
 	c.Check(len(homes), qt.Equals, 3)
-	c.Check(Home("a", "z9", linemen), qt.Equals, "")
+	c.Check(Home("a", "z9", agents), qt.Equals, "")
 }
--- a/internal/process/plugboard/demand.go
+++ b/internal/process/plugboard/demand.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// tally tells the lineman how much each item is asked for; an item that is not any more is told of once.
+// tally tells the agent how much each item is asked for; an item that is not any more is told of once.
 func (p *Plugboard) tally() {
 	told := &wire.Tally{}
 	seconds := reportEvery.Seconds() * tallyEvery
@@ -106,6 +106,6 @@
 		told.Demands = append(told.Demands, one)
 	}
 	if len(told.Demands) > 0 {
-		p.cable.Send(p.lineman, wire.KindTally, told)
+		p.cable.Send(p.agent, wire.KindTally, told)
 	}
 }
--- a/internal/process/plugboard/plugboard.go
+++ b/internal/process/plugboard/plugboard.go
@@ -1,5 +1,5 @@
-// Package plugboard is the switchboard's control: it takes the news that its
-// lineman feeds it, makes tables of them, and reports what is held and used.
+// Package plugboard is the proxy's control: it takes the news that its
+// agent feeds it, makes tables of them, and reports what is held and used.
 package plugboard
 
 import (
@@ -18,7 +18,7 @@
 
 // Plugboard owns all that changes beside the traffic; it has one thread.
 type Plugboard struct {
-	lineman string
+	agent   string
 	cable   *trunk.Trunk
 	board   *news.Board
 	inbox   chan trunk.Arrived
@@ -45,17 +45,17 @@
 	current func() *table.Table
 }
 
-// New makes a plugboard for the lineman at an address.
+// New makes a plugboard for the agent at an address.
 //
 //	plugs := plugboard.New("127.0.0.1:7201", cable, policy.Native)
-func New(lineman string, cable *trunk.Trunk, form policy.Form) *Plugboard {
+func New(agent string, cable *trunk.Trunk, form policy.Form) *Plugboard {
 	return &Plugboard{
-		form:    form,
-		lineman: lineman, cable: cable, board: news.NewBoard(),
+		form:  form,
+		agent: agent, cable: cable, board: news.NewBoard(),
 		inbox: make(chan trunk.Arrived, 1024), holds: make(chan held, 4096), works: make(chan work, 4096), demand: map[string]*demand{}, toldTo: map[string]bool{}, comes: make(chan coming, 4096), coming: map[string]coming{}, takes: make(chan taken, 256),
 		told:    table.News{Policy: policy.Empty(), Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}},
 		holding: map[string]*wire.Want{},
-		book:    ticket.New(1, lineman), waiting: map[int64]chan ticket.Decision{}, epoch: time.Now(),
+		book:    ticket.New(1, agent), waiting: map[int64]chan ticket.Decision{}, epoch: time.Now(),
 	}
 }
 
@@ -67,7 +67,7 @@
 	p.chain = board
 }
 
-// Deliver puts a letter from the lineman in front of the thread.
+// Deliver puts a letter from the agent in front of the thread.
 //
 //	router.Handle("/trunk", cable.Handler(plugs.Deliver))
 func (p *Plugboard) Deliver(letter trunk.Arrived) bool {
@@ -117,11 +117,11 @@
 	}
 }
 
-// report tells the lineman what is held, and now and then what is in work; it
-// also asks for what the lineman knows and this process does not.
+// report tells the agent what is held, and now and then what is in work; it
+// also asks for what the agent knows and this process does not.
 func (p *Plugboard) report(turn int) {
 	if turn%subscribeEvery == 0 {
-		p.cable.Send(p.lineman, wire.KindSubscribe, &wire.Subscribe{Have: p.board.Have(nil)})
+		p.cable.Send(p.agent, wire.KindSubscribe, &wire.Subscribe{Have: p.board.Have(nil)})
 	}
 	told := &wire.Report{}
 	for _, want := range p.holding {
@@ -139,7 +139,7 @@
 	}
 	told.Came, told.Bad = p.counts.Came.Load(), p.counts.Bad.Load()
 	if len(told.Wants) > 0 || turn%useEvery == 0 {
-		p.cable.Send(p.lineman, wire.KindReport, told)
+		p.cable.Send(p.agent, wire.KindReport, told)
 	}
 }
 
--- a/internal/process/register/acceptor.go
+++ b/internal/process/register/acceptor.go
@@ -1,5 +1,5 @@
 // Package register is the compare-and-set register of the core: prepare and
-// accept at a majority of exchanges, with no log and no leader.
+// accept at a majority of controllers, with no log and no leader.
 package register
 
 import (
@@ -24,7 +24,7 @@
 	value              []byte
 }
 
-// Acceptor is one exchange's copy of every register. It is a pure machine:
+// Acceptor is one controller's copy of every register. It is a pure machine:
 // what it returns under Then waits for its writes.
 type Acceptor struct {
 	cells  map[string]*cell
--- a/internal/process/register/rounds.go
+++ b/internal/process/register/rounds.go
@@ -7,7 +7,7 @@
 	"applequay/internal/connection/wire"
 )
 
-// Hear takes an exchange's answer.
+// Hear takes a controller's answer.
 //
 //	out := proposer.Hear(now, "c2~51", &wire.Promise{Op: 3, Ok: true})
 func (p *Proposer) Hear(now int64, from string, body wire.Record) wire.Outputs {
@@ -51,14 +51,14 @@
 	return out
 }
 
-// mendOne gives a chosen value to an exchange whose copy a read found old.
+// mendOne gives a chosen value to a controller whose copy a read found old.
 func (p *Proposer) mendOne(out *wire.Outputs, found mend, to string) {
 	if len(found.value) > 0 {
 		out.Send(to, wire.KindChosen, &wire.Chosen{Key: found.key, Ballot: found.ballot, Value: found.value})
 	}
 }
 
-// newer starts a call over where an exchange knows a newer core set.
+// newer starts a call over where a controller knows a newer core set.
 func (p *Proposer) newer(now int64, out *wire.Outputs, o *operation, epoch int64, core []byte) bool {
 	if epoch <= p.core.Epoch {
 		return false
--- a/internal/process/sim/breakdowns.go
+++ b/internal/process/sim/breakdowns.go
@@ -70,8 +70,8 @@
 // AddCore brings a new, empty core machine into the world.
 //
 //	fresh := world.AddCore("c9", "10.0.0.9:1")
-func (w *World) AddCore(name, addr string) *exchange {
-	e := w.newExchange(name, addr)
+func (w *World) AddCore(name, addr string) *controller {
+	e := w.newController(name, addr)
 	e.late = true
 	if w.Shape.Seeds > 0 {
 		// Its settings name machines that stand now.
--- a/internal/process/sim/exchange.go
+++ b/internal/process/sim/controller.go
@@ -12,8 +12,8 @@
 	"applequay/internal/process/register"
 )
 
-// exchange is a core machine: the real frame and journal on a simulated disk.
-type exchange struct {
+// controller is a core machine: the real frame and journal on a simulated disk.
+type controller struct {
 	node
 	disk    *disk
 	core    *frame.Frame
@@ -33,8 +33,8 @@
 	starts  int
 }
 
-func (w *World) newExchange(name, addr string) *exchange {
-	e := &exchange{disk: newDisk()}
+func (w *World) newController(name, addr string) *controller {
+	e := &controller{disk: newDisk()}
 	e.node = w.newNode(name, addr)
 	count := w.Shape.Cores
 	if w.Shape.Seeds > 0 {
@@ -49,7 +49,7 @@
 	return e
 }
 
-func (e *exchange) start() {
+func (e *controller) start() {
 	w := e.world
 	e.Life++
 	e.starts++
@@ -79,7 +79,7 @@
 	e.Every(w.Shape.TickMs)
 }
 
-func (e *exchange) ticked() {
+func (e *controller) ticked() {
 	e.perform(e.core.Tick(e.Clock(), e.world.NowMs+e.WallMs))
 	stalled := e.busy && e.world.NowMs-e.busyAt > e.core.StallMs()
 	if stalled != e.stalled {
@@ -89,7 +89,7 @@
 	}
 }
 
-func (e *exchange) perform(out wire.Outputs) {
+func (e *controller) perform(out wire.Outputs) {
 	ready := e.gate.Step(out)
 	e.pending = append(e.pending, ready.Writes...)
 	e.release(ready)
@@ -101,7 +101,7 @@
 	e.flush()
 }
 
-func (e *exchange) release(ready wire.Outputs) {
+func (e *controller) release(ready wire.Outputs) {
 	for _, send := range ready.Sends {
 		switch {
 		case send.To == e.ID:
@@ -140,7 +140,7 @@
 }
 
 // flush gives the journal a batch, which lasts after the disk's time.
-func (e *exchange) flush() {
+func (e *controller) flush() {
 	if e.busy || len(e.pending) == 0 {
 		return
 	}
--- a/internal/process/sim/facts.go
+++ b/internal/process/sim/facts.go
@@ -63,7 +63,7 @@
 
 func newFacts() facts { return facts{leaving: map[string][]left{}} }
 
-func (f *facts) ordered(now int64, k *worker, e *exchange, order *wire.Order) {
+func (f *facts) ordered(now int64, k *worker, e *controller, order *wire.Order) {
 	f.orders = append(f.orders, Ordered{At: now, Worker: k.Name, Life: k.born, Owner: e.ID, Fence: order.Fence, Seq: order.Seq, Op: order.Op, Item: order.Item, SizeMb: order.SizeMb, UsedMb: k.used(), RoomMb: k.world.Shape.RoomMb})
 }
 
--- a/internal/process/sim/front.go
+++ b/internal/process/sim/front.go
@@ -14,7 +14,7 @@
 	"applequay/internal/process/ticket"
 )
 
-// front is a front machine: the real lineman, and a switchboard that holds
+// front is a front machine: the real agent, and a proxy that holds
 // requests and notes what it hears.
 type front struct {
 	node
@@ -70,7 +70,7 @@
 		seeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.1.1:1"}
 	}
 	f.line = linework.New(f.Clock(), linework.Boot{
-		ID: f.ID, Name: f.Name, Addr: f.Addr, Zone: f.zone, Born: w.NowMs + 1 + f.WallMs, Switchboard: f.board.Addr, Seeds: seeds,
+		ID: f.ID, Name: f.Name, Addr: f.Addr, Zone: f.zone, Born: w.NowMs + 1 + f.WallMs, Proxy: f.board.Addr, Seeds: seeds,
 		Partitions: w.Shape.Partitions, LeaseMs: w.Shape.LeaseMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs, KeyMs: KeyMs,
 	}, rand.New(rand.NewSource(w.Random.Int63())))
 	f.Every(w.Shape.TickMs)
@@ -93,7 +93,7 @@
 	}
 }
 
-// fed takes what the lineman feeds its switchboard.
+// fed takes what the agent feeds its proxy.
 func (f *front) fed(_ string, body wire.Record) {
 	told, ok := body.(*wire.News)
 	if !ok {
@@ -146,7 +146,7 @@
 	return false
 }
 
-// report asks the lineman for what it knows and tells it what is held.
+// report asks the agent for what it knows and tells it what is held.
 func (f *front) report() {
 	w := f.world
 	f.ticket(f.book.Tick(f.Clock()))
@@ -205,7 +205,7 @@
 	return f
 }
 
-// CrashFront kills lineman and switchboard of a front; Restart follows after a
+// CrashFront kills agent and proxy of a front; Restart follows after a
 // while.
 //
 //	world.CrashFront(0, 2000)
--- a/internal/process/sim/keys.go
+++ b/internal/process/sim/keys.go
@@ -151,7 +151,7 @@
 	return breaches
 }
 
-// FreezeFront stops lineman and switchboard of a front for a while.
+// FreezeFront stops agent and proxy of a front for a while.
 //
 //	world.FreezeFront(1, 9000)
 func (w *World) FreezeFront(at int, ms int64) {
@@ -160,7 +160,7 @@
 	f.FrozenTo, f.board.FrozenTo = w.NowMs+ms, w.NowMs+ms
 }
 
-// CutFront cuts a front off from everyone but the switchboard beside it.
+// CutFront cuts a front off from everyone but the proxy beside it.
 //
 //	world.CutFront(1, true)
 func (w *World) CutFront(at int, cut bool) {
--- a/internal/process/sim/operator.go
+++ b/internal/process/sim/operator.go
@@ -9,7 +9,7 @@
 	"applequay/internal/process/register"
 )
 
-// Operator writes policies through any node, as a person at dial would.
+// Operator writes policies through any node, as a person at applequayctl would.
 type Operator struct {
 	world *World
 	name  string
--- a/internal/process/sim/worker.go
+++ b/internal/process/sim/worker.go
@@ -67,8 +67,8 @@
 	return ok && one.readyAt <= k.world.NowMs
 }
 
-// order carries an exchange's order to a worker and the answer back.
-func (e *exchange) order(order *wire.Order) {
+// order carries a controller's order to a worker and the answer back.
+func (e *controller) order(order *wire.Order) {
 	w := e.world
 	until, may := e.core.May(e.Clock(), order)
 	k := w.worker(order.Worker)
@@ -93,7 +93,7 @@
 	})
 }
 
-func (k *worker) take(e *exchange, order *wire.Order) {
+func (k *worker) take(e *controller, order *wire.Order) {
 	w := k.world
 	if w.Shape.Single {
 		k.takeSingle(e, order)
@@ -118,7 +118,7 @@
 	k.tell(e, seen)
 }
 
-func (k *worker) tell(e *exchange, seen *wire.Seen) {
+func (k *worker) tell(e *controller, seen *wire.Seen) {
 	w := k.world
 	if !w.Cuts[[2]string{k.Addr, e.Addr}] && w.Random.Intn(100) >= w.Loss {
 		w.After(1+w.Random.Int63n(w.DelayMs*2), func() {
@@ -129,7 +129,7 @@
 	}
 }
 
-func (k *worker) obey(e *exchange, order *wire.Order) string {
+func (k *worker) obey(e *controller, order *wire.Order) string {
 	w := k.world
 	if order.Fence < k.fence {
 		return "fence"
--- a/internal/process/sim/world.go
+++ b/internal/process/sim/world.go
@@ -58,7 +58,7 @@
 type World struct {
 	*ground.World
 	Shape   Shape
-	cores   []*exchange
+	cores   []*controller
 	fronts  []*front
 	workers []*worker
 	listed  []wire.Worker
@@ -89,7 +89,7 @@
 		w.addWorker(fmt.Sprintf("w%d", i+1))
 	}
 	for i := range shape.Cores {
-		w.cores = append(w.cores, w.newExchange(fmt.Sprintf("c%d", i+1), fmt.Sprintf("10.0.0.%d:1", i+1)))
+		w.cores = append(w.cores, w.newController(fmt.Sprintf("c%d", i+1), fmt.Sprintf("10.0.0.%d:1", i+1)))
 	}
 	for i := range shape.Fronts {
 		w.fronts = append(w.fronts, w.newFront(fmt.Sprintf("l%d", i+1), fmt.Sprintf("10.0.1.%d:1", i+1), fmt.Sprintf("z%d", i%shape.Zones)))
--- a/internal/process/standing/standing.go
+++ b/internal/process/standing/standing.go
@@ -34,7 +34,7 @@
 
 // New makes an empty set of gauges.
 //
-//	gauges := standing.New("exchange", "c1")
+//	gauges := standing.New("controller", "c1")
 func New(program, name string) *Gauges {
 	return &Gauges{registry: prometheus.NewRegistry(), program: program, name: name, labels: prometheus.Labels{"program": program, "name": name}, ready: func() bool { return true }}
 }
--- a/internal/process/standing/traffic.go
+++ b/internal/process/standing/traffic.go
@@ -2,7 +2,7 @@
 
 import "applequay/internal/request/cord"
 
-// Traffic shows what a switchboard did.
+// Traffic shows what a proxy did.
 //
 //	standing.Traffic(gauges, board)
 func Traffic(g *Gauges, board *cord.Switch) {
--- a/internal/process/ticket/book.go
+++ b/internal/process/ticket/book.go
@@ -1,4 +1,4 @@
-// Package ticket decides to which server a switchboard sends a booking or a
+// Package ticket decides to which server a proxy sends a booking or a
 // check, so that a key goes to one server however often it is repeated, at
 // whatever front, and however the worker list changes meanwhile. As an
 // operator's toll ticket it notes which line a call was put to. It is a pure
@@ -54,9 +54,9 @@
 	round  int // nought while only a witness is asked for
 }
 
-// Book is one switchboard's memory of keys, with its part of the asking.
+// Book is one proxy's memory of keys, with its part of the asking.
 type Book struct {
-	lineman   string
+	agent     string
 	turnedMs  int64
 	contactMs int64
 	keyMs     int64
@@ -73,15 +73,15 @@
 	Asked, Refused int64
 }
 
-// New makes a book that knows nothing; the lineman beside it asks the others.
+// New makes a book that knows nothing; the agent beside it asks the others.
 //
 //	book := ticket.New(now, "127.0.0.1:7201")
-func New(now int64, lineman string) *Book {
-	return &Book{lineman: lineman, turnedMs: now, keys: [2]map[string]string{{}, {}},
+func New(now int64, agent string) *Book {
+	return &Book{agent: agent, turnedMs: now, keys: [2]map[string]string{{}, {}},
 		claims: [2]map[string]map[string]string{{}, {}}, wishes: map[int64]*wish{}, byKey: map[string]int64{}}
 }
 
-// Times, as shares of those that the lineman tells.
+// Times, as shares of those that the agent tells.
 func (b *Book) contactTime() int64 { return b.keyMs / 2 }
 func (b *Book) againTime() int64   { return b.answerMs / 8 }
 func (b *Book) quietTime() int64   { return b.answerMs + b.answerMs/4 }
@@ -194,7 +194,7 @@
 
 func (b *Book) say(out *wire.Outputs, op int64, asked *wish) {
 	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Marks: asked.marks, Few: asked.round == 0}
-	out.Send(b.lineman, wire.KindTicketWish, told)
+	out.Send(b.agent, wire.KindTicketWish, told)
 }
 
 // elsewhere lists the marks that replaced lists which still matter and by which
--- a/internal/process/ticket/book_test.go
+++ b/internal/process/ticket/book_test.go
@@ -13,7 +13,7 @@
 	b2 = "b2@10.0.3.2:1"
 )
 
-// pair is two fronts whose linemen ask each other; letters wait until carried.
+// pair is two fronts whose agents ask each other; letters wait until carried.
 type pair struct {
 	books   map[string]*Book
 	letters []letter
@@ -53,7 +53,7 @@
 	return "x"
 }
 
-// carry takes letters to where the linemen would, in their order.
+// carry takes letters to where the agents would, in their order.
 func (p *pair) carry(now int64, most int) {
 	for ; most > 0 && len(p.letters) > 0; most-- {
 		one := p.letters[0]
--- a/internal/process/ticket/hear.go
+++ b/internal/process/ticket/hear.go
@@ -7,7 +7,7 @@
 	"applequay/internal/connection/wire"
 )
 
-// Hear takes a message from the lineman.
+// Hear takes a message from the agent.
 //
 //	out := book.Hear(now, &wire.Contact{Settled: 4, KeyMs: 60000, AnswerMs: 800, GraceMs: 6400})
 func (b *Book) Hear(now int64, body wire.Record) wire.Outputs {
@@ -17,7 +17,7 @@
 		b.contactMs, b.keyMs, b.answerMs, b.graceMs = now, told.KeyMs, told.AnswerMs, told.GraceMs
 		b.settled = max(b.settled, told.Settled)
 	case *wire.TicketAsk:
-		out.Send(b.lineman, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), FromMs: told.FromMs, Mark: told.Mark})
+		out.Send(b.agent, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), FromMs: told.FromMs, Mark: told.Mark})
 	case *wire.TicketDone:
 		b.done(now, &out, told)
 	}
@@ -80,7 +80,7 @@
 		b.claims = [2]map[string]map[string]string{{}, b.claims[0]}
 	}
 	if b.bareMs > 0 && now-b.bareMs < 2*b.keyMs {
-		out.Send(b.lineman, wire.KindBare, &wire.Bare{AgeMs: now - b.bareMs})
+		out.Send(b.agent, wire.KindBare, &wire.Bare{AgeMs: now - b.bareMs})
 	}
 	for _, op := range slices.Sorted(maps.Keys(b.wishes)) {
 		asked := b.wishes[op]
--- a/internal/request/cord/call.go
+++ b/internal/request/cord/call.go
@@ -1,4 +1,4 @@
-// Package cord is the way of a request through a switchboard: a chain of
+// Package cord is the way of a request through a proxy: a chain of
 // filters, each of which may answer.
 package cord
 
@@ -72,7 +72,7 @@
 	return step
 }
 
-// refuse answers for the switchboard. That the request did not run is said only
+// refuse answers for the proxy. That the request did not run is said only
 // where it certainly did not.
 func (c *call) refuse(status int, said string, retry time.Duration) {
 	c.refuseWith(&speech.Refusal{Status: status, Said: said, Retry: retry})
--- a/internal/request/cord/filters.go
+++ b/internal/request/cord/filters.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// awaitPolicy waits a little on a front that has only just started: its lineman
+// awaitPolicy waits a little on a front that has only just started: its agent
 // learns the policy from the zone within moments.
 func (s *Switch) awaitPolicy(c *call) bool {
 	limit := time.NewTimer(s.limits.Retry)
--- a/internal/request/cord/switch.go
+++ b/internal/request/cord/switch.go
@@ -12,7 +12,7 @@
 	"applequay/internal/request/speech"
 )
 
-// Limits are what one switchboard allows itself.
+// Limits are what one proxy allows itself.
 type Limits struct {
 	Slots int64
 	Body  int64
@@ -52,7 +52,7 @@
 	Ticket(ctx context.Context, call ticket.Call) ticket.Decision
 }
 
-// Counts are what a switchboard did; they only rise.
+// Counts are what a proxy did; they only rise.
 type Counts struct {
 	Came, Shed, Held, Shots, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late atomic.Int64
 }
--- a/internal/request/speech/own.go
+++ b/internal/request/speech/own.go
@@ -133,14 +133,14 @@
 //	if spoken.Resumes() { ... }
 func (Own) Resumes() bool { return false }
 
-// Answer is the body of every error answer of the switchboard itself.
+// Answer is the body of every error answer of the proxy itself.
 type Answer struct {
 	Error   string `json:"error"`
 	Ran     Ran    `json:"ran"`
 	RetryMs int64  `json:"retry_ms,omitempty"`
 }
 
-// Refuse answers for the switchboard. Ran is no only where that is certain.
+// Refuse answers for the proxy. Ran is no only where that is certain.
 //
 //	speech.Own{}.Refuse(w, speech.Refusal{Status: 503, Said: "too much at once", Retry: time.Second})
 func (Own) Refuse(w http.ResponseWriter, refusal Refusal) {
--- a/internal/request/speech/speech.go
+++ b/internal/request/speech/speech.go
@@ -1,4 +1,4 @@
-// Package speech is the seam between a switchboard and those it speaks to: how
+// Package speech is the seam between a proxy and those it speaks to: how
 // callers ask, how servers are told and how their answers are read. The
 // product's own interface is the first way, see Own.
 package speech
@@ -50,7 +50,7 @@
 	Run string
 }
 
-// Refusal is an answer that a switchboard gives itself.
+// Refusal is an answer that a proxy gives itself.
 type Refusal struct {
 	Status int
 	Said   string
@@ -125,7 +125,7 @@
 	Open(answer *http.Response, body *bufio.Reader, ask Ask, server string) Stream
 	// Sign sets what a whole answer carries beside the server's own head.
 	Sign(into http.Header, server string)
-	// Refuse answers for the switchboard.
+	// Refuse answers for the proxy.
 	Refuse(w http.ResponseWriter, refusal Refusal)
 	// Resumes tells whether a stream may be gone on with at any other holder.
 	Resumes() bool
