Controllers read the worker list no faster than its rate and pages allow

Cause: the time between reads of the platform's worker list was fixed at 500 ms (2 s for the others) whatever the list's rate (ListPerS, for all nodes together) and its number of pages; a rate below the need gave refusals, after which the list rested up to 4 s, longer than the 3 s in which a leaving worker must be left alone.

Change: a read tells how many calls it took; the time between reads is the poll time or, if longer, what three quarters of the rate allow to all controllers together. With a list of 200 pages at 40 calls a second reads are 20 s apart: a list that long needs to be read by zone (not done).

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -84,9 +84,10 @@
 		unread = why
 		core.Fact("list_fault", why)
 	}
-	clerk.List = func(mark int64, list *wire.WorkerList) {
+	clerk.List = func(mark int64, list orders.Listing) {
 		control.Do(work, func(now int64) wire.Outputs {
-			out := core.Platform(now, mark, list)
+			core.ListCalls(list.Calls)
+			out := core.Platform(now, mark, list.Workers)
 			listFault(core.Unbelieved())
 			return out
 		})
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -34,6 +34,9 @@
 	Partitions                    int64
 	LeaseMs, PollMs, ProbeMs      int64
 	CallMs                        int64
+	// ListPerS is how many calls a second the worker list allows to all nodes
+	// together; nought for no bound.
+	ListPerS int64
 	// CatchUpMs is how long after its start a core machine must take part.
 	CatchUpMs int64
 	// Bootstrap says that the whole system starts for the very first time. The
@@ -71,6 +74,7 @@
 	recalled   recalled
 	Moves      int64
 	listed     wire.WorkerList
+	listCalls  int64 // calls of the last whole read of the worker list
 	unbelieved string
 	rolling    *rolling
 	leavers    map[string]bool
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -52,23 +52,6 @@
 	}
 }
 
-// platformTick asks for the platform's worker list to be read. The lowest
-// controller that stands asks most often; others too, should it be deaf.
-func (f *Frame) platformTick(now int64, out *wire.Outputs) {
-	if !f.founded() {
-		return
-	}
-	every := f.boot.PollMs
-	for _, seat := range f.proposer.Core().Seats {
-		if standing, _ := f.members.Standing(seat.ID); standing == wire.StandingWell && seat.ID < f.boot.ID {
-			every = 4 * f.boot.PollMs
-		}
-	}
-	if f.due(now, "platform", every) {
-		out.Send("platform", wire.KindOrder, &wire.Order{Op: "list", Seq: f.marks[DirectoryKey]})
-	}
-}
-
 // Platform takes the platform's worker list, read when the list kept had the
 // mark given; a change since then makes the write stale.
 //
--- a/internal/controlplane/orders/native.go
+++ b/internal/controlplane/orders/native.go
@@ -120,14 +120,14 @@
 // List reads the list at the directory.
 //
 //	list, err := adminapi.List(ctx)
-func (n *native) List(ctx context.Context) (*wire.WorkerList, error) {
+func (n *native) List(ctx context.Context) (Listing, error) {
 	asked, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.directory+"/workers", nil)
 	if err != nil {
-		return nil, err
+		return Listing{}, err
 	}
 	answer, err := n.client.Do(asked)
 	if err != nil {
-		return nil, err
+		return Listing{}, err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	var listed struct {
@@ -135,24 +135,24 @@
 		Mark    int64     `json:"mark"`
 	}
 	if err := read(answer, &listed); err != nil {
-		return nil, err
+		return Listing{}, err
 	}
 	if listed.Workers == nil {
-		return nil, oops.Errorf("there are no workers in it")
+		return Listing{}, oops.Errorf("there are no workers in it")
 	}
 	list, names := &wire.WorkerList{Platform: listed.Mark}, map[string]bool{}
 	for _, one := range *listed.Workers {
 		if err := CheckListed(one.Name, one.Addr); err != nil {
-			return nil, err
+			return Listing{}, err
 		}
 		if names[one.Name] {
-			return nil, oops.Errorf("worker %q is listed twice", one.Name)
+			return Listing{}, oops.Errorf("worker %q is listed twice", one.Name)
 		}
 		names[one.Name] = true
 		list.Workers = append(list.Workers, wire.Worker{Name: one.Name, Addr: one.Addr, Zone: one.Zone, Pool: one.Pool, RoomMb: one.RoomMb, Leaving: one.Leaving})
 	}
 	slices.SortFunc(list.Workers, func(a, b wire.Worker) int { return strings.Compare(a.Name, b.Name) })
-	return list, nil
+	return Listing{Workers: list, Calls: 1}, nil
 }
 
 // CheckListed tells what is wrong with the name or the address of a listed worker.
--- a/internal/controlplane/orders/orders.go
+++ b/internal/controlplane/orders/orders.go
@@ -15,7 +15,13 @@
 	// Order hands a worker one order, or looks at it, and tells what it showed.
 	Order(ctx context.Context, order *wire.Order) (*wire.Seen, error)
 	// List reads the whole list of workers, sorted by name.
-	List(ctx context.Context) (*wire.WorkerList, error)
+	List(ctx context.Context) (Listing, error)
+}
+
+// Listing is one whole read of the worker list, and how many calls it took.
+type Listing struct {
+	Workers *wire.WorkerList
+	Calls   int64
 }
 
 // Clerk sends for the control thread: one line per worker, so that orders to
@@ -27,7 +33,7 @@
 	lines map[string]chan Job
 	// Saw takes what workers showed, List what the platform listed.
 	Saw  func(seen *wire.Seen)
-	List func(mark int64, list *wire.WorkerList)
+	List func(mark int64, list Listing)
 	// Failed hears why the platform's list could not be read.
 	Failed func(err error)
 }
--- a/internal/controlplane/orders/orders_test.go
+++ b/internal/controlplane/orders/orders_test.go
@@ -25,7 +25,7 @@
 	return nil, errors.New("no answer")
 }
 
-func (d *slowDesk) List(context.Context) (*wire.WorkerList, error) { return nil, errors.New("none") }
+func (d *slowDesk) List(context.Context) (Listing, error) { return Listing{}, errors.New("none") }
 
 // Orders to one worker keep their order, looks do not pile up behind a worker
 // that hangs, and what is past its time does not leave.
