Simulator: a load of what a worker holds already needs no room beside it

The worker answers that it holds it. What is there and what is ordered beside it still may not exceed the room.

--- a/internal/simulation/facts.go
+++ b/internal/simulation/facts.go
@@ -64,7 +64,12 @@
 func newFacts() facts { return facts{leaving: map[string][]left{}} }
 
 func (f *facts) ordered(now int64, k *worker, e *controllerNode, order *wire.Order) {
-	f.orders = append(f.orders, Ordered{At: now, Worker: k.Name, Life: k.born, Owner: e.ID, Fence: order.Fence, Seq: order.Seq, Op: order.Op, Item: order.Item, SizeMb: order.SizeMb, UsedMb: k.used(), RoomMb: k.world.Shape.RoomMb})
+	used := k.used()
+	if there, ok := k.items[order.Item]; ok {
+		// A load of what the worker holds already needs no room beside it.
+		used -= there.sizeMb
+	}
+	f.orders = append(f.orders, Ordered{At: now, Worker: k.Name, Life: k.born, Owner: e.ID, Fence: order.Fence, Seq: order.Seq, Op: order.Op, Item: order.Item, SizeMb: order.SizeMb, UsedMb: used, RoomMb: k.world.Shape.RoomMb})
 }
 
 func (f *facts) loaded(from, to, sizeMb int64) { f.loads = append(f.loads, Load{from, to, sizeMb}) }
