Registers: answers heard under one core set make no majority of another

A proposer that learned of a newer core set in the middle of an attempt held what it had heard under the old set against the new set's majority. An attempt now notes the epoch that it began under and starts over where that rose. Ruled out: restarting only in Learn, since Learn has no outputs and its callers many.

--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -90,6 +90,8 @@
 	phaseEnds, ends  int64
 	began            int64
 	attempts         int
+	// epoch is that of the core set whose majorities this attempt counts.
+	epoch int64
 }
 
 // NewProposer makes a proposer. The id must never have been used by another
@@ -150,6 +152,7 @@
 	}
 	p.Rounds++
 	o.attempts++
+	o.epoch = p.core.Epoch
 	o.heard, o.best, o.bestValue, o.agreed, o.behind = map[string]bool{}, wire.Ballot{}, nil, 0, nil
 	o.phaseEnds, o.began = now+p.limits.PhaseMs, now
 	if !asks {
@@ -219,6 +222,8 @@
 		p.overdue(now, &out, o)
 		switch {
 		case p.ops[op] == nil:
+		case o.epoch < p.core.Epoch && o.phase != phaseWait:
+			out.Add(p.begin(now, o))
 		case now >= o.phaseEnds && (o.phase == phaseWait || o.phase == phaseQuery):
 			out.Add(p.begin(now, o))
 		case now >= o.phaseEnds:
--- a/internal/controlplane/register/rounds.go
+++ b/internal/controlplane/register/rounds.go
@@ -33,7 +33,11 @@
 		}
 		p.accepted(now, &out, o, from, told)
 	case *wire.KeysTold:
-		if o, ok := p.ops[told.Op]; ok && o.phase == phaseKeys && told.Ok && p.seated(from) {
+		o, ok := p.ops[told.Op]
+		if !ok || o.phase != phaseKeys || p.newer(now, &out, o, 0, nil) {
+			return out
+		}
+		if told.Ok && p.seated(from) {
 			o.heard[from] = true
 			for _, key := range told.Keys {
 				o.found[key] = true
@@ -58,16 +62,20 @@
 	}
 }
 
-// newer starts a call over where a controller knows a newer core set.
+// newer starts a call over where the core set is newer than the one that its
+// attempt counts by, as a controller tells or as this node learned meanwhile: what
+// was heard under one set makes no majority of another.
 func (p *Proposer) newer(now int64, out *wire.Outputs, o *operation, epoch int64, core []byte) bool {
-	if epoch <= p.core.Epoch {
-		return false
-	}
 	if set, ok := ParseCore(core); ok && set.Epoch > p.core.Epoch {
 		p.Learn(set)
-		out.Add(p.begin(now, o))
 	}
-	return true
+	if o.epoch < p.core.Epoch {
+		if o.phase != phaseWait {
+			out.Add(p.begin(now, o))
+		}
+		return true
+	}
+	return epoch > p.core.Epoch
 }
 
 // ParseCore reads a core set out of the value of the register that holds it.
