Registers and leases: numbers that no earlier life of the node used

Operations and rounds were numbered from 1 in every life of a process, while a controller's identity lasts: an answer to the life before that came late was counted for another question of the same number, a read from an old copy or a lease's vote for a later ask.

--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -25,6 +25,9 @@
 // LineageLen is how many writes a register remembers by name.
 const LineageLen = 64
 
+// numbers is from how many the first number of a life is drawn.
+const numbers = 1 << 31
+
 // Boot is what a controller is told at its start.
 type Boot struct {
 	ID, Name, Addr, Zone, Outward string
@@ -116,6 +119,7 @@
 		handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
 		founding: newFounding(), steward: steward{failed: map[string]int64{}},
 	}
+	f.holder.NumberFrom(random.Int63n(numbers))
 	f.replay(snapshot, writes)
 	f.recallOwners()
 	if core, ok := f.acceptor.Core(); ok {
--- a/internal/controlplane/lease/holder.go
+++ b/internal/controlplane/lease/holder.go
@@ -70,6 +70,13 @@
 	return &Holder{limits: limits, claims: map[int64]*claim{}, rounds: map[int64]*round{}, Seen: map[int64]wire.Refusal{}, waits: map[int64]wait{}, renewed: -limits.LeaseMs}
 }
 
+// NumberFrom has the rounds numbered from somewhere that no earlier life of this
+// node, of the same identity, was at: what granters told that life, and what
+// comes late, then counts for no round of this one.
+//
+//	holder.NumberFrom(random.Int63n(1 << 31))
+func (h *Holder) NumberFrom(number int64) { h.nextOp = number }
+
 // Claim starts to ask for a partition; it is asked again at each renewal.
 //
 //	holder.Claim(now, 3)
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -94,12 +94,17 @@
 	epoch int64
 }
 
+// numbers is from how many the first operation's number is drawn: an answer to
+// an earlier life of this node, which had the same identity, finds nothing that
+// it could be taken for.
+const numbers = 1 << 31
+
 // NewProposer makes a proposer. The id must never have been used by another
 // process, so that no ballot comes twice.
 //
 //	proposer := register.NewProposer("c1~7f/1a2b", random, limits)
 func NewProposer(id string, random *rand.Rand, limits Limits) *Proposer {
-	return &Proposer{id: id, random: random, limits: limits, ops: map[int64]*operation{}, mends: map[int64]mend{}, busy: map[string]round{}, roundMs: limits.PhaseMs / 8}
+	return &Proposer{id: id, random: random, limits: limits, nextOp: random.Int63n(numbers), ops: map[int64]*operation{}, mends: map[int64]mend{}, busy: map[string]round{}, roundMs: limits.PhaseMs / 8}
 }
 
 // Core returns the core set the proposer works with.
