Controllers: the configuration goes to subscribers only as a majority has it

The configuration now goes out after a read at a majority that began since the question, one read for all who wait; what is pushed is what was learned as chosen, as before.

--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -68,6 +68,7 @@
 	nextCall   int64
 	founding   founding
 	steward    steward
+	confirming confirming
 	timers     map[string]int64
 	unheld     map[int64]int64
 	took       map[int64]bool
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -64,9 +64,14 @@
 }
 
 // tellSubscriber answers with what is past the subscriber's marks, of the service
-// it names or of all.
+// it names or of all; with the policy only once that is known to stand.
 func (f *Frame) tellSubscriber(out *wire.Outputs, from string, asked *wire.Subscribe) {
-	if told := f.board.Since(asked, TopicsOf(asked.Service)); len(told.Topics) > 0 {
+	told := f.board.Since(asked, TopicsOf(asked.Service))
+	if at := slices.IndexFunc(told.Topics, func(t wire.Topic) bool { return t.Name == PolicyKey }); at >= 0 {
+		told.Topics = slices.Delete(told.Topics, at, at+1)
+		f.confirming.waits = append(f.confirming.waits, from)
+	}
+	if len(told.Topics) > 0 {
 		out.Send(from, wire.KindNews, told)
 	}
 }
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -23,6 +23,7 @@
 	f.ownersTick(now, &out)
 	f.movesTick(now, &out)
 	f.newsTick(now, &out)
+	f.confirmTick(now, &out)
 	f.recallTick(now, &out)
 	f.platformTick(now, &out)
 	f.rolloutTick(now, &out)
