Orders: none leaves after its lease, also where a connection is slow to come up

The lease was looked at before the call only; a connection may take half a second, longer than the margin. The call now ends with the lease.

--- a/internal/controlplane/orders/orders.go
+++ b/internal/controlplane/orders/orders.go
@@ -95,9 +95,12 @@
 		}
 		return
 	}
-	// The grant may have run out while the order waited here.
+	// The grant may have run out while the order waited here, and it may run out
+	// while a connection is made.
 	if time.Now().Before(job.Until) {
-		if seen, err := c.desk.Order(ctx, &job.Order); err == nil {
+		leased, ended := context.WithDeadline(ctx, job.Until)
+		defer ended()
+		if seen, err := c.desk.Order(leased, &job.Order); err == nil {
 			c.Saw(seen)
 		}
 	}
