Core set: nobody is taken out by what a machine thought while cut off

And the word of a machine that hears nobody, that others are gone, took out one that stands as soon as a newcomer waited: what a seat itself said here lately now counts for more.

--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -118,7 +118,7 @@
 		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, marks: map[string]int64{},
 		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
 		handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
-		founding: newFounding(), steward: steward{failed: map[string]int64{}},
+		founding: newFounding(), steward: steward{failed: map[string]int64{}, heard: map[string]int64{}},
 	}
 	f.holder.NumberFrom(random.Int63n(numbers))
 	f.replay(snapshot, writes)
@@ -140,6 +140,9 @@
 //	out := core.Hear(now, "c2~51", body)
 func (f *Frame) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
+	if seatOf(f.proposer.Core().Seats, from) {
+		f.steward.heard[from] = now
+	}
 	switch told := body.(type) {
 	case *wire.Prepare, *wire.Accept, *wire.Query, *wire.KeysAsk:
 		if f.seated() {
--- a/internal/controlplane/controller/seats.go
+++ b/internal/controlplane/controller/seats.go
@@ -21,6 +21,13 @@
 
 func (f *Frame) goneMs() int64 { return f.boot.CatchUpMs / 8 }
 
+// heardLately tells whether a seat spoke here itself so lately that it keeps its
+// place: that it is gone may be the word of one who was cut off from it.
+func (f *Frame) heardLately(now int64, id string) bool {
+	last, heard := f.steward.heard[id]
+	return heard && now-last < f.boot.CatchUpMs/4
+}
+
 // heardMs is how long another may take to be heard of.
 func (f *Frame) heardMs() int64 { return f.boot.CatchUpMs / 2 }
 
@@ -88,6 +95,7 @@
 		case standing == wire.StandingWell || seat.ID == f.boot.ID:
 		case reborn:
 			return at
+		case standing != wire.StandingLeaving && f.heardLately(now, seat.ID):
 		case standing > worst && (len(newcomers) > 0 || (gone && len(core.Seats) > leastSeats)):
 			worst, worstAt = standing, at
 		}
--- a/internal/controlplane/controller/steward.go
+++ b/internal/controlplane/controller/steward.go
@@ -21,6 +21,10 @@
 	// could not be given its copies.
 	gaveUp int64
 	failed map[string]int64
+	// aloneAt is when this node last saw no majority of the set stand.
+	aloneAt int64
+	// heard is when this node itself last heard from each seat.
+	heard map[string]int64
 	// sizes are how many seats there were lately.
 	sizes []sized
 }
@@ -33,6 +37,14 @@
 		return
 	}
 	s := &f.steward
+	if !f.members.Majority(core.Seats) {
+		s.aloneAt = now
+	}
+	// What was asked for now might pass at the heal, by what this node thought of
+	// the others while it was cut off from them; it first hears how they stand.
+	if s.aloneAt > 0 && now-s.aloneAt < f.heardMs() {
+		return
+	}
 	next, change := f.nextCore(now, core)
 	if core.Epoch != s.epoch || core.Swept != s.swept || (!change && core.Swept) {
 		// What was under way for the set before is of no use.
