Proxy: a front out of contact says 503, not 404, of what its configuration lacks

A front that was cut off answered 404 from the configuration it had, which callers take as final; a route added since is there all the same. The agent's word of contact holds for twice the time that others may take to answer; without it the answer is a refusal that callers may take elsewhere. Before any such word nothing changes.

--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -87,6 +87,10 @@
 	useEvery       = 10 // reports
 )
 
+// contactAnswers is for how many times that others may take to answer a word of
+// contact holds.
+const contactAnswers = 2
+
 // Run is the thread.
 //
 //	err := plugs.Run(ctx)
@@ -145,7 +149,10 @@
 
 func (p *Plugboard) hear(letter transport.Arrived) {
 	switch told := letter.Body.(type) {
-	case *wire.Contact, *wire.TicketAsk, *wire.TicketDone:
+	case *wire.Contact:
+		p.chain.Contact(contactAnswers * told.AnswerMs)
+		p.perform(p.book.Hear(p.clock(), letter.Body))
+	case *wire.TicketAsk, *wire.TicketDone:
 		p.perform(p.book.Hear(p.clock(), letter.Body))
 	case *wire.News:
 		changed := false
--- a/internal/dataplane/pipeline/filters.go
+++ b/internal/dataplane/pipeline/filters.go
@@ -37,7 +37,7 @@
 	}
 	route, ok := c.current.Route(c.r)
 	if !ok {
-		c.refuse(http.StatusNotFound, "no route", 0)
+		s.unknown(c, "no route")
 		return
 	}
 	c.route, c.service = route, c.current.Policy.Services[routing.Share(route, rand.Float64())]
@@ -116,7 +116,7 @@
 func (s *Switch) findItem(c *call) bool {
 	item, ok := c.current.Item(c.service.Pool, c.ask.Model, c.ask.Adapter)
 	if !ok {
-		c.refuse(http.StatusNotFound, "no such model or adapter in this service", 0)
+		s.unknown(c, "no such model or adapter in this service")
 		return false
 	}
 	c.item, c.prefix = item, item+"|"+c.ask.Prompt
--- a/internal/dataplane/pipeline/hold.go
+++ b/internal/dataplane/pipeline/hold.go
@@ -58,7 +58,7 @@
 		}
 		c.current = s.Table()
 		if _, ok := c.current.Policy.Items[c.item]; !ok {
-			c.refuse(http.StatusNotFound, "the model was taken out of the policy", 0)
+			s.unknown(c, "the model was taken out of the policy")
 			return
 		}
 		if len(c.current.Holders(c.service.Pool, c.item)) > 0 {
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/switch.go
@@ -69,7 +69,10 @@
 	turn   atomic.Int64
 	fronts atomic.Int64
 	inZone atomic.Pointer[string]
-	run    func(*call)
+	// contactTo is until when the configuration kept here counts as known; nought
+	// before the agent said anything of it.
+	contactTo atomic.Int64
+	run       func(*call)
 	// leaves is closed once this front goes: nobody is to wait here any more.
 	leaves chan struct{}
 	left   atomic.Bool
