--- a/internal/controlplane/adminapi/adminapi.go
+++ b/internal/controlplane/adminapi/adminapi.go
@@ -81,6 +81,18 @@
 	return outcome, outcome.Fate == register.FateDone
 }
 
+// reaches tells whether a majority answers now.
+func (d *Desk) reaches(r *http.Request) bool {
+	_, reached := d.read(r)
+	return reached
+}
+
+// unreached answers an order that certainly did nothing, for lack of a majority.
+func unreached(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "2")
+	Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
+}
+
 func (d *Desk) getPolicy(w http.ResponseWriter, r *http.Request) {
 	outcome, ok := d.read(r)
 	if !ok {
--- a/internal/controlplane/adminapi/change.go
+++ b/internal/controlplane/adminapi/change.go
@@ -114,6 +114,12 @@
 		table, more, syntax := d.form.Parse(told.body, 0)
 		if len(more) == 0 {
 			more = table.Roomless(d.largest())
+			if len(more) > 0 && !d.reaches(r) {
+				// Which rooms there are is remembered here: a node that is cut off
+				// refuses nothing by that.
+				unreached(w)
+				return
+			}
 		}
 		told.faults, told.syntax = append(told.faults, told.translate(more)...), syntax
 	}
@@ -135,8 +141,7 @@
 	case register.FateStale:
 		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Mark: &now, Applied: "no"})
 	case register.FateNone:
-		w.Header().Set("Retry-After", "2")
-		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
+		unreached(w)
 	default:
 		w.Header().Set("Retry-After", "2")
 		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answered in time; the change may have happened", Applied: "unknown"})
--- a/internal/controlplane/adminapi/rollout.go
+++ b/internal/controlplane/adminapi/rollout.go
@@ -75,8 +75,7 @@
 func (d *Desk) standingPolicy(w http.ResponseWriter, r *http.Request, mark int64) ([]byte, *configuration.Table, bool) {
 	current, ok := d.read(r)
 	if !ok {
-		w.Header().Set("Retry-After", "2")
-		Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
+		unreached(w)
 		return nil, nil, false
 	}
 	if now := current.Value.Mark; mark >= 0 && now != mark {
