Simulator: machines cut off for twenty seconds, as named scenarios

Both ways, deaf, mute, with the seeds, with a machine of the majority that starts again on their side, frozen; on both shapes and on five and six cores, with operators at either side and fronts that start while they reach only machines cut off.

--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -161,21 +161,23 @@
 
 func simCommand() *ffcli.Command {
 	set := flag.NewFlagSet("sim", flag.ContinueOnError)
-	name := set.String("deployment", "brilleverk", "brilleverk or krizanka")
+	name := set.String("deployment", "brilleverk", "brilleverk, krizanka, larger-5 or larger-6")
+	which := set.String("scenario", "faults", "what happens")
 	seed := set.Int64("seed", 1, "seed to replay")
-	return &ffcli.Command{Name: "sim", ShortHelp: "replay a seed of the simulator and print its history", FlagSet: set,
+	var help strings.Builder
+	for _, scenario := range simulation.Scenarios() {
+		fmt.Fprintf(&help, "  %-16s %s\n", scenario.Name, scenario.Help)
+	}
+	return &ffcli.Command{Name: "sim", ShortHelp: "replay a seed of the simulator and print its history", LongHelp: "Scenarios:\n" + help.String(), FlagSet: set,
 		Exec: func(context.Context, []string) error {
-			shape := simulation.Brilleverk()
-			switch *name {
-			case "brilleverk":
-			case "krizanka":
-				shape = simulation.Krizanka()
-			default:
-				return fmt.Errorf("%w: no deployment %q; there are brilleverk and krizanka", errUsage, *name)
+			shapes, scenarios := simulation.Shapes(), simulation.Scenarios()
+			shape := slices.IndexFunc(shapes, func(s simulation.Shape) bool { return s.Name == *name })
+			scenario := slices.IndexFunc(scenarios, func(s simulation.Scenario) bool { return s.Name == *which })
+			if shape < 0 || scenario < 0 {
+				return fmt.Errorf("%w: no deployment %q or no scenario %q", errUsage, *name, *which)
 			}
-			world := simulation.Faults(shape, *seed)
+			world, breaches := scenarios[scenario].Play(shapes[shape], *seed)
 			fmt.Println(strings.Join(world.History, "\n"))
-			breaches := world.Breaches()
 			for _, breach := range breaches {
 				fmt.Println("BREACH", breach)
 			}
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -20,6 +20,7 @@
 	node
 	zone    string
 	seeds   []string
+	late    bool // came into a world that was cut
 	line    *agent.Line
 	board   node
 	answers map[int64]func(register.Outcome)
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -14,6 +14,8 @@
 	world *World
 	name  string
 	turn  int
+	// only are the nodes that it asks, fronts first; all where there are none.
+	only []int
 }
 
 // NewOperator makes an operator.
@@ -53,6 +55,9 @@
 func (o *Operator) at() (change func(key string, expected int64, body []byte, done func(register.Outcome)), read func(key string, done func(register.Outcome))) {
 	w := o.world
 	pick := w.Random.Intn(len(w.fronts) + len(w.cores))
+	if len(o.only) > 0 {
+		pick = o.only[w.Random.Intn(len(o.only))]
+	}
 	if pick < len(w.fronts) {
 		f := w.fronts[pick]
 		if !f.Up {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -44,6 +44,17 @@
 	return shape
 }
 
+// Larger has so many cores, founded by three seeds, and less of all else.
+//
+//	world := simulation.CutOff(simulation.Larger(5), 7, simulation.Cuts()[0])
+func Larger(cores int) Shape {
+	shape := Krizanka()
+	shape.Name, shape.Cores, shape.Seeds = fmt.Sprintf("larger-%d", cores), cores, 3
+	shape.Zones, shape.Fronts, shape.Workers, shape.Models, shape.Adapters = 2, 4, 4, 20, 10
+	shape.SyncMs, shape.CallMs, shape.LeaseMs, shape.LossPercent = 5, 2500, 3000, 1
+	return shape
+}
+
 // node is any process of the world.
 type node struct {
 	ground.Node
@@ -69,6 +80,8 @@
 	// rolledBy names the kind by which a rolled out policy is told.
 	rolledBy string
 	Counts   Counts
+	// cut is what a run of CutOff cut off.
+	cut *cutting
 	// openings go into every policy that operators write.
 	openings []any
 }
