Registers: rounds of a proposer that hears nobody hold up others for a moment only

A round that is repeated no longer begins its time anew, and a call waits one phase, or four rounds, since a round last ended.

--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -14,9 +14,9 @@
 
 // round is another proposer's on a register, and until when it is left to end.
 type round struct {
-	by     string
-	ballot wire.Ballot
-	until  int64
+	by           string
+	ballot       wire.Ballot
+	since, until int64
 }
 
 // Sense takes notice of another proposer's round on a register.
@@ -29,10 +29,20 @@
 			return out
 		}
 	}
-	if kept, sensed := p.busy[asked.Key]; sensed && Less(asked.Ballot, kept.ballot) {
+	kept, sensed := p.busy[asked.Key]
+	if sensed && Less(asked.Ballot, kept.ballot) {
+		return out
+	}
+	since := now
+	if sensed && kept.ballot == asked.Ballot {
+		since = kept.since
+	}
+	// One that is repeated for long may be of a proposer that hears no answers.
+	until := min(now+max(p.limits.PhaseMs/2, 2*p.pace()), since+max(p.limits.PhaseMs, 2*p.pace()))
+	p.busy[asked.Key] = round{by: from, ballot: asked.Ballot, since: since, until: until}
+	if now >= until {
 		return out
 	}
-	p.busy[asked.Key] = round{by: from, ballot: asked.Ballot, until: now + max(p.limits.PhaseMs/2, 2*p.pace())}
 	for _, op := range sortedOps(p.ops) {
 		if o := p.ops[op]; o.key == asked.Key && (o.phase == phasePrepare || o.phase == phaseWait) {
 			p.counter = max(p.counter, asked.Ballot.N)
@@ -49,6 +59,7 @@
 func (p *Proposer) Chose(now int64, key string, value wire.Value) wire.Outputs {
 	var out wire.Outputs
 	delete(p.busy, key)
+	p.chose[key] = now
 	for _, op := range sortedOps(p.ops) {
 		o := p.ops[op]
 		if o.key != key || o.phase != phaseWait {
@@ -90,8 +101,14 @@
 	return max(p.limits.PhaseMs/4, min(4*p.roundMs, p.limits.PhaseMs))
 }
 
-// defers makes a call wait while another's round is under way, for most of its
-// time at the longest.
+// patient is how long a call waits for others' rounds while none of them ends: for
+// most of its time at the longest. Proposers that hear nobody, and turn each other
+// away, may begin rounds without end.
+func (p *Proposer) patient() int64 {
+	return min(p.limits.CallMs*3/4, max(p.limits.PhaseMs, 4*p.pace()))
+}
+
+// defers makes a call wait while another's round is under way.
 func (p *Proposer) defers(now int64, out *wire.Outputs, o *operation) bool {
 	other, sensed := p.busy[o.key]
 	until, ends := other.until, o.ends
@@ -99,13 +116,13 @@
 		ends = min(ends, asked.ends)
 	}
 	if !sensed || now >= until {
-		delete(p.busy, o.key)
 		until, sensed = now, false
 	}
 	if p.underWay(o) {
 		until = max(until, now+p.pace())
 	}
-	if until == now || now > ends-p.limits.CallMs/4 {
+	waits := max(ends-p.limits.CallMs, p.chose[o.key])
+	if until == now || now > min(waits+p.patient(), ends-p.limits.CallMs/4) {
 		return false
 	}
 	o.phase = phaseWait
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -48,7 +48,8 @@
 	ops     map[int64]*operation
 	mends   map[int64]mend
 	busy    map[string]round
-	roundMs int64 // how long rounds took lately
+	chose   map[string]int64 // when a round of another on a register last ended
+	roundMs int64            // how long rounds took lately
 	Rounds  int64
 }
 
@@ -104,7 +105,7 @@
 //
 //	proposer := register.NewProposer("c1~7f/1a2b", random, limits)
 func NewProposer(id string, random *rand.Rand, limits Limits) *Proposer {
-	return &Proposer{id: id, random: random, limits: limits, nextOp: random.Int63n(numbers), ops: map[int64]*operation{}, mends: map[int64]mend{}, busy: map[string]round{}, roundMs: limits.PhaseMs / 8}
+	return &Proposer{id: id, random: random, limits: limits, nextOp: random.Int63n(numbers), ops: map[int64]*operation{}, mends: map[int64]mend{}, busy: map[string]round{}, chose: map[string]int64{}, roundMs: limits.PhaseMs / 8}
 }
 
 // Core returns the core set the proposer works with.
