--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -25,9 +25,6 @@
 // LineageLen is how many writes a register remembers by name.
 const LineageLen = 64
 
-// numbers is from how many the first number of a life is drawn.
-const numbers = 1 << 31
-
 // Boot is what a controller is told at its start.
 type Boot struct {
 	ID, Name, Addr, Zone, Outward string
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -12,6 +12,9 @@
 	"applequay/internal/transport/wire"
 )
 
+// numbers is from how many the first number of a life's lease rounds is drawn.
+const numbers = 1 << 31
+
 // wish says who should own a partition: its owner while that stands well, else
 // the least laden of the others by rendezvous hash. A suspect one that lives on
 // renews its grants, and whoever claims meanwhile is refused.
