--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -48,7 +48,8 @@
 	ops     map[int64]*operation
 	mends   map[int64]mend
 	busy    map[string]round
-	roundMs int64 // how long rounds took lately
+	chose   map[string]int64 // when a round of another on a register last ended
+	roundMs int64            // how long rounds took lately
 	Rounds  int64
 }
 
@@ -90,14 +91,21 @@
 	phaseEnds, ends  int64
 	began            int64
 	attempts         int
+	// epoch is that of the core set whose majorities this attempt counts.
+	epoch int64
 }
 
+// numbers is from how many the first operation's number is drawn: an answer to
+// an earlier life of this node, which had the same identity, finds nothing that
+// it could be taken for.
+const numbers = 1 << 31
+
 // NewProposer makes a proposer. The id must never have been used by another
 // process, so that no ballot comes twice.
 //
 //	proposer := register.NewProposer("c1~7f/1a2b", random, limits)
 func NewProposer(id string, random *rand.Rand, limits Limits) *Proposer {
-	return &Proposer{id: id, random: random, limits: limits, ops: map[int64]*operation{}, mends: map[int64]mend{}, busy: map[string]round{}, roundMs: limits.PhaseMs / 8}
+	return &Proposer{id: id, random: random, limits: limits, nextOp: random.Int63n(numbers), ops: map[int64]*operation{}, mends: map[int64]mend{}, busy: map[string]round{}, chose: map[string]int64{}, roundMs: limits.PhaseMs / 8}
 }
 
 // Core returns the core set the proposer works with.
@@ -150,6 +158,7 @@
 	}
 	p.Rounds++
 	o.attempts++
+	o.epoch = p.core.Epoch
 	o.heard, o.best, o.bestValue, o.agreed, o.behind = map[string]bool{}, wire.Ballot{}, nil, 0, nil
 	o.phaseEnds, o.began = now+p.limits.PhaseMs, now
 	if !asks {
@@ -219,6 +228,8 @@
 		p.overdue(now, &out, o)
 		switch {
 		case p.ops[op] == nil:
+		case o.epoch < p.core.Epoch && o.phase != phaseWait:
+			out.Add(p.begin(now, o))
 		case now >= o.phaseEnds && (o.phase == phaseWait || o.phase == phaseQuery):
 			out.Add(p.begin(now, o))
 		case now >= o.phaseEnds:
