Wire: records are read strictly, and no field has a bound of its own

Cause: the codec's default refuses any field above 1 MiB, while operators may send 32 MB. Such a configuration never passed between nodes, the whole batch of messages was lost with it, and a checkpoint that held one could not be read at the next start. The codec also takes a record that ends early for a whole one (it swallows io.EOF), and allocates whatever a count announces: seven bytes ended the process.

Change: one check walks the schema first and bounds every length and count by the bytes that are there; only whole records reach the codec, without its own bound. Ruled out: a bound on the codec's slices (it is one number for all kinds).

--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -20,7 +20,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Ballot) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -44,7 +44,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Value) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -69,7 +69,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Prepare) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -100,7 +100,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Promise) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -126,7 +126,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Accept) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -153,7 +153,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Accepted) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -178,7 +178,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Query) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -202,7 +202,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Chosen) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -225,7 +225,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *KeysAsk) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -249,7 +249,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *KeysTold) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -273,7 +273,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Seat) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -299,7 +299,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *CoreSet) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -321,7 +321,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *FoundAsk) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -345,7 +345,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *FoundTold) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -368,7 +368,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Found) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -399,7 +399,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Member) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -423,7 +423,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Probe) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -447,7 +447,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *ProbeAck) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -471,7 +471,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *ProbeVia) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -494,7 +494,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Hold) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -520,7 +520,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *GrantAsk) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -545,7 +545,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Refusal) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -570,7 +570,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *GrantTold) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -592,7 +592,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *GrantBack) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -621,7 +621,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Post) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -649,7 +649,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *PostAck) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -674,7 +674,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Topic) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -698,7 +698,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Subscribe) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -720,7 +720,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *News) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -745,7 +745,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Owner) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -772,7 +772,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Worker) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -798,7 +798,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Roster) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -822,7 +822,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *WorkerList) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -846,7 +846,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Loaded) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -876,7 +876,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *WorkerNews) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -903,7 +903,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Want) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -928,7 +928,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Use) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -953,7 +953,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Report) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -981,7 +981,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Demand) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1004,7 +1004,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Tally) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1026,7 +1026,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Fleet) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1056,7 +1056,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *HomeAsk) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1082,7 +1082,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *HomeTold) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1108,7 +1108,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *PermitAsk) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1133,7 +1133,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *PermitGiven) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1158,7 +1158,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *PermitBack) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1195,7 +1195,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Seen) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1220,7 +1220,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *HomeState) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1251,7 +1251,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *ItemState) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1286,7 +1286,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Resident) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1319,7 +1319,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *WorkerState) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1346,7 +1346,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Turn) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1370,7 +1370,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *StoreState) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1401,7 +1401,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Task) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1436,7 +1436,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Order) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1462,7 +1462,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Buffered) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1487,7 +1487,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *OutMsg) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1512,7 +1512,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Outbox) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1536,7 +1536,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Dedup) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1570,7 +1570,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *PartitionState) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1597,7 +1597,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *MessagesReceived) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1621,7 +1621,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *MessagesSent) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1646,7 +1646,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *TaskCompleted) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1671,7 +1671,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Routed) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1700,7 +1700,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *StepCompleted) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1723,7 +1723,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *PeerRenewed) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1748,7 +1748,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Event) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1773,7 +1773,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *AcceptorRecord) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1798,7 +1798,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *AdoptRecord) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1821,7 +1821,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *SealRecord) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1845,7 +1845,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Handover) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1868,7 +1868,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *HandoverTaken) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1894,7 +1894,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *TicketWish) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1920,7 +1920,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *TicketDone) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1947,7 +1947,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *TicketAsk) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1976,7 +1976,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *TicketTold) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -1998,7 +1998,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Bare) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -2024,7 +2024,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *WriteAsk) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -2049,7 +2049,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Contact) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -2073,7 +2073,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Wait) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -2098,7 +2098,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Waits) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -2123,7 +2123,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Snapshot) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -2146,7 +2146,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Letter) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
@@ -2170,7 +2170,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *Letters) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
