Upstream: bounded heads, no change of protocol, and nothing that leaves late

Cause: statuses below 100 and 101 were passed over as if they said to wait; the head of an answer, and a row of heads that say to wait, had no bound but memory and the deadline; the moment after which a request must not leave was looked at before the connection was made, not after. An answer that belonged to another request and had no body left its connection in use, so the answer after it was taken for the next.

Change: 64 KB for the heads of one answer; 101 and below 100 are errors; the moment is looked at again before the write; Answer.Spoil ends a connection.

Before: four cases of TestHeads and TestLateRequestsDoNotLeave failed. The rest of line_test.go (reuse, surplus, deadline, stale) held already.

--- a/internal/dataplane/upstream/plug.go
+++ b/internal/dataplane/upstream/plug.go
@@ -105,7 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: made, reader: bufio.NewReaderSize(made, 2048), keep: l.idle}, nil
+	one := &conn{Conn: made, keep: l.idle}
+	one.reader = bufio.NewReaderSize(one, 2048)
+	return one, nil
 }
 
 func (l *Lines) keep(plug *Plug, one *conn, told string) {
--- a/internal/dataplane/upstream/upstream.go
+++ b/internal/dataplane/upstream/upstream.go
@@ -23,7 +23,15 @@
 // answer came: the server may have closed it before it read the request.
 var ErrStale = errors.New("a kept connection broke")
 
-var errTooLate = errors.New("too late to send")
+var (
+	errTooLate  = errors.New("too late to send")
+	errHead     = errors.New("the head of an answer is too long")
+	errProtocol = errors.New("no answer in the protocol")
+)
+
+// mostHead bounds the heads of one answer, those that only say to wait among
+// them: a server that sends no end of them fills no memory.
+const mostHead = 64 << 10
 
 // Lines makes shots at servers.
 type Lines struct {
@@ -58,6 +66,22 @@
 	idleTo time.Time
 	reused bool
 	keep   time.Duration
+	// inHead says that a head is read, of which headLeft more bytes may come.
+	inHead   bool
+	headLeft int
+}
+
+// Read reads on, of a head only so much.
+func (c *conn) Read(into []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(into)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHead
+	}
+	count, err := c.Conn.Read(into[:min(len(into), c.headLeft)])
+	c.headLeft -= count
+	return count, err
 }
 
 // Answer is the head of an answer with its body still to be read.
@@ -66,8 +90,15 @@
 	// Reader reads the body.
 	Reader *bufio.Reader
 	end    func()
+	spoilt bool
 }
 
+// Spoil says that the answer was none to this request: the connection may still
+// bring one that belongs to it, and serves no other.
+//
+//	answer.Spoil()
+func (a *Answer) Spoil() { a.spoilt = true }
+
 // Close ends the shot. The connection is kept only if the answer was read whole.
 //
 //	defer answer.Close()
@@ -78,7 +109,7 @@
 //
 //	answer, err := lines.Shoot(ctx, &server.Load.Plug, &upstream.Shot{Addr: server.Addr, Method: "POST", Target: "/v1/hints"})
 func (l *Lines) Shoot(ctx context.Context, plug *Plug, shot *Shot) (*Answer, error) {
-	if !shot.Until.IsZero() && time.Now().After(shot.Until) {
+	if late(shot) {
 		return nil, errors.Join(ErrNoLine, errTooLate)
 	}
 	plug.used.Add(1)
@@ -93,6 +124,11 @@
 		_ = taken.Close()
 		plug.used.Add(-1)
 	}
+	if late(shot) {
+		// The connection took its time, or this process was frozen meanwhile.
+		drop()
+		return nil, errors.Join(ErrNoLine, errTooLate)
+	}
 	if wrote, err := taken.Write(head(shot)); err != nil {
 		drop()
 		if wrote == 0 {
@@ -116,7 +152,7 @@
 	out := &Answer{Response: answer, Reader: bufio.NewReaderSize(whole, 2048)}
 	out.end = func() {
 		out.end = func() {}
-		if !whole.whole || answer.Close || shot.Fresh || !stop() || taken.reader.Buffered() > 0 {
+		if out.spoilt || !whole.whole || answer.Close || shot.Fresh || !stop() || taken.reader.Buffered() > 0 {
 			drop()
 			return
 		}
@@ -126,15 +162,23 @@
 	return out, nil
 }
 
-// readHead reads a head, and goes past those that only say to wait.
+func late(shot *Shot) bool { return !shot.Until.IsZero() && time.Now().After(shot.Until) }
+
+// readHead reads a head, and goes past those that only say to wait. Nobody asked
+// for another protocol, so an answer that changes to one is none.
 func readHead(taken *conn, shot *Shot) (*http.Response, error) {
+	taken.inHead, taken.headLeft = true, mostHead
+	defer func() { taken.inHead = false }()
 	for {
 		answer, err := http.ReadResponse(taken.reader, &http.Request{Method: shot.Method})
 		if err != nil {
 			return nil, err
 		}
-		if answer.StatusCode >= 200 {
+		switch {
+		case answer.StatusCode >= http.StatusOK:
 			return answer, nil
+		case answer.StatusCode < http.StatusContinue, answer.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errProtocol
 		}
 	}
 }
