Callers: connections are bounded, and rest as long as the configuration says

Cause: callers' connections were bounded by nothing but the descriptors, and rested for two minutes whatever the configuration's limit was: a longer limit would have closed connections that callers still use.

A resting connection looks at the limit in force when its time is up, so a change of the limit holds for those that rest already.

--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -60,6 +60,7 @@
 	front.PathPrefix("/").Handler(board)
 	side := given.CallersSide(front)
 	side.Leave = board.Leave
+	side.IdleTold = func() time.Duration { return settings.Ms(board.Table().Policy.Limits.IdleMs) }
 	go start.Watch(work, log, func(*settings.Boot) {})
 	callers := func(context.Context) error {
 		// The callers' side drains at SIGTERM; all else goes on until it has.
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -65,22 +65,31 @@
 // who only wait; shortly before the end the contexts of all requests end, so
 // that what is still in work gets an answer and no connection is just closed.
 type Callers struct {
-	Addr          string
-	Handler       http.Handler
-	Head, Idle    time.Duration
-	HeadBytes     int
+	Addr       string
+	Handler    http.Handler
+	Head, Idle time.Duration
+	HeadBytes  int
+	// Most is how many connections there may be at a time; nought for any number.
+	Most int64
+	// IdleTold is how long a connection may be idle by the policy in force; Idle
+	// where it is nought or nil.
+	IdleTold      func() time.Duration
 	Notice, Drain time.Duration
 	Leave         func()
 	conns         conns
 	leaving       atomic.Bool
 }
 
+// callersFiles is the part of a process's descriptors that callers may take:
+// requests in work take one more each, and connections to servers wait idle.
+const callersFiles = 2
+
 // CallersSide is the callers' side as the settings have it.
 //
 //	callers := settings.CallersSide(board)
 func (b *Boot) CallersSide(handler http.Handler) *Callers {
 	drain := Ms(b.DrainMs)
-	return &Callers{Addr: b.Callers, Handler: handler, Head: Ms(b.HeadMs), Idle: Ms(b.IdleMs), HeadBytes: int(b.HeadKb) << 10, Notice: drain * time.Duration(b.NoticePercent) / 100, Drain: drain}
+	return &Callers{Addr: b.Callers, Handler: handler, Head: Ms(b.HeadMs), Idle: Ms(b.IdleMs), HeadBytes: int(b.HeadKb) << 10, Most: b.Files / callersFiles, Notice: drain * time.Duration(b.NoticePercent) / 100, Drain: drain}
 }
 
 // Ms is a time of so many milliseconds.
@@ -107,10 +116,11 @@
 }
 
 func (s *Callers) serve(ctx context.Context, plain net.Listener) error {
+	s.conns.most, s.conns.idle = s.Most, s.idle
 	listener := &listener{Listener: plain, conns: &s.conns}
 	asked, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	server := &http.Server{Handler: http.HandlerFunc(s.handle), BaseContext: func(net.Listener) context.Context { return asked }, ReadHeaderTimeout: s.Head, IdleTimeout: s.Idle, MaxHeaderBytes: s.HeadBytes, ConnState: s.conns.state}
+	server := &http.Server{Handler: http.HandlerFunc(s.handle), BaseContext: func(net.Listener) context.Context { return asked }, ReadHeaderTimeout: s.Head, IdleTimeout: -1, MaxHeaderBytes: s.HeadBytes, ConnState: s.conns.state}
 	broke := make(chan error, 1)
 	go func() { broke <- server.Serve(listener) }()
 	select {
@@ -141,6 +151,16 @@
 	return nil
 }
 
+// idle is how long a connection may rest.
+func (s *Callers) idle() time.Duration {
+	if s.IdleTold != nil {
+		if told := s.IdleTold(); told > 0 {
+			return told
+		}
+	}
+	return s.Idle
+}
+
 func (s *Callers) goes() {
 	if s.Leave != nil {
 		s.Leave()
--- a/internal/settings/serve_test.go
+++ b/internal/settings/serve_test.go
@@ -123,7 +123,7 @@
 func TestReadWinsOverClose(t *testing.T) {
 	c := qt.New(t)
 	plain := &fakeConn{}
-	one := &conn{Conn: plain}
+	one := &conn{Conn: plain, conns: &conns{}}
 	one.close(connFresh)
 	c.Check(plain.past, qt.IsTrue)
 	_, _ = one.Read(nil)
