Requests: no promise a worker did not make, bodies in time, numbers per life

Causes and changes: - 408, 429 and 503 that a worker gives without saying that it did not run were passed on, and clients take them for the promise that it never will. They are now an answer that cannot be passed on: 502 for what may not be repeated. Numbers begin at a random place. - A stream's status is the worker's.

--- a/internal/controlplane/idempotency/book.go
+++ b/internal/controlplane/idempotency/book.go
@@ -73,11 +73,13 @@
 	Asked, Refused int64
 }
 
-// New makes a book that knows nothing; the agent beside it asks the others.
+// New makes a book that knows nothing; the agent beside it asks the others. Its
+// wishes are numbered after first, which must be another in each life: the
+// agent may still tell of a wish of the life before.
 //
-//	book := idempotency.New(now, "127.0.0.1:7201")
-func New(now int64, agent string) *Book {
-	return &Book{agent: agent, turnedMs: now, keys: [2]map[string]string{{}, {}},
+//	book := idempotency.New(now, "127.0.0.1:7201", rand.Int63n(1<<40))
+func New(now int64, agent string, first int64) *Book {
+	return &Book{agent: agent, nextOp: first, turnedMs: now, keys: [2]map[string]string{{}, {}},
 		claims: [2]map[string]map[string]string{{}, {}}, wishes: map[int64]*wish{}, byKey: map[string]int64{}}
 }
 
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"strings"
 	"time"
 
@@ -55,7 +56,7 @@
 		inbox: make(chan transport.Arrived, 1024), holds: make(chan held, 4096), works: make(chan work, 4096), demand: map[string]*demand{}, toldTo: map[string]bool{}, comes: make(chan coming, 4096), coming: map[string]coming{}, takes: make(chan taken, 256),
 		told:    routing.News{Policy: configuration.Empty(), Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}},
 		holding: map[string]*wire.Want{},
-		book:    idempotency.New(1, agent), waiting: map[int64]chan idempotency.Decision{}, epoch: time.Now(),
+		book:    idempotency.New(1, agent, rand.Int63n(1<<40)), waiting: map[int64]chan idempotency.Decision{}, epoch: time.Now(),
 	}
 }
 
--- a/internal/dataplane/pipeline/filters.go
+++ b/internal/dataplane/pipeline/filters.go
@@ -70,12 +70,27 @@
 	return true
 }
 
+// readWithin reads a body within the request's time: one that stops coming is
+// not waited for without end.
+func (s *Switch) readWithin(c *call, most int64) ([]byte, error) {
+	control := http.NewResponseController(c.w)
+	until, bounded := c.ctx.Deadline()
+	bounded = bounded && control.SetReadDeadline(until) == nil
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, most))
+	if bounded && err == nil {
+		// What the caller sends next has its own times. Where the body broke off
+		// nothing more is read, and the connection ends with the answer.
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 func (s *Switch) readBody(c *call) bool {
 	most := s.limits.Body
 	if told := c.current.Policy.Limits.BodyBytes; told > 0 {
 		most = told
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, most))
+	body, err := s.readWithin(c, most)
 	if err != nil {
 		status, said := http.StatusBadRequest, "the body broke off"
 		if _, large := err.(*http.MaxBytesError); large {
--- a/internal/dataplane/pipeline/shot.go
+++ b/internal/dataplane/pipeline/shot.go
@@ -209,6 +209,7 @@
 		}
 		return fateBusy
 	}
+	answer.Spoil()
 	return fateBroken
 }
 
--- a/internal/dataplane/pipeline/stream.go
+++ b/internal/dataplane/pipeline/stream.go
@@ -60,7 +60,7 @@
 		if !c.answered {
 			c.answered = true
 			stream.Head(c.w.Header())
-			c.w.WriteHeader(http.StatusOK)
+			c.w.WriteHeader(answer.StatusCode)
 			if c.route.TargetMs > 0 && now-sent > c.route.TargetMs {
 				s.Counts.Late.Add(1)
 			}
--- a/internal/dataplane/protocol/own.go
+++ b/internal/dataplane/protocol/own.go
@@ -53,7 +53,17 @@
 	if err != nil || wait <= 0 {
 		return 0, &Refusal{Status: http.StatusBadRequest, Said: HeaderDeadline + " must be a number of milliseconds"}
 	}
-	return time.Duration(wait) * time.Millisecond, nil
+	return Milliseconds(wait), nil
+}
+
+// longest is how long a caller may say that it waits.
+const longest = 24 * time.Hour
+
+// Milliseconds is a time of so many, bounded so that it holds.
+//
+//	wait := speech.Milliseconds(1500)
+func Milliseconds(ms int64) time.Duration {
+	return time.Duration(min(ms, longest.Milliseconds())) * time.Millisecond
 }
 
 // Ask finds the key of an application's request, or the model, the adapter and
