Control calls: orders and pages of the list leave once, and nowhere else

Cause: net/http follows 307 and 308 with an order's or a batch's body to whatever address the answer names, and repeats a GET on a kept connection that broke, so a page of the platform's list could be asked for twice where its rate allows one. Calls to workers carry no id, so on a kept connection a surplus answer could be taken for an order's.

Change: one client for all such calls that follows nothing. Orders and pages of the list go by a transport without kept connections, on which net/http repeats nothing; looks keep theirs (an older look shows less than the worker is known to have taken, and is not believed). A batch that was not taken counts as lost.

--- a/internal/controlplane/orders/native.go
+++ b/internal/controlplane/orders/native.go
@@ -9,9 +9,11 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samber/oops"
 
+	"applequay/internal/transport/socket"
 	"applequay/internal/transport/wire"
 )
 
@@ -61,22 +63,36 @@
 
 // native speaks the product's own form, HTTP/1.1 and JSON.
 type native struct {
-	client    *http.Client
-	directory string
+	looks, once *http.Client
+	directory   string
+}
+
+// Clients make calls to workers and to the platform that follow nothing to another
+// address: once those that must leave at most once, see socket.Once, looks all
+// others.
+//
+//	looks, once := orders.Clients(&http.Transport{DialContext: dialer.DialContext})
+func Clients(transport *http.Transport) (looks, once *http.Client) {
+	return socket.Client(transport), socket.Once(transport)
 }
 
 // Native is the desk of the product's own workers and directory.
 //
 //	desk := orders.Native("127.0.0.1:7900")
-func Native(directory string) Desk { return &native{client: &http.Client{}, directory: directory} }
+func Native(directory string) Desk {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}
+	looks, once := Clients(transport)
+	return &native{looks: looks, once: once, directory: directory}
+}
 
-func (n *native) post(ctx context.Context, url string, body []byte) (*http.Response, error) {
+// post makes one call to a worker.
+func (n *native) post(ctx context.Context, client *http.Client, url string, body []byte) (*http.Response, error) {
 	asked, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	asked.Header.Set("Content-Type", "application/json")
-	return n.client.Do(asked)
+	return client.Do(asked)
 }
 
 // Order posts an order to a worker.
@@ -87,7 +103,11 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := n.post(ctx, "http://"+order.Addr+"/orders", body)
+	client := n.once
+	if order.Op == "look" {
+		client = n.looks
+	}
+	answer, err := n.post(ctx, client, "http://"+order.Addr+"/orders", body)
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +145,7 @@
 	if err != nil {
 		return Listing{}, err
 	}
-	answer, err := n.client.Do(asked)
+	answer, err := n.once.Do(asked)
 	if err != nil {
 		return Listing{}, err
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -31,6 +31,7 @@
 
 const (
 	mostBody    = 64 << 20
+	mostAnswer  = 4 << 10 // an answer says nothing; what is more is not read
 	lineDepth   = 2048
 	batchMost   = 128
 	batchBytes  = 1 << 20
@@ -59,7 +60,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
 	}
 	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
-	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: &http.Client{Transport: transport}, wait: wait, ctx: ctx, Counts: &Counts{}}
+	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: socket.Client(transport), wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
 // Send puts a letter on the line to an address; a full line loses it.
@@ -123,8 +124,12 @@
 	if err != nil {
 		return err
 	}
-	_, _ = io.Copy(io.Discard, answer.Body)
-	return answer.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, mostAnswer))
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusNoContent {
+		return oops.Errorf("answered %d", answer.StatusCode)
+	}
+	return nil
 }
 
 // Handler takes batches in and hands each letter on. Deliver must not block
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,127 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/transport/wire"
+)
+
+// other is a node to which a trunk sends; its answers are what a test says.
+type other struct {
+	addr    string
+	batches atomic.Int64
+	conns   atomic.Int64
+}
+
+func newOther(c *qt.C, answer http.HandlerFunc) *other {
+	o := &other{}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		o.batches.Add(1)
+		answer(w, r)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			o.conns.Add(1)
+		}
+	}
+	server.Start()
+	c.Cleanup(server.Close)
+	o.addr = server.Listener.Addr().String()
+	return o
+}
+
+func taken(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
+
+func newTrunk(c *qt.C) *Trunk {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	return New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 2*time.Second)
+}
+
+// A batch leaves once: not again where its kept connection breaks under it, and
+// not to another address that an answer names. It counts as lost then.
+func TestABatchLeavesOnce(t *testing.T) {
+	c := qt.New(t)
+	elsewhere := newOther(c, taken)
+	cases := []struct {
+		name   string
+		answer http.HandlerFunc
+	}{
+		{"taken", taken},
+		{"another address", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "http://"+elsewhere.addr+"/trunk", http.StatusTemporaryRedirect)
+		}},
+		{"reset", func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			c.Check(err, qt.IsNil)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}},
+		{"another program", http.NotFound},
+	}
+	for at, one := range cases {
+		c.Run(one.name, func(c *qt.C) {
+			cable := newTrunk(c)
+			var bad atomic.Bool
+			o := newOther(c, func(w http.ResponseWriter, r *http.Request) {
+				if bad.Load() {
+					one.answer(w, r)
+					return
+				}
+				taken(w, r)
+			})
+			batch := &wire.Letters{From: "n1~7f", Letters: []wire.Letter{{Kind: int64(wire.KindQuery), Body: wire.Encode(&wire.Query{Op: 1})}}}
+			c.Assert(cable.post(o.addr, batch), qt.IsNil)
+			bad.Store(true)
+			err := cable.post(o.addr, batch)
+			c.Check(err == nil, qt.Equals, at == 0, qt.Commentf("%v", err))
+			c.Check(o.batches.Load(), qt.Equals, int64(2))
+			c.Check(o.conns.Load(), qt.Equals, int64(1), qt.Commentf("the second went on the kept connection"))
+			c.Check(elsewhere.batches.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// A batch that is no whole one is refused and nothing of it delivered; of a whole
+// one, letters that cannot be read are left out.
+func TestBadBatches(t *testing.T) {
+	c := qt.New(t)
+	query := wire.Letter{Kind: int64(wire.KindQuery), Body: wire.Encode(&wire.Query{Op: 1, Key: "policy"})}
+	whole := string(wire.Encode(&wire.Letters{From: "n2~1", Letters: []wire.Letter{query, {Kind: 9999, Body: []byte("?")}, {Kind: query.Kind, Body: query.Body[:3]}, query}}))
+	cases := []struct {
+		name, body string
+		status     int
+		heard      int
+	}{
+		{"whole", whole, http.StatusNoContent, 2},
+		{"cut", whole[:len(whole)-1], http.StatusBadRequest, 0},
+		{"more than whole", whole + "x", http.StatusBadRequest, 0},
+		{"nothing", "", http.StatusBadRequest, 0},
+		{"a count of 2^40", "\x00\x00\x80\x80\x80\x80\x80\x80\x01", http.StatusBadRequest, 0},
+	}
+	for _, one := range cases {
+		c.Run(one.name, func(c *qt.C) {
+			heard := 0
+			handler := newTrunk(c).Handler(func(letter Arrived) bool {
+				heard++
+				c.Check(letter.Body, qt.DeepEquals, wire.Record(&wire.Query{Op: 1, Key: "policy"}))
+				return true
+			})
+			answer := httptest.NewRecorder()
+			handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/trunk", strings.NewReader(one.body)))
+			c.Check(answer.Code, qt.Equals, one.status)
+			c.Check(heard, qt.Equals, one.heard)
+		})
+	}
+}
