Transport: a batch that stops in the middle is read no longer than it is sent

A sender gives a batch its wait and its size at the slowest link; the reader waited as long as TCP kept the connection (about two minutes), with up to 64 MB of it. The reader now gives as long as the sender, by the length that was announced; what is announced without a length has the wait alone.

TestBatchesThatStop passes three times in a row; without the deadline its last step waits until the test's own deadline of 30 s.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -113,8 +113,7 @@
 
 func (t *Trunk) post(addr string, batch *wire.Letters) error {
 	body := wire.Encode(batch)
-	wait := t.wait + time.Duration(len(body))*time.Second/slowestLink
-	ctx, cancel := context.WithTimeout(t.ctx, wait)
+	ctx, cancel := context.WithTimeout(t.ctx, t.patience(int64(len(body))))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/trunk", bytes.NewReader(body))
 	if err != nil {
@@ -132,15 +131,32 @@
 	return nil
 }
 
+// patience is how long a batch of a size may take on its way.
+func (t *Trunk) patience(size int64) time.Duration {
+	return t.wait + time.Duration(size)*time.Second/slowestLink
+}
+
+// read takes a batch in, in no more time than its sender gives it: one that was
+// cut off in the middle keeps neither its connection nor its memory here.
+func (t *Trunk) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	bounded := control.SetReadDeadline(time.Now().Add(t.patience(min(max(r.ContentLength, 0), mostBody)))) == nil
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	if err == nil && bounded {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // Handler takes batches in and hands each letter on. Deliver must not block
 // for long; letters it turns away are lost.
 //
 //	router.Handle("/trunk", cable.Handler(deliver)).Methods("POST")
 func (t *Trunk) Handler(deliver func(Arrived) bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+		body, err := t.read(w, r)
 		if err != nil {
-			http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+			http.Error(w, "too large, or not all there in time", http.StatusRequestEntityTooLarge)
 			return
 		}
 		var batch wire.Letters
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,7 +1,9 @@
 package transport
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -93,6 +95,36 @@
 	}
 }
 
+// A batch that stops in the middle is waited for no longer than its sender would
+// take; on a connection whose batches come whole the next one has its own time.
+func TestBatchesThatStop(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	cable := New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 100*time.Millisecond)
+	server := httptest.NewServer(cable.Handler(func(Arrived) bool { return true }))
+	c.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	c.Assert(conn.SetDeadline(time.Now().Add(30*time.Second)), qt.IsNil)
+	answers := bufio.NewReader(conn)
+	batch := wire.Encode(&wire.Letters{From: "n2~1"})
+	for range 2 {
+		_, err = fmt.Fprintf(conn, "POST /trunk HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(batch), batch)
+		c.Assert(err, qt.IsNil)
+		answer, err := http.ReadResponse(answers, nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(answer.StatusCode, qt.Equals, http.StatusNoContent)
+		<-time.After(150 * time.Millisecond)
+	}
+	_, err = fmt.Fprintf(conn, "POST /trunk HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
+	c.Assert(err, qt.IsNil)
+	answer, err := http.ReadResponse(answers, nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
 // A batch that is no whole one is refused and nothing of it delivered; of a whole
 // one, letters that cannot be read are left out.
 func TestBadBatches(t *testing.T) {
