--- a/internal/dataplane/upstream/upstream_test.go
+++ b/internal/dataplane/upstream/upstream_test.go
@@ -107,6 +107,7 @@
 		{"nothing in it", "HTTP/1.1 204 No Content\r\n\r\n", "POST", true, true},
 		{"to HEAD, with the length of what it has not", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "HEAD", true, true},
 		{"the body unread", whole, "POST", false, false},
+		{"the body still to come", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "POST", false, false},
 		{"a surplus answer with it", whole + whole, "POST", true, false},
 		{"one byte too many", whole + "x", "POST", true, false},
 		{"a body to HEAD", whole, "HEAD", true, false},
