--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -31,6 +31,7 @@
 
 const (
 	mostBody    = 64 << 20
+	mostAnswer  = 4 << 10 // an answer says nothing; what is more is not read
 	lineDepth   = 2048
 	batchMost   = 128
 	batchBytes  = 1 << 20
@@ -59,7 +60,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
 	}
 	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
-	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: &http.Client{Transport: transport}, wait: wait, ctx: ctx, Counts: &Counts{}}
+	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: socket.Client(transport), wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
 // Send puts a letter on the line to an address; a full line loses it.
@@ -112,8 +113,7 @@
 
 func (t *Trunk) post(addr string, batch *wire.Letters) error {
 	body := wire.Encode(batch)
-	wait := t.wait + time.Duration(len(body))*time.Second/slowestLink
-	ctx, cancel := context.WithTimeout(t.ctx, wait)
+	ctx, cancel := context.WithTimeout(t.ctx, t.patience(int64(len(body))))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/trunk", bytes.NewReader(body))
 	if err != nil {
@@ -123,8 +123,29 @@
 	if err != nil {
 		return err
 	}
-	_, _ = io.Copy(io.Discard, answer.Body)
-	return answer.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, mostAnswer))
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusNoContent {
+		return oops.Errorf("answered %d", answer.StatusCode)
+	}
+	return nil
+}
+
+// patience is how long a batch of a size may take on its way.
+func (t *Trunk) patience(size int64) time.Duration {
+	return t.wait + time.Duration(size)*time.Second/slowestLink
+}
+
+// read takes a batch in, in no more time than its sender gives it: one that was
+// cut off in the middle keeps neither its connection nor its memory here.
+func (t *Trunk) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	bounded := control.SetReadDeadline(time.Now().Add(t.patience(min(max(r.ContentLength, 0), mostBody)))) == nil
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	if err == nil && bounded {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return body, err
 }
 
 // Handler takes batches in and hands each letter on. Deliver must not block
@@ -133,9 +154,9 @@
 //	router.Handle("/trunk", cable.Handler(deliver)).Methods("POST")
 func (t *Trunk) Handler(deliver func(Arrived) bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+		body, err := t.read(w, r)
 		if err != nil {
-			http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+			http.Error(w, "too large, or not all there in time", http.StatusRequestEntityTooLarge)
 			return
 		}
 		var batch wire.Letters
