Controllers take up a core set alike whichever way they learn of it

Cause: an answer to the proposer that carries a newer core set changed the proposer's set first; learnCore compared with that and found nothing new, so a machine that learned so of its seat voted on leases at once, did not note that the set shrank, kept no record of the set and told it to nobody. Change: the controller compares with the set that it took up itself, and takes one up that its proposer learned. Ruled out: leaving it to the news that come later; until they do, up to a lease passes without the waiting time.

--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -49,10 +49,12 @@
 
 // Frame is the control state of one controller.
 type Frame struct {
-	boot       Boot
-	random     *rand.Rand
-	acceptor   *register.Acceptor
-	proposer   *register.Proposer
+	boot     Boot
+	random   *rand.Rand
+	acceptor *register.Acceptor
+	proposer *register.Proposer
+	// core is the newest core set that this machine took up.
+	core       wire.CoreSet
 	granter    *lease.Granter
 	holder     *lease.Holder
 	members    *membership.Members
@@ -119,6 +121,7 @@
 	f.replay(snapshot, writes)
 	f.recallOwners()
 	if core, ok := f.acceptor.Core(); ok {
+		f.core = core
 		f.proposer.Learn(core)
 		f.SetSeeds(boot.Seeds)
 	}
@@ -146,6 +149,7 @@
 		}
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
 		out = f.proposer.Hear(now, from, body)
+		f.noticeCore(now, &out)
 	case *wire.WriteAsk:
 		if f.seated() && !f.proposer.Knows(told.Key, told.Name) {
 			asked := f.then(func(int64, register.Outcome) wire.Outputs { return wire.Outputs{} })
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -65,8 +65,18 @@
 	}
 }
 
+// noticeCore takes up a core set that the proposer learned by an answer. What
+// goes with a new set is done whichever way it became known.
+func (f *Frame) noticeCore(now int64, out *wire.Outputs) {
+	if core := f.proposer.Core(); core.Epoch > f.core.Epoch {
+		f.learnCore(now, out, core)
+	}
+}
+
+// learnCore takes up a core set; it is compared with the one that this machine
+// took up before, since the proposer may already work with the newer one.
 func (f *Frame) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
-	known := f.proposer.Core()
+	known := f.core
 	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Swept) {
 		return
 	}
@@ -76,6 +86,7 @@
 	if core.Epoch > 1 && seatOf(core.Seats, f.boot.ID) && (missed || !seatOf(known.Seats, f.boot.ID)) {
 		f.granter.Quiet(now)
 	}
+	f.core = core
 	f.noteSize(now, known, core)
 	if core.Epoch > known.Epoch {
 		f.holder.Hurry(now)
