Leases: a give-back that comes late ends no later grant of the same holder

Cause: a granter took a holder's word that it stopped for any grant under that fence or a lower one. A holder that gave back (stalled disk, split vote) may get the lease again under the same fence; the word of the first time, coming only then, freed the vote while the lease ran. Change: a give-back names the asks that named the claim, first and last, and a granter ends only a grant that answers one of them. Ruled out: the fence alone (it does not rise when a state goes on), times (clocks of two machines).

--- a/internal/controlplane/lease/granter.go
+++ b/internal/controlplane/lease/granter.go
@@ -25,6 +25,7 @@
 	holder string
 	fence  int64
 	until  int64
+	op     int64 // of the ask that it answers
 }
 
 // Granter is one controller's vote on who may own a partition.
@@ -64,18 +65,24 @@
 			told.Refused = append(told.Refused, wire.Refusal{Partition: hold.Partition, Holder: kept.holder, Fence: kept.fence, LeftMs: max(kept.until-now, 0)})
 			continue
 		}
-		g.table[hold.Partition] = given{holder: from, fence: hold.Fence, until: now + g.limits.LeaseMs}
+		g.table[hold.Partition] = given{holder: from, fence: hold.Fence, until: now + g.limits.LeaseMs, op: asked.Op}
 		told.Granted = append(told.Granted, hold)
 	}
 	return told
 }
 
-// Back takes a holder's word that it stopped.
+// Back takes a holder's word that it stopped. It ends only a grant that answers
+// one of the asks given back: a word that comes late says nothing of a grant that
+// the same holder got since.
 //
 //	granter.Back(now, "c1~7f", &wire.GrantBack{Holds: holds})
 func (g *Granter) Back(now int64, from string, back *wire.GrantBack) {
-	for _, hold := range back.Holds {
-		if kept := g.table[hold.Partition]; kept.holder == from && kept.fence <= hold.Fence {
+	for at, hold := range back.Holds {
+		if at >= len(back.Asks) {
+			return
+		}
+		asks := back.Asks[at]
+		if kept := g.table[hold.Partition]; kept.holder == from && asks.First <= kept.op && kept.op <= asks.Last {
 			kept.until = min(kept.until, now)
 			g.table[hold.Partition] = kept
 		}
--- a/internal/controlplane/lease/holder.go
+++ b/internal/controlplane/lease/holder.go
@@ -37,6 +37,8 @@
 	// votes is the most that one round of claims got, split since when.
 	votes int
 	tries int64
+	// asks are the first and the last ask that named this claim.
+	asks wire.AskRange
 }
 
 // wait is how long a partition is left to others after a split vote.
@@ -168,6 +170,9 @@
 	}
 	h.nextOp++
 	asked.Op = h.nextOp
+	for _, hold := range asked.Holds {
+		h.claims[hold.Partition].note(asked.Op)
+	}
 	h.rounds[asked.Op] = sent
 	return asked
 }
@@ -221,3 +226,11 @@
 	}
 	return moves
 }
+
+// note remembers that an ask named this claim.
+func (c *claim) note(op int64) {
+	if c.asks.First == 0 {
+		c.asks.First = op
+	}
+	c.asks.Last = op
+}
--- a/internal/controlplane/lease/lease_test.go
+++ b/internal/controlplane/lease/lease_test.go
@@ -47,7 +47,7 @@
 			granter := NewGranter(LimitsFor(3200), 0)
 			for at, step := range one.steps {
 				if step.back {
-					granter.Back(step.at, step.from, &wire.GrantBack{Holds: []wire.Hold{{Partition: 3, Fence: step.fence}}})
+					granter.Back(step.at, step.from, &wire.GrantBack{Holds: []wire.Hold{{Partition: 3, Fence: step.fence}}, Asks: []wire.AskRange{{First: 1, Last: 1}}})
 					continue
 				}
 				told := granter.Ask(step.at, step.from, ask(1, 3, step.fence))
--- a/internal/controlplane/lease/yield.go
+++ b/internal/controlplane/lease/yield.go
@@ -36,7 +36,7 @@
 		_, _ = fmt.Fprintf(sum, "%s/%d/%d", addr, partition, kept.tries)
 		pause := h.limits.RenewMs * int64(1+sum.Sum32()%longestWait)
 		h.waits[partition] = wait{until: now + pause, tries: kept.tries + 1}
-		back.Holds = append(back.Holds, wire.Hold{Partition: partition, Fence: kept.fence})
+		giveBack(back, partition, kept)
 		delete(h.claims, partition)
 	}
 	if len(back.Holds) == 0 {
@@ -80,7 +80,7 @@
 	back := &wire.GrantBack{}
 	for _, partition := range partitions {
 		if kept := h.claims[partition]; kept != nil {
-			back.Holds = append(back.Holds, wire.Hold{Partition: partition, Fence: kept.fence})
+			giveBack(back, partition, kept)
 			delete(h.claims, partition)
 		}
 	}
@@ -96,3 +96,9 @@
 	}
 	return 0
 }
+
+// giveBack adds a claim to what the granters are told, with the asks that named it.
+func giveBack(back *wire.GrantBack, partition int64, kept *claim) {
+	back.Holds = append(back.Holds, wire.Hold{Partition: partition, Fence: kept.fence})
+	back.Asks = append(back.Asks, kept.asks)
+}
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -578,12 +578,36 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
+// AskRange is a generated struct.
+type AskRange struct {
+	First int64 `avro:"first"`
+	Last  int64 `avro:"last"`
+}
+
+var schemaAskRange = schemaOf(`{"name":"AskRange","type":"record","fields":[{"name":"first","type":"long"},{"name":"last","type":"long"}]}`)
+
+// Schema returns the schema for AskRange.
+func (o *AskRange) Schema() avro.Schema {
+	return schemaAskRange
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *AskRange) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *AskRange) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
 // GrantBack is a generated struct.
 type GrantBack struct {
-	Holds []Hold `avro:"holds"`
+	Holds []Hold     `avro:"holds"`
+	Asks  []AskRange `avro:"asks"`
 }
 
-var schemaGrantBack = schemaOf(`{"name":"GrantBack","type":"record","fields":[{"name":"holds","type":{"type":"array","items":"Hold"}}]}`)
+var schemaGrantBack = schemaOf(`{"name":"GrantBack","type":"record","fields":[{"name":"holds","type":{"type":"array","items":"Hold"}},{"name":"asks","type":{"type":"array","items":{"name":"AskRange","type":"record","fields":[{"name":"first","type":"long"},{"name":"last","type":"long"}]}}}]}`)
 
 // Schema returns the schema for GrantBack.
 func (o *GrantBack) Schema() avro.Schema {
