--- /dev/null
+++ b/internal/simulation/explorer/facts.go
@@ -0,0 +1,178 @@
+package explorer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"applequay/internal/controlplane/controller"
+	"applequay/internal/controlplane/register"
+	"applequay/internal/transport/wire"
+)
+
+// Op is one operator's call, as the operator saw it. Began and Ended count all
+// that operators saw, in its order.
+type Op struct {
+	Kind, Name   string
+	Node         string
+	Expected     int64
+	Began, Ended int
+	Answered     bool
+	Fate         register.Fate
+	Mark         int64
+	Found        string
+}
+
+// known tells whether the answer says something of the register.
+func (o *Op) known() bool {
+	return o.Answered && (o.Fate == register.FateDone || o.Fate == register.FateStale)
+}
+
+// facts is what was seen from outside: the invariants go by it.
+type facts struct {
+	ops   []*Op
+	turns int
+	// bodies is what each version of each register was told to be, names which
+	// writes were ever told to be in effect, and at what version.
+	bodies map[string]string
+	names  map[string]int64
+	clash  string
+	// cores are the core sets told to be chosen, by epoch, newest the last one;
+	// due is what a machine must hold once it has a seat.
+	cores  map[int64]wire.CoreSet
+	newest wire.CoreSet
+	due    map[string]map[string]int64
+	bare   string
+	acked  map[string]int64
+	// fences is the highest fence under which each lease was held, and by whom.
+	fences map[int64]wire.Owner
+	notes  []string
+	sum    sum
+}
+
+func newFacts() facts {
+	return facts{bodies: map[string]string{}, names: map[string]int64{}, cores: map[int64]wire.CoreSet{}, due: map[string]map[string]int64{}, acked: map[string]int64{}, fences: map[int64]wire.Owner{}}
+}
+
+func (f *facts) note(format string, args ...any) {
+	line := fmt.Sprintf(format, args...)
+	f.notes = append(f.notes, line)
+	f.sum = f.sum.word(line)
+}
+
+func (f *facts) begin(m *machine, op *Op) {
+	f.turns++
+	op.Began, op.Node = f.turns, m.name
+	f.ops = append(f.ops, op)
+	f.note("%s %s %s expecting %d begins", m.name, op.Kind, op.Name, op.Expected)
+}
+
+func (f *facts) answered(w *World, op *Op, outcome register.Outcome) {
+	f.turns++
+	op.Answered, op.Ended, op.Fate, op.Mark = true, f.turns, outcome.Fate, outcome.Value.Mark
+	f.note("%s %s %s: fate %d version %d", op.Node, op.Kind, op.Name, op.Fate, op.Mark)
+	if !op.known() || !outcome.Has {
+		return
+	}
+	value := register.Standing(outcome.Value)
+	op.Found = string(value.Body)
+	f.chosen(controller.PolicyKey, value)
+	if op.Fate == register.FateDone {
+		f.acked[controller.PolicyKey] = max(f.acked[controller.PolicyKey], op.Mark)
+	}
+}
+
+// chosen notes a value that some machine told to be chosen.
+func (f *facts) chosen(key string, value wire.Value) {
+	at := fmt.Sprintf("%s@%d", key, value.Mark)
+	if key == register.CoreKey {
+		return // a set may be told with and without its sweep
+	}
+	if old, ok := f.bodies[at]; ok && old != string(value.Body) && f.clash == "" {
+		f.clash = fmt.Sprintf("%s was %q and %q", at, old, value.Body)
+	}
+	f.bodies[at] = string(value.Body)
+	for _, entry := range value.Lineage {
+		cut := strings.LastIndexByte(entry, '@')
+		mark, _ := strconv.ParseInt(entry[cut+1:], 10, 64)
+		name := key + "/" + entry[:cut]
+		if old, ok := f.names[name]; ok && old != mark && f.clash == "" {
+			f.clash = fmt.Sprintf("%s took effect as %d and as %d", name, old, mark)
+		}
+		f.names[name] = mark
+	}
+}
+
+// said looks at what a machine sends to another.
+func (f *facts) said(m *machine, send wire.Send) {
+	told, ok := send.Body.(*wire.Chosen)
+	var value wire.Value
+	if ok && len(told.Value) > 0 && value.Unmarshal(told.Value) == nil {
+		f.chosen(told.Key, value)
+	}
+}
+
+// wrote looks at what a machine writes: the core sets that it knows to be chosen.
+func (f *facts) wrote(m *machine, write wire.Write) {
+	if write.Kind != wire.KindAcceptorRecord {
+		return
+	}
+	var record wire.AcceptorRecord
+	if record.Unmarshal(write.Body) != nil || record.Key != "#core" {
+		return
+	}
+	if core, ok := register.ParseCore(record.Value); ok {
+		f.coreSeen(m.world, core)
+	}
+}
+
+func (f *facts) coreSeen(w *World, core wire.CoreSet) {
+	if old, ok := f.cores[core.Epoch]; ok {
+		if fmt.Sprint(old.Seats, old.Joining) != fmt.Sprint(core.Seats, core.Joining) && f.clash == "" {
+			f.clash = fmt.Sprintf("the core set of epoch %d was %v and %v", core.Epoch, names(old), names(core))
+		}
+	}
+	f.cores[core.Epoch] = core
+	if core.Epoch <= f.newest.Epoch {
+		return
+	}
+	for _, seat := range core.Joining {
+		f.due[seat.ID] = map[string]int64{}
+		for key, mark := range f.acked {
+			f.due[seat.ID][key] = mark
+		}
+	}
+	for _, seat := range core.Seats {
+		m := w.byID(seat.ID)
+		if before := f.newest.Epoch; before == 0 || seated(f.newest.Seats, seat.ID) || m == nil {
+			continue
+		}
+		for key, mark := range f.due[seat.ID] {
+			if m.disk.copies[key].value.Mark < mark && f.bare == "" {
+				f.bare = fmt.Sprintf("%s got a seat in epoch %d with version %d of %s, %d was acknowledged before it joined", seat.ID, core.Epoch, m.disk.copies[key].value.Mark, key, mark)
+			}
+		}
+	}
+	f.newest = core
+	f.note("core set %d %s", core.Epoch, names(core))
+}
+
+func names(core wire.CoreSet) string {
+	var words []string
+	for _, seat := range core.Seats {
+		words = append(words, seat.ID)
+	}
+	for _, seat := range core.Joining {
+		words = append(words, "+"+seat.ID)
+	}
+	return strings.Join(words, " ")
+}
+
+func seated(seats []wire.Seat, id string) bool {
+	for _, seat := range seats {
+		if seat.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/simulation/explorer/invariants.go
@@ -0,0 +1,184 @@
+package explorer
+
+import (
+	"fmt"
+
+	"applequay/internal/controlplane/controller"
+	"applequay/internal/controlplane/register"
+)
+
+// Invariant is one thing that must hold in every world of every history.
+type Invariant struct {
+	Name  string
+	Check func(w *World) string
+}
+
+// Invariants lists all that must hold.
+//
+//	for _, one := range explorer.Invariants() { ... }
+func Invariants() []Invariant {
+	return []Invariant{
+		{"one value per version", oneValuePerVersion},
+		{"reads are fresh", readsAreFresh},
+		{"no order taken is refused", noOrderTakenIsRefused},
+		{"refused orders have no effect", refusedOrdersHaveNoEffect},
+		{"one of two orders on one base", oneOfTwoOrdersOnOneBase},
+		{"acknowledged versions are held", acknowledgedVersionsAreHeld},
+		{"no vote before copies", noVoteBeforeCopies},
+		{"majorities meet", majoritiesMeet},
+		{"one holder per lease", oneHolderPerLease},
+		{"fences rise", fencesRise},
+	}
+}
+
+// oneValuePerVersion: each version of a register has one value, each named write
+// takes effect as one version, and each epoch has one core set.
+func oneValuePerVersion(w *World) string { return w.facts.clash }
+
+// readsAreFresh: no call sees a version older than one that was known before the
+// call began, and what an acknowledged write got is above all that was known.
+func readsAreFresh(w *World) string {
+	for _, op := range w.facts.ops {
+		if !op.known() {
+			continue
+		}
+		for _, before := range w.facts.ops {
+			if !before.known() || before.Ended >= op.Began || before.Name == op.Name && op.Name != "" {
+				continue
+			}
+			if op.Mark < before.Mark && !w.facts.repeated(op) {
+				return fmt.Sprintf("%s %s at %s saw version %d after %d was known", op.Kind, op.Name, op.Node, op.Mark, before.Mark)
+			}
+		}
+	}
+	return ""
+}
+
+// repeated tells whether a write was sent before this call too: it is
+// acknowledged again with the version that it got.
+func (f *facts) repeated(op *Op) bool {
+	for _, other := range f.ops {
+		if other != op && op.Name != "" && other.Name == op.Name && other.Began < op.Began {
+			return true
+		}
+	}
+	return false
+}
+
+// noOrderTakenIsRefused: a write that is in effect, or was, is never answered
+// as overtaken.
+func noOrderTakenIsRefused(w *World) string {
+	for _, op := range w.facts.ops {
+		if mark, taken := w.facts.names[controller.PolicyKey+"/"+op.Name]; op.Kind == "write" && op.Answered && op.Fate == register.FateStale && taken {
+			return fmt.Sprintf("%s was refused at %s and took effect as version %d", op.Name, op.Node, mark)
+		}
+	}
+	return ""
+}
+
+// refusedOrdersHaveNoEffect: a write of which all calls were answered as
+// certainly not done is never seen.
+func refusedOrdersHaveNoEffect(w *World) string {
+	open := map[string]bool{}
+	for _, op := range w.facts.ops {
+		refused := op.Answered && (op.Fate == register.FateNone || op.Fate == register.FateStale)
+		open[op.Name] = open[op.Name] || !refused
+	}
+	for _, op := range w.facts.ops {
+		if mark, taken := w.facts.names[controller.PolicyKey+"/"+op.Name]; op.Kind == "write" && !open[op.Name] && taken {
+			return fmt.Sprintf("%s was answered as not done at %s and took effect as version %d", op.Name, op.Node, mark)
+		}
+	}
+	return ""
+}
+
+// oneOfTwoOrdersOnOneBase: of different writes that expect one version at most
+// one is acknowledged, and with the version after it.
+func oneOfTwoOrdersOnOneBase(w *World) string {
+	byBase := map[int64]string{}
+	for _, op := range w.facts.ops {
+		if op.Kind != "write" || !op.Answered || op.Fate != register.FateDone || op.Expected < 0 {
+			continue
+		}
+		if other, ok := byBase[op.Expected]; ok && other != op.Name {
+			return fmt.Sprintf("%s and %s were both acknowledged on version %d", other, op.Name, op.Expected)
+		}
+		if op.Mark != op.Expected+1 {
+			return fmt.Sprintf("%s expected version %d and was acknowledged as %d", op.Name, op.Expected, op.Mark)
+		}
+		byBase[op.Expected] = op.Name
+	}
+	return ""
+}
+
+// acknowledgedVersionsAreHeld: in the newest core set, those that lack an
+// acknowledged version, or have lost it, are less than a majority.
+func acknowledgedVersionsAreHeld(w *World) string {
+	seats := w.facts.newest.Seats
+	for key, mark := range w.facts.acked {
+		lack := 0
+		for _, seat := range seats {
+			if m := w.byID(seat.ID); m != nil && m.disk.copies[key].value.Mark < mark {
+				lack++
+			}
+		}
+		if lack > len(seats)/2 {
+			return fmt.Sprintf("version %d of %s was acknowledged, and %d of %d seats lack it", mark, key, lack, len(seats))
+		}
+	}
+	return ""
+}
+
+// noVoteBeforeCopies: who gets a seat has a copy of all that was acknowledged
+// before it began to join.
+func noVoteBeforeCopies(w *World) string { return w.facts.bare }
+
+// majoritiesMeet: every majority of a core set meets every majority of the next.
+func majoritiesMeet(w *World) string {
+	for epoch, core := range w.facts.cores {
+		next, ok := w.facts.cores[epoch+1]
+		if !ok {
+			continue
+		}
+		both := len(core.Seats)
+		for _, seat := range next.Seats {
+			if !seated(core.Seats, seat.ID) {
+				both++
+			}
+		}
+		if len(core.Seats)/2+1+len(next.Seats)/2+1 <= both {
+			return fmt.Sprintf("epochs %d and %d: %s, then %s", epoch, epoch+1, names(core), names(next))
+		}
+	}
+	return ""
+}
+
+// oneHolderPerLease: no two machines hold one lease at the same moment.
+func oneHolderPerLease(w *World) string {
+	holder := map[int64]string{}
+	for _, m := range w.machines {
+		for _, hold := range m.owned {
+			if other, ok := holder[hold.Partition]; ok {
+				return fmt.Sprintf("lease %d is held by %s and %s at %d", hold.Partition, other, m.id, w.now)
+			}
+			holder[hold.Partition] = m.id
+		}
+	}
+	return ""
+}
+
+// fencesRise: who holds a lease does so under a fence above all under which
+// another held it; nobody goes on under an old one.
+func fencesRise(w *World) string {
+	for _, m := range w.machines {
+		for _, hold := range m.owned {
+			last := w.facts.fences[hold.Partition]
+			if hold.Fence < last.Fence || (hold.Fence == last.Fence && last.ID != m.id) {
+				return fmt.Sprintf("%s holds lease %d under fence %d, %s held it under %d", m.id, hold.Partition, hold.Fence, last.ID, last.Fence)
+			}
+			last.ID, last.Fence = m.id, hold.Fence
+			w.facts.fences[hold.Partition] = last
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/simulation/explorer/model.go
@@ -0,0 +1,116 @@
+package explorer
+
+// Model is one configuration to explore: how many machines there are, what is
+// asked of them, and how much may go wrong in one history.
+type Model struct {
+	Name string
+	Help string
+	// Seated machines make up the first core set; Spare ones start without a seat.
+	Seated, Spare int
+	// Unfounded machines start with empty disks and must found the first set.
+	Unfounded bool
+	// Calls are the operators' calls, each of which may begin at any time, at the
+	// machine that its number names.
+	Calls []Call
+	// Focus names the kinds of messages whose order is searched; others are
+	// delivered in each round. All are in focus if none is named.
+	Focus []string
+	// Partitions is how many leases there are.
+	Partitions int64
+	// LongLeases are four times as long, beside the time in which another is
+	// suspected, as those of a deployment: more can happen while one runs.
+	LongLeases bool
+	// Rounds says that time passes; else nothing but messages moves.
+	Rounds bool
+	// Least rounds that pass before the search begins.
+	Settle int
+	// Budget is how much may go wrong in one history.
+	Budget Budget
+	// Depth is the longest history of a complete search, Deviations how often it
+	// may leave the ordinary order; negative for any number.
+	Depth, Deviations int
+	// drawn says that calls are drawn on the way.
+	drawn bool
+}
+
+// Call is an operator's call: a write, by a name that tells it from all others,
+// or a read.
+type Call struct {
+	At       int
+	Write    string
+	Expected int64
+}
+
+// Budget bounds what may go wrong in one history.
+type Budget struct {
+	Crashes, Wipes, Older, Repeats, Holds, Losses, Stalls, Freezes, Cuts, Leaves int
+}
+
+// The times of all machines, as ratios of the tick.
+const (
+	tickMs    = 25
+	callMs    = 16 * tickMs
+	catchUpMs = 40 * tickMs
+	// pollMs is longer than any history: the platform's list is not part of it.
+	pollMs = 1 << 40
+)
+
+// leaseMs is how long turns of two owners are apart; leases are half as long.
+func (m Model) leaseMs() int64 {
+	if m.LongLeases {
+		return 64 * tickMs
+	}
+	return 32 * tickMs
+}
+
+// probeMs is how often machines ask after each other.
+func (m Model) probeMs() int64 {
+	if m.LongLeases {
+		return tickMs
+	}
+	return 2 * tickMs
+}
+
+var registerKinds = []string{"Prepare", "Promise", "Accept", "Accepted", "Query", "Chosen", "WriteAsk"}
+
+// Models lists all configurations.
+//
+//	for _, model := range explorer.Models() { ... }
+func Models() []Model {
+	return []Model{
+		{Name: "registers", Help: "one register, two writers on one base, three machines: complete to a depth", Seated: 3,
+			Calls: []Call{{At: 0, Write: "a"}, {At: 1, Write: "b"}}, Budget: Budget{Crashes: 1}, Depth: 12, Deviations: -1},
+		{Name: "registers-deep", Help: "two writers and two readers to their ends, with crashes, repeats and losses", Seated: 3,
+			Calls:  []Call{{At: 0, Write: "a"}, {At: 1, Write: "b"}, {At: 2}, {At: 0}},
+			Budget: Budget{Crashes: 2, Repeats: 1, Holds: 4, Losses: 4, Stalls: 1}, Depth: 80, Deviations: 4, Rounds: true},
+		{Name: "core-set", Help: "four machines, one goes and comes back while orders are written", Seated: 4, Partitions: 1,
+			Calls: []Call{{At: 0, Write: "a"}, {At: 1, Write: "b"}, {At: 2}, {At: 3, Write: "c", Expected: 1}},
+			Focus: append([]string{"KeysAsk", "KeysTold", "News"}, registerKinds...), Rounds: true, Settle: 8,
+			Budget: Budget{Crashes: 2, Wipes: 1, Holds: 3, Losses: 3, Cuts: 1, Freezes: 1}, Depth: 400, Deviations: 2},
+		{Name: "set-of-five", Help: "five machines and leases, while machines go and come back", Seated: 5, Partitions: 1, LongLeases: true,
+			Calls: []Call{{At: 0, Write: "a"}, {At: 4, Write: "b"}, {At: 2}},
+			Focus: append([]string{"KeysAsk", "KeysTold", "GrantAsk", "GrantTold", "GrantBack", "News"}, registerKinds...), Rounds: true, Settle: 8,
+			Budget: Budget{Crashes: 2, Wipes: 1, Holds: 3, Losses: 3, Cuts: 1, Freezes: 1}, Depth: 400, Deviations: 1},
+		{Name: "leases", Help: "leases of one partition among three machines", Seated: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 8,
+			Focus:  []string{"GrantAsk", "GrantTold", "GrantBack", "Prepare", "Promise", "Accept", "Accepted"},
+			Budget: Budget{Crashes: 2, Holds: 2, Losses: 2, Freezes: 1, Stalls: 1, Cuts: 1}, Depth: 500, Deviations: 2},
+		{Name: "founding", Help: "three seeds and a fourth machine found the first core set", Seated: 3, Spare: 1, Unfounded: true, Rounds: true,
+			Focus:  []string{"FoundAsk", "FoundTold", "Found"},
+			Budget: Budget{Crashes: 2, Wipes: 1, Repeats: 1, Holds: 2, Losses: 2, Stalls: 1}, Depth: 120, Deviations: 3},
+		{Name: "handover", Help: "a planned leaver hands its partitions over", Seated: 3, Partitions: 2, Rounds: true, Settle: 44,
+			Focus:  []string{"Handover", "HandoverTaken", "GrantAsk", "GrantTold", "GrantBack"},
+			Budget: Budget{Crashes: 1, Holds: 2, Losses: 2, Leaves: 1, Stalls: 1}, Depth: 600, Deviations: 3},
+	}
+}
+
+// ModelOf finds a configuration by its name.
+//
+//	model, ok := explorer.ModelOf("leases")
+func ModelOf(name string) (Model, bool) {
+	for _, model := range Models() {
+		if model.Name == name {
+			return model, true
+		}
+	}
+	return Model{}, false
+}
