--- a/internal/simulation/explorer/shorten.go
+++ b/internal/simulation/explorer/shorten.go
@@ -5,49 +5,62 @@
 	"strings"
 )
 
-// Shorten leaves out of a history all that the breach does without: delta
-// debugging (Zeller), with steps that can't be taken any more passed over.
+// Shorten leaves out of a history all that its breach does without.
 //
 //	short := explorer.Shorten(model, history)
 func Shorten(model Model, history History) History {
-	steps := history.Steps
-	fails := func(some []Step) ([]Step, string) {
+	history.Steps = Fewest(history.Steps, func(some []Step) ([]Step, bool) {
 		trial := history
 		trial.Steps = some
 		world, taken := trial.Replay(model)
 		why := world.Broken()
-		if why != "" && rule(why) == rule(history.Breach) {
-			return taken, why
+		if why == "" || rule(why) != rule(history.Breach) {
+			return nil, false
 		}
-		return nil, ""
+		return taken, true
+	})
+	world, _ := history.Replay(model)
+	if why := world.Broken(); why != "" {
+		history.Breach = why
 	}
-	if taken, why := fails(steps); why != "" {
-		steps, history.Breach = taken, why
+	history.Notes = world.Notes()
+	return history
+}
+
+// Fewest leaves out steps as long as the rest still fails: delta debugging
+// (Zeller and Hildebrandt), first in large parts, then one by one. Fails returns
+// the steps that could be taken, which may be fewer than it was given.
+//
+//	steps := explorer.Fewest(steps, fails)
+func Fewest(steps []Step, fails func([]Step) ([]Step, bool)) []Step {
+	if taken, still := fails(steps); still {
+		steps = taken
 	}
-	// What a breach needs is mostly late: the first half that can go, goes first.
-	for parts := 2; len(steps) > 1 && parts <= len(steps); {
-		size := (len(steps) + parts - 1) / parts
-		shorter := false
-		for from := 0; from < len(steps); from += size {
-			rest := append(slices.Clone(steps[:from]), steps[min(from+size, len(steps)):]...)
-			if taken, why := fails(rest); why != "" {
-				steps, history.Breach, shorter = taken, why, true
-				break
-			}
-		}
+	for parts := 2; len(steps) > 1; {
+		rest, shorter := leaveOut(steps, parts, fails)
 		switch {
 		case shorter:
-			parts = max(parts-1, 2)
-		case parts == len(steps):
-			parts++
+			steps, parts = rest, max(parts-1, 2)
+		case parts >= len(steps):
+			return steps
 		default:
 			parts = min(2*parts, len(steps))
 		}
 	}
-	history.Steps = steps
-	world, _ := history.Replay(model)
-	history.Notes = world.Notes()
-	return history
+	return steps
+}
+
+// leaveOut tries the steps without each of so many parts of them, the last part
+// first: what a breach does without is mostly what came after it was bound to come.
+func leaveOut(steps []Step, parts int, fails func([]Step) ([]Step, bool)) ([]Step, bool) {
+	size := (len(steps) + parts - 1) / parts
+	for from := (len(steps) - 1) / size * size; from >= 0; from -= size {
+		rest := append(slices.Clone(steps[:from]), steps[min(from+size, len(steps)):]...)
+		if taken, still := fails(rest); still {
+			return taken, true
+		}
+	}
+	return steps, false
 }
 
 // rule is the name of the invariant that a breach is of.
--- a/internal/simulation/explorer/world.go
+++ b/internal/simulation/explorer/world.go
@@ -39,10 +39,12 @@
 	kind     wire.Kind
 	nth      int
 	body     []byte
-	held     bool
-	focus    bool
-	round    int // when it was sent
-	sum      sum
+	// plain is the body in a form that is the same whenever it says the same.
+	plain []byte
+	held  bool
+	focus bool
+	round int // when it was sent
+	sum   sum
 }
 
 // New makes a world at its beginning.
@@ -118,11 +120,22 @@
 	link := from.name + ">" + to.name + name
 	w.sent[link]++
 	m := &message{from: from.name, to: to.name, sender: from.id, kind: send.Kind, nth: w.sent[link], body: wire.Encode(send.Body), focus: slices.Contains(w.model.Focus, name), round: w.rounds}
-	m.sum = sumStart.word(link).number(uint64(m.nth)).word(m.sender).bytes(m.body)
+	m.plain = plain(send, m.body)
+	m.sum = sumStart.word(link).number(uint64(m.nth)).word(m.sender).bytes(m.plain)
 	m.held = m.focus && w.slow[[2]string{from.name, to.name}]
 	w.queue = append(w.queue, m)
 }
 
+// plain is a message's body, or what fmt makes of it where its encoding holds
+// maps, whose order on the wire is any.
+func plain(send wire.Send, body []byte) []byte {
+	switch send.Kind {
+	case wire.KindProbe, wire.KindProbeAck, wire.KindProbeVia:
+		return fmt.Appendf(nil, "%v", send.Body)
+	}
+	return body
+}
+
 func (m *message) step(do Action) Step {
 	return Step{Do: do, Node: m.to, From: m.from, Kind: strings.TrimPrefix(m.kind.String(), "Kind"), Nth: m.nth}
 }
@@ -148,7 +161,7 @@
 	}
 	to := w.machine(m.to)
 	to.local = to.local.word(m.sender).number(uint64(m.kind))
-	to.remember("hear", m.body)
+	to.remember("hear", m.plain)
 	w.Delivered++
 	to.perform(to.core.Hear(to.clock(), m.sender, record))
 	if m.kind == wire.KindGrantTold {
