--- a/internal/simulation/explorer/history.go
+++ b/internal/simulation/explorer/history.go
@@ -91,7 +91,10 @@
 	Model string `json:"model"`
 	Seed  int64  `json:"seed"`
 	// Walk is the length of the walk that this history was, 0 if of none.
-	Walk   int      `json:"walk,omitempty"`
+	Walk int `json:"walk,omitempty"`
+	// Early says that the breach came before all faults were ended, which is then
+	// left out.
+	Early  bool     `json:"early,omitempty"`
 	Breach string   `json:"breach,omitempty"`
 	Steps  []Step   `json:"steps"`
 	Notes  []string `json:"notes,omitempty"`
--- a/internal/simulation/explorer/model.go
+++ b/internal/simulation/explorer/model.go
@@ -20,6 +20,8 @@
 	// LongLeases are four times as long, beside the time in which another is
 	// suspected, as those of a deployment: more can happen while one runs.
 	LongLeases bool
+	// EarlyWipes may come before the first set is founded; then it may never be.
+	EarlyWipes bool
 	// Rounds says that time passes; else nothing but messages moves.
 	Rounds bool
 	// Least rounds that pass before the search begins.
@@ -97,6 +99,9 @@
 		{Name: "founding", Help: "three seeds and a fourth machine found the first core set", Seated: 3, Spare: 1, Unfounded: true, Rounds: true,
 			Focus:  []string{"FoundAsk", "FoundTold", "Found"},
 			Budget: Budget{Crashes: 2, Wipes: 1, Repeats: 1, Holds: 2, Losses: 2, Stalls: 1}, Depth: 120, Deviations: 3},
+		{Name: "founding-wiped", Help: "founders that lose their disks before the first set is founded", Seated: 3, Unfounded: true, EarlyWipes: true, Rounds: true,
+			Focus:  []string{"FoundAsk", "FoundTold", "Found"},
+			Budget: Budget{Crashes: 2, Wipes: 1, Repeats: 1, Holds: 3, Losses: 2}, Depth: 60, Deviations: 4},
 		{Name: "handover", Help: "a planned leaver hands its partitions over", Seated: 3, Partitions: 2, Rounds: true, Settle: 44,
 			Focus:  []string{"Handover", "HandoverTaken", "GrantAsk", "GrantTold", "GrantBack"},
 			Budget: Budget{Crashes: 1, Holds: 2, Losses: 2, Leaves: 1, Stalls: 1}, Depth: 600, Deviations: 3},
--- a/internal/simulation/explorer/steps.go
+++ b/internal/simulation/explorer/steps.go
@@ -116,7 +116,7 @@
 	}
 	if !m.up {
 		add(true, Start, WithKept)
-		add(w.left.Wipes > 0 && w.calmBefore >= catchUpMs/tickMs, Start, WithEmpty)
+		add(w.left.Wipes > 0 && w.mayWipe(), Start, WithEmpty)
 		add(w.left.Older > 0, Start, WithOlder)
 		return steps
 	}
--- a/internal/simulation/explorer/world.go
+++ b/internal/simulation/explorer/world.go
@@ -26,6 +26,7 @@
 	asked            int
 	facts            facts
 	breach           string
+	closed           bool
 	// touched is what the step being taken has to do with.
 	touched Footprint
 	// Delivered counts messages handed to machines.
