Membership: messages hold what is new or differs, found by sums, not whole tables

Cause: one probe or answer in eight, and every one to a seed, held the whole table, and one change of a fact at every front put all members into all messages for twelve probes.

Change: what is new goes with a bounded number of messages, at most sixteen members in one, those told least first. Probes hold sums of the turns by bucket, and the answer holds the members of the buckets that differ (anti-entropy by digests). The sorted table is made once for each change, and fronts read the others' facts only when something changed.

Ruled out: leaving what is being told of out of the sums, since one that just joined would be given all again and again; passing on what was heard at second hand of members new here, since one that joins would tell all of all.

--- a/coordination/simulation/simulation.go
+++ b/coordination/simulation/simulation.go
@@ -68,8 +68,10 @@
 	DelayMs int64
 	History []string
 	Carried Carried
-	events  queue
-	order   int64
+	// Watch, if there is one, sees each message that is sent, with its size.
+	Watch  func(from, to *Node, kind Kind, size int)
+	events queue
+	order  int64
 }
 
 // Carried counts messages.
@@ -140,6 +142,9 @@
 		wait += w.Random.Int63n(400)
 	}
 	bytes := wire.Encode(body)
+	if w.Watch != nil {
+		w.Watch(from, target, kind, len(bytes))
+	}
 	sender := from.ID
 	w.After(wait, func() {
 		if target.Up {
--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -60,6 +60,8 @@
 	// begun: the first read has ended; fedMark was given on; newest was heard of.
 	begun, beginning bool
 	fedMark, newest  int64
+	// newestOf and frontsOf are the versions of the members that were looked at.
+	newestOf, frontsOf int64
 	// told was passed on at toldMs; a tally came at tallyMs, uses alone at usesMs.
 	told                    []wire.Demand
 	toldMs, tallyMs, usesMs int64
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -18,6 +18,9 @@
 // noteNewest gathers the newest policy mark known to anyone, also to those that
 // went: a front that comes back must not fall behind what it went by before.
 func (l *Line) noteNewest() {
+	if version := l.members.Version(); version == l.newestOf {
+		return
+	}
 	for _, member := range l.members.All() {
 		for _, fact := range []string{"mark", newestFact} {
 			if mark, err := strconv.ParseInt(member.Fact[fact], 10, 64); err == nil {
@@ -25,7 +28,11 @@
 			}
 		}
 	}
-	l.members.Set(newestFact, strconv.FormatInt(l.newest, 10))
+	// What this front goes by itself is told anyway.
+	if l.newest > l.marks[controller.PolicyKey] {
+		l.members.Set(newestFact, strconv.FormatInt(l.newest, 10))
+	}
+	l.newestOf = l.members.Version()
 }
 
 // begin makes sure, after a start, of the policy that callers get first: one
--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -50,34 +50,41 @@
 // watchFronts keeps account of the other fronts, those that went among them.
 func (l *Line) watchFronts(now int64) {
 	wall := l.members.Wall(now)
-	for _, member := range l.members.All() {
-		if member.Role != "agent" || member.ID == l.boot.ID {
-			continue
-		}
-		stands := wire.Standing(member.Standing) < wire.StandingLeaving
-		kept, known := l.fronts[member.ID]
-		if !known {
-			kept = &otherFront{name: member.Name, stoodMs: now, stoodAt: wall, seenAt: wall}
-			l.fronts[member.ID] = kept
-		}
-		if kept.stands = stands; stands {
-			kept.stoodMs, kept.stoodAt = now, wall
-		}
-		var mark, learnt int64
-		if _, err := fmt.Sscanf(member.Fact[listFact], "%d@%d", &mark, &learnt); err == nil && mark >= kept.mark {
-			kept.mark, kept.learnt = mark, learnt
-		}
-		if bare, err := strconv.ParseInt(member.Fact[bareFact], 10, 64); err == nil {
-			kept.bareAt = max(kept.bareAt, bare)
+	if version := l.members.Version(); version != l.frontsOf {
+		l.frontsOf = version
+		for _, member := range l.members.All() {
+			if member.Role == "agent" && member.ID != l.boot.ID {
+				l.sawFront(now, wall, member)
+			}
 		}
 	}
 	for id, kept := range l.fronts {
+		if kept.stands {
+			kept.stoodMs, kept.stoodAt = now, wall
+		}
 		if now-kept.stoodMs > 2*l.boot.KeyMs {
 			delete(l.fronts, id)
 		}
 	}
 }
 
+// sawFront takes what is new of another front.
+func (l *Line) sawFront(now, wall int64, member wire.Member) {
+	kept, known := l.fronts[member.ID]
+	if !known {
+		kept = &otherFront{name: member.Name, stoodMs: now, stoodAt: wall, seenAt: wall}
+		l.fronts[member.ID] = kept
+	}
+	kept.stands = wire.Standing(member.Standing) < wire.StandingLeaving
+	var mark, learnt int64
+	if _, err := fmt.Sscanf(member.Fact[listFact], "%d@%d", &mark, &learnt); err == nil && mark >= kept.mark {
+		kept.mark, kept.learnt = mark, learnt
+	}
+	if bare, err := strconv.ParseInt(member.Fact[bareFact], 10, 64); err == nil {
+		kept.bareAt = max(kept.bareAt, bare)
+	}
+}
+
 // inTouch tells whether this front would hear of a new list: it knows the
 // others, is not behind them, and reaches a majority of the core or of the
 // fronts. A front that does not for long sends no keys anywhere.
--- a/internal/controlplane/membership/gossip.go
+++ b/internal/controlplane/membership/gossip.go
@@ -13,16 +13,9 @@
 	var out wire.Outputs
 	switch told := body.(type) {
 	case *wire.Probe:
-		answer := &wire.ProbeAck{Seq: told.Seq, WallMs: now + m.offset}
-		if m.fresh(from, told.Members) {
-			answer.Members = m.All()
-		}
 		m.merge(now, from, told.Members)
 		m.heardClock(now, from, told.WallMs)
-		if answer.Members == nil {
-			answer.Members = m.telling(now, from)
-		}
-		out.Send(from, wire.KindProbeAck, answer)
+		out.Send(from, wire.KindProbeAck, &wire.ProbeAck{Seq: told.Seq, WallMs: now + m.offset, Members: m.telling(from, told.Sums)})
 	case *wire.ProbeAck:
 		m.merge(now, from, told.Members)
 		m.heardClock(now, from, told.WallMs)
@@ -48,7 +41,7 @@
 		kept.heardMs = now
 	}
 	if sent.forWhom != "" {
-		out.Send(sent.forWhom, wire.KindProbeAck, &wire.ProbeAck{Seq: sent.forSeq, WallMs: now + m.offset, Members: m.telling(now, sent.forWhom)})
+		out.Send(sent.forWhom, wire.KindProbeAck, &wire.ProbeAck{Seq: sent.forSeq, WallMs: now + m.offset, Members: m.telling(sent.forWhom, nil)})
 	}
 }
 
@@ -64,8 +57,9 @@
 		if !ok {
 			if wire.Standing(member.Standing) != wire.StandingRemoved {
 				m.replaced(now, from, member)
-				m.table[member.ID] = &seen{member: member, since: now, heardMs: now, changed: now}
+				m.table[member.ID] = &seen{member: member, since: now, heardMs: now, hash: m.hash(member.ID)}
 				m.Mark++
+				m.met(from, member)
 			}
 			continue
 		}
@@ -79,7 +73,8 @@
 				kept.since = now
 				m.Mark++
 			}
-			kept.member, kept.changed = member, now
+			kept.member = member
+			m.changed(member.ID)
 		}
 		if self {
 			kept.heardMs = now
@@ -87,6 +82,16 @@
 	}
 }
 
+// met notes a member that was not known here. Who speaks for itself may be new
+// to all; of others there was talk already, and sums spread the rest.
+func (m *Members) met(from string, member wire.Member) {
+	if member.ID == from || wire.Standing(member.Standing) != wire.StandingWell {
+		m.changed(member.ID)
+		return
+	}
+	m.version++
+}
+
 // replaced removes who was at the address of one that speaks for itself there: an
 // address has one process at a time.
 func (m *Members) replaced(now int64, from string, fresh wire.Member) {
@@ -102,12 +107,13 @@
 func (m *Members) refute(told wire.Member) {
 	if told.Born > m.self.Born {
 		// The clock of this machine was set back between two starts.
-		m.self.Born, m.self.Turn = told.Born, told.Turn+1
+		m.self.Born = told.Born
+		m.raise(told.Turn + 1)
 		m.Mark++
 		return
 	}
 	if told.Born == m.self.Born && told.Turn >= m.self.Turn && told.Standing != m.self.Standing {
-		m.self.Turn = told.Turn + 1
+		m.raise(told.Turn + 1)
 		m.Mark++
 	}
 }
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -28,7 +28,7 @@
 	member  wire.Member
 	since   int64
 	heardMs int64
-	changed int64 // when something new was heard of it
+	hash    uint64 // of its id
 	// offset is the member's wall clock less this node's monotonic one.
 	offset   int64
 	offsetAt int64
@@ -56,6 +56,20 @@
 	probed  int64
 	offset  int64
 	Mark    int64
+	// version rises with whatever changes in the table or in this node itself.
+	version int64
+	// kept is what was made of the table at a version.
+	kept listed
+	// told is how often each of those that changed lately was told of.
+	told map[string]int
+}
+
+// listed is the table in order of ids, made once for each version.
+type listed struct {
+	version int64
+	ids     []string
+	all     []wire.Member
+	alive   map[string][]wire.Member
 }
 
 // New makes a picture that holds only this node. Seeds are addresses, used
@@ -63,7 +77,7 @@
 //
 //	picture := membership.New(self, limits, random, []string{"127.0.0.1:7100"})
 func New(self wire.Member, limits Limits, random *rand.Rand, seeds []string) *Members {
-	return &Members{self: self, limits: limits, random: random, seeds: seeds, table: map[string]*seen{}, probes: map[int64]*probe{}, probed: -limits.ProbeMs}
+	return &Members{self: self, limits: limits, random: random, seeds: seeds, table: map[string]*seen{}, probes: map[int64]*probe{}, probed: -limits.ProbeMs, version: 1, told: map[string]int{self.ID: 0}}
 }
 
 // SetSeeds takes the seeds of settings that were read again.
@@ -75,7 +89,8 @@
 //
 //	picture.Leave()
 func (m *Members) Leave() {
-	m.self.Standing, m.self.Turn = int64(wire.StandingLeaving), m.self.Turn+1
+	m.self.Standing = int64(wire.StandingLeaving)
+	m.raise(m.self.Turn + 1)
 }
 
 // Set notes a fact about this node that the others hear with its next probes.
@@ -90,34 +105,73 @@
 			}
 		}
 		m.self.Fact = facts
-		m.self.Turn++
+		m.raise(m.self.Turn + 1)
 	}
 }
 
-// All lists everyone known, this node among them, sorted by id.
+// raise gives what this node says of itself a higher turn.
+func (m *Members) raise(turn int64) {
+	m.self.Turn = turn
+	m.changed(m.self.ID)
+}
+
+// changed notes that something is new of a member: the others are told.
+func (m *Members) changed(id string) {
+	m.version++
+	m.told[id] = 0
+}
+
+// Version rises with whatever changes of any member.
+//
+//	if version := picture.Version(); version != seen { ... }
+func (m *Members) Version() int64 { return m.version }
+
+// All lists everyone known, this node among them, sorted by id. Nobody may
+// change the list.
 //
 //	for _, member := range picture.All() { ... }
-func (m *Members) All() []wire.Member {
-	out := []wire.Member{m.self}
-	for _, id := range m.ids() {
-		out = append(out, m.table[id].member)
-	}
-	slices.SortFunc(out, func(a, b wire.Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
+func (m *Members) All() []wire.Member { return m.list().all }
 
-// Alive lists the members of a role that stand well or are only suspected.
+// Alive lists the members of a role that stand well or are only suspected; of
+// all roles if none is named. Nobody may change the list.
 //
 //	for _, member := range picture.Alive("agent") { ... }
 func (m *Members) Alive(role string) []wire.Member {
-	return slices.DeleteFunc(m.All(), func(one wire.Member) bool {
-		return (role != "" && one.Role != role) || wire.Standing(one.Standing) >= wire.StandingLeaving
-	})
+	kept := m.list()
+	alive, made := kept.alive[role]
+	if !made {
+		for _, one := range kept.all {
+			if (role == "" || one.Role == role) && wire.Standing(one.Standing) < wire.StandingLeaving {
+				alive = append(alive, one)
+			}
+		}
+		kept.alive[role] = alive
+	}
+	return alive
+}
+
+// list is the table in order, made anew if anything changed.
+func (m *Members) list() *listed {
+	if m.kept.version == m.version {
+		return &m.kept
+	}
+	next := listed{version: m.version, ids: make([]string, 0, len(m.table)), all: make([]wire.Member, 0, len(m.table)+1), alive: map[string][]wire.Member{}}
+	for id := range m.table {
+		next.ids = append(next.ids, id)
+	}
+	slices.Sort(next.ids)
+	self := false
+	for _, id := range next.ids {
+		if !self && m.self.ID < id {
+			self, next.all = true, append(next.all, m.self)
+		}
+		next.all = append(next.all, m.table[id].member)
+	}
+	if !self {
+		next.all = append(next.all, m.self)
+	}
+	m.kept = next
+	return &m.kept
 }
 
 // Addr returns where a member is reached.
@@ -134,14 +188,8 @@
 	return kept.member.Addr, true
 }
 
-func (m *Members) ids() []string {
-	out := make([]string, 0, len(m.table))
-	for id := range m.table {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
+// ids are those of all others, sorted. Nobody may change the list.
+func (m *Members) ids() []string { return m.list().ids }
 
 // Tick sends the probes that are due and grows suspicion.
 //
@@ -156,7 +204,7 @@
 		case standing == wire.StandingSuspect && now-kept.since >= m.limits.SuspectMs:
 			m.set(now, kept, wire.StandingRemoved)
 		case standing >= wire.StandingLeaving && now-kept.since >= m.limits.ForgetMs:
-			delete(m.table, id)
+			m.forget(id)
 		}
 	}
 	if now-m.probed < m.limits.ProbeMs {
@@ -172,7 +220,7 @@
 		for _, seed := range m.seeds {
 			if seed != m.self.Addr {
 				m.nextSeq++
-				out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.All()})
+				out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling("", nil), Sums: m.sums(bucketsFor(len(m.table)))})
 			}
 		}
 	}
@@ -190,7 +238,7 @@
 				return id
 			}
 		}
-		m.order = m.ids()
+		m.order = slices.Clone(m.ids())
 		m.random.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
 	}
 	return ""
@@ -199,7 +247,7 @@
 func (m *Members) send(now int64, out *wire.Outputs, target string, sent *probe) {
 	m.nextSeq++
 	m.probes[m.nextSeq] = sent
-	out.Send(target, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling(now, target)})
+	out.Send(target, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling(target, nil), Sums: m.sums(bucketsFor(len(m.table)))})
 }
 
 // overdue asks others about those who did not answer, then suspects them.
@@ -218,7 +266,7 @@
 			sent.indirect, sent.sent = true, now
 			sent.helpers = m.helpers(sent.target)
 			for _, helper := range sent.helpers {
-				out.Send(helper, wire.KindProbeVia, &wire.ProbeVia{Seq: seq, Target: sent.target, Members: m.telling(now, helper)})
+				out.Send(helper, wire.KindProbeVia, &wire.ProbeVia{Seq: seq, Target: sent.target, Members: m.telling(helper, nil)})
 			}
 			continue
 		}
@@ -241,6 +289,14 @@
 }
 
 func (m *Members) set(now int64, kept *seen, standing wire.Standing) {
-	kept.member.Standing, kept.since, kept.changed = int64(standing), now, now
+	kept.member.Standing, kept.since = int64(standing), now
 	m.Mark++
+	m.changed(kept.member.ID)
+}
+
+// forget drops a member that went long ago.
+func (m *Members) forget(id string) {
+	delete(m.table, id)
+	delete(m.told, id)
+	m.version++
 }
--- a/internal/controlplane/membership/membership_test.go
+++ b/internal/controlplane/membership/membership_test.go
@@ -15,6 +15,8 @@
 	all map[string]*Members
 	now int64
 	cut func(from, to string) bool
+	// watch, if set, sees all that is sent.
+	watch func(body wire.Record)
 }
 
 func newRing(count int) *ring {
@@ -32,6 +34,9 @@
 
 func (r *ring) carry(from string, out wire.Outputs) {
 	for _, send := range out.Sends {
+		if r.watch != nil {
+			r.watch(send.Body)
+		}
 		target, ok := r.all[send.To]
 		if ok && !r.cut(from, send.To) {
 			r.carry(send.To, target.Hear(r.now, from, send.Body))
--- /dev/null
+++ b/internal/controlplane/membership/sums_test.go
@@ -0,0 +1,128 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/transport/wire"
+)
+
+// told runs some time and returns the most members that one message held.
+func (r *ring) told(ms int64) (most int) {
+	cut := r.cut
+	r.watch = func(body wire.Record) {
+		switch message := body.(type) {
+		case *wire.Probe:
+			most = max(most, len(message.Members))
+		case *wire.ProbeAck:
+			most = max(most, len(message.Members))
+		}
+	}
+	r.run(ms)
+	r.watch, r.cut = nil, cut
+	return most
+}
+
+// Messages hold what is new or differs, and nothing else.
+func TestMessagesHoldWhatDiffers(t *testing.T) {
+	cases := []struct {
+		name  string
+		then  func(r *ring)
+		least int
+		most  int
+	}{
+		{"nothing happens", func(*ring) {}, 1, 1},
+		{"one has a new fact", func(r *ring) { r.all["n3"].Set("mark", "7") }, 2, 5},
+		{"all have a new fact", func(r *ring) {
+			for _, one := range r.all {
+				one.Set("mark", "7")
+			}
+		}, 2, 1 + tellMost + 40},
+		{"one joins and is given all", func(r *ring) { r.join("n40", 1) }, 40, 42},
+		{"one leaves, and stands badly with those who write to it", func(r *ring) { r.all["n3"].Leave() }, 2, 6},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRing(40)
+			r.run(12000)
+			one.then(r)
+			most := r.told(3000)
+			c.Check(most >= one.least && most <= one.most, qt.IsTrue, qt.Commentf("a message held %d members", most))
+			r.run(9000)
+			leaving := 0
+			if r.standing("n0", "n3") == wire.StandingLeaving {
+				leaving = 1
+			}
+			c.Check(r.told(2000), qt.Equals, 1+leaving, qt.Commentf("all is known again"))
+			for id, at := range r.all {
+				c.Assert(at.All(), qt.HasLen, len(r.all), qt.Commentf(id))
+				for _, member := range at.All() {
+					c.Assert(member.Turn, qt.Equals, r.all[member.ID].self.Turn, qt.Commentf("%s of %s", id, member.ID))
+				}
+			}
+		})
+	}
+}
+
+// What no message brought is found by sums: here nobody tells of what is new.
+func TestSumsFindWhatWasMissed(t *testing.T) {
+	c := qt.New(t)
+	r := newRing(20)
+	r.run(8000)
+	r.all["n3"].Set("mark", "7")
+	c.Assert(r.all["n3"].told, qt.HasLen, 1)
+	for range 20 {
+		for _, at := range r.all {
+			clear(at.told)
+		}
+		r.run(200)
+	}
+	for id, at := range r.all {
+		for _, member := range at.All() {
+			if member.ID == "n3" {
+				c.Check(member.Fact["mark"], qt.Equals, "7", qt.Commentf(id))
+			}
+		}
+	}
+}
+
+func TestSums(t *testing.T) {
+	c := qt.New(t)
+	picture := func(turn int64, standing wire.Standing) *Members {
+		r := newRing(1)
+		one := r.all["n0"]
+		for i := range 30 {
+			one.Hear(1, "n0", &wire.ProbeAck{Members: []wire.Member{{ID: fmt.Sprintf("m%d", i), Born: 1, Turn: turn}}})
+		}
+		one.set(2, one.table["m7"], standing)
+		return one
+	}
+	before := picture(1, wire.StandingWell)
+	for _, one := range []struct {
+		name    string
+		then    *Members
+		buckets int
+		differ  bool
+	}{
+		{"the same", picture(1, wire.StandingWell), 8, false},
+		{"suspicion is each node's own", picture(1, wire.StandingSuspect), 8, false},
+		{"removed", picture(1, wire.StandingRemoved), 8, true},
+		{"other turns", picture(2, wire.StandingWell), 8, true},
+		{"no sums, no answer", picture(2, wire.StandingWell), 0, false},
+		{"more sums than anyone makes", picture(2, wire.StandingWell), mostBuckets + 1, false},
+	} {
+		var sums []int64
+		if one.buckets > 0 {
+			sums = one.then.sums(one.buckets)
+		}
+		differs := before.differing(sums)
+		c.Check(len(differs) > 0, qt.Equals, one.differ, qt.Commentf(one.name))
+	}
+	c.Check(before.differing(picture(1, wire.StandingRemoved).sums(32)), qt.Contains, "m7")
+	for _, one := range [][2]int{{0, 4}, {13, 4}, {94, 32}, {1000, 64}} {
+		c.Check(bucketsFor(one[0]), qt.Equals, one[1], qt.Commentf("%d members", one[0]))
+	}
+}
--- a/internal/controlplane/membership/telling.go
+++ b/internal/controlplane/membership/telling.go
@@ -1,39 +1,71 @@
 package membership
 
 import (
+	"math/bits"
 	"slices"
 
 	"applequay/internal/transport/wire"
 )
 
-// How long what is new is told on, in times between probes, and how often all is
-// told to one that may have missed it.
+// What is new of a member goes with so many messages and one for each doubling of
+// their number, and with one message go so many members at most: those who were
+// told of least. What a message lost, or had no room for, is found by sums.
 const (
-	newsProbes = 12
-	allOnceIn  = 8
+	tellTimes = 8
+	tellMost  = 16
 )
 
-// telling is what a letter says of members: this node, those of whom something
-// new was heard lately, and the one that it goes to, should it stand badly; now
-// and then all.
-func (m *Members) telling(now int64, to string) []wire.Member {
-	if _, known := m.table[to]; !known || m.random.Intn(allOnceIn) == 0 {
-		return m.All()
+// telling is what a message says of members: this node, some of those of whom
+// something is new, the one that it goes to, should it stand badly, and those
+// in whom the other's sums, if it sent any, differ.
+func (m *Members) telling(to string, sums []int64) []wire.Member {
+	ids := m.fresh()
+	if kept, known := m.table[to]; known && wire.Standing(kept.member.Standing) != wire.StandingWell && !slices.Contains(ids, to) {
+		ids = append(ids, to)
 	}
 	out := []wire.Member{m.self}
-	for _, id := range m.ids() {
-		kept := m.table[id]
-		doubted := id == to && wire.Standing(kept.member.Standing) != wire.StandingWell
-		if doubted || now-kept.changed < newsProbes*m.limits.ProbeMs {
-			out = append(out, kept.member)
+	for _, id := range append(ids, m.differing(sums)...) {
+		if !slices.ContainsFunc(out, func(one wire.Member) bool { return one.ID == id }) {
+			out = append(out, m.table[id].member)
 		}
 	}
 	return out
 }
 
-// fresh tells whether a letter comes from a process that started since it was
-// last heard of, and so knows nobody.
-func (m *Members) fresh(from string, told []wire.Member) bool {
-	kept, known := m.table[from]
-	return !known || slices.ContainsFunc(told, func(one wire.Member) bool { return one.ID == from && one.Born > kept.member.Born })
+// fresh picks whom this message tells of, and counts that it does. This node is
+// in every message.
+func (m *Members) fresh() []string {
+	if len(m.told) == 0 {
+		return nil
+	}
+	times := tellTimes + bits.Len(uint(len(m.table)))
+	ids := make([]string, 0, len(m.told))
+	for id, told := range m.told {
+		if told >= times {
+			delete(m.told, id)
+		} else if id != m.self.ID {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		if less := m.told[a] - m.told[b]; less != 0 {
+			return less
+		}
+		// Who stands badly goes first.
+		if worse := int(m.table[b].member.Standing - m.table[a].member.Standing); worse != 0 {
+			return worse
+		}
+		if a < b {
+			return -1
+		}
+		return 1
+	})
+	ids = ids[:min(len(ids), tellMost)]
+	for _, id := range ids {
+		m.told[id]++
+	}
+	if _, new := m.told[m.self.ID]; new {
+		m.told[m.self.ID]++
+	}
+	return ids
 }
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -412,9 +412,10 @@
 	Seq     int64    `avro:"seq"`
 	WallMs  int64    `avro:"wallMs"`
 	Members []Member `avro:"members"`
+	Sums    []int64  `avro:"sums"`
 }
 
-var schemaProbe = schemaOf(`{"name":"Probe","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}}]}`)
+var schemaProbe = schemaOf(`{"name":"Probe","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}},{"name":"sums","type":{"type":"array","items":"long"}}]}`)
 
 // Schema returns the schema for Probe.
 func (o *Probe) Schema() avro.Schema {
