--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -64,14 +64,6 @@
 	told map[string]int
 }
 
-// listed is the table in order of ids, made once for each version.
-type listed struct {
-	version int64
-	ids     []string
-	all     []wire.Member
-	alive   map[string][]wire.Member
-}
-
 // New makes a picture that holds only this node. Seeds are addresses, used
 // while nobody else is known.
 //
@@ -126,54 +118,6 @@
 //	if version := picture.Version(); version != seen { ... }
 func (m *Members) Version() int64 { return m.version }
 
-// All lists everyone known, this node among them, sorted by id. Nobody may
-// change the list.
-//
-//	for _, member := range picture.All() { ... }
-func (m *Members) All() []wire.Member { return m.list().all }
-
-// Alive lists the members of a role that stand well or are only suspected; of
-// all roles if none is named. Nobody may change the list.
-//
-//	for _, member := range picture.Alive("agent") { ... }
-func (m *Members) Alive(role string) []wire.Member {
-	kept := m.list()
-	alive, made := kept.alive[role]
-	if !made {
-		for _, one := range kept.all {
-			if (role == "" || one.Role == role) && wire.Standing(one.Standing) < wire.StandingLeaving {
-				alive = append(alive, one)
-			}
-		}
-		kept.alive[role] = alive
-	}
-	return alive
-}
-
-// list is the table in order, made anew if anything changed.
-func (m *Members) list() *listed {
-	if m.kept.version == m.version {
-		return &m.kept
-	}
-	next := listed{version: m.version, ids: make([]string, 0, len(m.table)), all: make([]wire.Member, 0, len(m.table)+1), alive: map[string][]wire.Member{}}
-	for id := range m.table {
-		next.ids = append(next.ids, id)
-	}
-	slices.Sort(next.ids)
-	self := false
-	for _, id := range next.ids {
-		if !self && m.self.ID < id {
-			self, next.all = true, append(next.all, m.self)
-		}
-		next.all = append(next.all, m.table[id].member)
-	}
-	if !self {
-		next.all = append(next.all, m.self)
-	}
-	m.kept = next
-	return &m.kept
-}
-
 // Addr returns where a member is reached.
 //
 //	addr, ok := picture.Addr("c2~51")
@@ -188,9 +132,6 @@
 	return kept.member.Addr, true
 }
 
-// ids are those of all others, sorted. Nobody may change the list.
-func (m *Members) ids() []string { return m.list().ids }
-
 // Tick sends the probes that are due and grows suspicion.
 //
 //	out := picture.Tick(now)
