Distribution: subscribers ask with a sum, and bursts of news go together

Change: a subscriber sends the sum of its marks; who holds the same says nothing, who does not asks for the list. A home passes news of workers on and feeds its proxy at most four times between two probes (50 ms); what comes alone, a policy or a list of workers goes at once.

Ruled out: sums by bucket as for members, since a bucket of topics may hold a whole policy; fewer questions, since one question makes up for a lost message.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -12,7 +12,6 @@
 	"applequay/internal/controlplane/controller"
 	"applequay/internal/controlplane/distribution"
 	"applequay/internal/controlplane/membership"
-	"applequay/internal/controlplane/partition"
 	"applequay/internal/controlplane/register"
 	"applequay/internal/transport/wire"
 )
@@ -60,6 +59,9 @@
 	// begun: the first read has ended; fedMark was given on; newest was heard of.
 	begun, beginning bool
 	fedMark, newest  int64
+	// passing is what the zone's peers are to be told, newsMs when news went last.
+	passing map[string]wire.Topic
+	newsMs  int64
 	// newestOf and frontsOf are the versions of the members that were looked at.
 	newestOf, frontsOf int64
 	// told was passed on at toldMs; a tally came at tallyMs, uses alone at usesMs.
@@ -76,7 +78,7 @@
 	}
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "agent", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": controller.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
 	l := &Line{
-		boot: boot, random: random, now: now, startMs: now, fronts: map[string]*otherFront{}, asking: map[int64]*asking{},
+		boot: boot, random: random, now: now, startMs: now, fronts: map[string]*otherFront{}, asking: map[int64]*asking{}, passing: map[string]wire.Topic{},
 		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: controller.LineageLen}),
 		board:    distribution.NewBoard(), policy: configuration.Empty(),
@@ -116,22 +118,9 @@
 			out.Send(from, wire.KindFoundTold, &wire.FoundTold{Founded: true, Core: value})
 		}
 	case *wire.Subscribe:
-		told2 := l.board.Since(told, controller.TopicsOf(told.Service))
-		if _, peer := l.members.Addr(from); !peer {
-			told2.Topics = l.fed(told2.Topics)
-		}
-		if len(told2.Topics) > 0 {
-			out.Send(from, wire.KindNews, told2)
-		}
+		l.subscribed(&out, from, told)
 	case *wire.News:
-		var rose []wire.Topic
-		for _, topic := range told.Topics {
-			if l.take(topic) {
-				rose = append(rose, topic)
-			}
-		}
-		l.passOn(&out, from, rose)
-		l.feed(&out)
+		l.heardNews(now, &out, from, told)
 	case *wire.Report:
 		l.sawBoard(now, from)
 		l.reported(now, &out, told)
@@ -194,21 +183,40 @@
 	return true
 }
 
-// feed gives the proxy beside this agent what rose.
-func (l *Line) feed(out *wire.Outputs) {
+// subscribed answers one that asks for what it lacks. The proxy beside gets only
+// what it may.
+func (l *Line) subscribed(out *wire.Outputs, from string, asked *wire.Subscribe) {
+	kind, body := l.board.Answers(asked)
+	if told, is := body.(*wire.News); is {
+		if _, peer := l.members.Addr(from); !peer {
+			told.Topics = l.fed(told.Topics)
+		}
+		if len(told.Topics) == 0 {
+			return
+		}
+	}
+	if body != nil {
+		out.Send(from, kind, body)
+	}
+}
+
+// feed gives the proxy beside this agent what rose; false if nothing did.
+func (l *Line) feed(out *wire.Outputs) bool {
 	fresh := l.board.Fresh()
-	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == partition.WaitsTopic }); at >= 0 {
+	some := len(fresh) > 0
+	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == distribution.WaitsTopic }); at >= 0 {
 		l.feedWaits(out, fresh[at])
 		fresh = slices.Delete(fresh, at, at+1)
 	}
 	if fresh = l.fed(fresh); len(fresh) > 0 {
 		out.Send(l.boot.Proxy, wire.KindNews, &wire.News{Topics: fresh})
 	}
+	return some
 }
 
 // zoneTopic tells the proxy its zone, by which it picks its part of a
 // policy that is rolled out; it is nobody else's news.
-const zoneTopic = "zone"
+const zoneTopic = distribution.ZoneTopic
 
 // feedWaits tells the proxy when loads will be done, and how long ago
 // that was said by the clocks; what is old is of no use.
--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -1,15 +1,17 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 
 	"applequay/internal/controlplane/controller"
+	"applequay/internal/controlplane/distribution"
 	"applequay/internal/transport/wire"
 )
 
 // services lists all that a zone has homes for.
 func (l *Line) services() []string {
-	out := []string{controller.ControlService}
+	out := []string{distribution.ControlService}
 	for _, service := range l.policy.Services {
 		if name := "homes/" + service.Pool; !slices.Contains(out, name) {
 			out = append(out, name)
@@ -32,14 +34,44 @@
 	l.members.SetSeeds(controller.SeedsWith(seeds, l.proposer.Core()))
 }
 
-// passOn tells the zone's peers what a controller told this home, if it rose.
-func (l *Line) passOn(out *wire.Outputs, from string, rose []wire.Topic) {
-	if len(rose) == 0 || l.members.Role(from) != "controller" {
+// heardNews passes on and feeds what rose: to the zone's peers what a controller
+// told this home. News of homes that comes in a burst goes together.
+func (l *Line) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
+	told.Topics = slices.DeleteFunc(told.Topics, func(topic wire.Topic) bool { return !l.take(topic) })
+	if l.members.Role(from) == "controller" {
+		for _, topic := range told.Topics {
+			l.passing[topic.Name] = topic
+		}
+	}
+	if slices.ContainsFunc(told.Topics, func(topic wire.Topic) bool { return distribution.ServiceOf(topic.Name) == distribution.ControlService }) {
+		l.newsMs = now - l.boot.ProbeMs
+	}
+	l.newsOut(now, out)
+}
+
+// newsOut passes on and feeds what rose, unless something went out just before.
+func (l *Line) newsOut(now int64, out *wire.Outputs) {
+	if now-l.newsMs < l.boot.ProbeMs/newsPerProbe {
 		return
 	}
-	for _, member := range l.members.Alive("agent") {
-		if member.ID != l.boot.ID && member.Zone == l.boot.Zone {
-			out.Send(member.ID, wire.KindNews, &wire.News{Topics: rose})
+	if len(l.passing) > 0 {
+		told := &wire.News{}
+		for _, name := range slices.Sorted(maps.Keys(l.passing)) {
+			told.Topics = append(told.Topics, l.passing[name])
+		}
+		clear(l.passing)
+		for _, member := range l.members.Alive("agent") {
+			if member.ID != l.boot.ID && member.Zone == l.boot.Zone {
+				out.Send(member.ID, wire.KindNews, told)
+			}
 		}
+		l.newsMs = now
+	}
+	if l.feed(out) {
+		l.newsMs = now
 	}
 }
+
+// newsPerProbe is how often between two probes news goes on: what comes in a
+// burst goes together, and what comes alone at once.
+const newsPerProbe = 4
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -35,7 +35,7 @@
 	}
 	l.wantsTick(now, &out)
 	l.resend(now, &out)
-	l.feed(&out)
+	l.newsOut(now, &out)
 	return out
 }
 
@@ -46,7 +46,7 @@
 	if l.young(now) {
 		if l.due(now, "young", l.boot.ProbeMs/2) {
 			for _, seat := range l.proposer.Core().Seats {
-				out.Send(seat.ID, wire.KindSubscribe, &wire.Subscribe{Have: l.board.Have(nil)})
+				out.Send(seat.ID, wire.KindSubscribe, l.board.Asks(""))
 			}
 		}
 	}
@@ -56,7 +56,7 @@
 	agents := l.members.Alive("agent")
 	seats := l.proposer.Core().Seats
 	for _, service := range l.services() {
-		asked := &wire.Subscribe{Service: service, Have: l.board.Have(controller.TopicsOf(service))}
+		asked := l.board.Asks(service)
 		home := distribution.Home(service, l.boot.Zone, agents)
 		if home != l.boot.ID && home != "" {
 			out.Send(home, wire.KindSubscribe, asked)
@@ -69,7 +69,7 @@
 	if _, knows := l.board.Get(controller.PolicyKey); knows && !l.due(now, "peers", 8*l.boot.ProbeMs) {
 		return
 	}
-	all := &wire.Subscribe{Have: l.board.Have(nil)}
+	all := l.board.Asks("")
 	if peer := l.peer(agents, true); peer != "" {
 		out.Send(peer, wire.KindSubscribe, all)
 	} else if peer := l.peer(agents, false); peer != "" {
--- a/internal/controlplane/controller/push_test.go
+++ b/internal/controlplane/controller/push_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"applequay/internal/controlplane/distribution"
 	"applequay/internal/transport/wire"
 )
 
@@ -23,7 +24,7 @@
 	}{
 		{"all", wire.Subscribe{}, []string{"homes/llm/w1", PolicyKey}},
 		{"homes of a pool", wire.Subscribe{Service: "homes/llm"}, []string{"homes/llm/w1"}},
-		{"control", wire.Subscribe{Service: ControlService}, []string{PolicyKey}},
+		{"control", wire.Subscribe{Service: distribution.ControlService}, []string{PolicyKey}},
 		{"homes it has", wire.Subscribe{Service: "homes/llm", Have: []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: 3}}}, nil},
 		{"homes of another pool", wire.Subscribe{Service: "homes/app"}, nil},
 	}
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -48,7 +48,7 @@
 		return
 	}
 	if seat := seats[f.random.Intn(len(seats))]; seat.ID != f.boot.ID {
-		out.Send(seat.ID, wire.KindSubscribe, &wire.Subscribe{Have: f.board.Have(nil)})
+		out.Send(seat.ID, wire.KindSubscribe, f.board.Asks(""))
 	}
 }
 
--- a/internal/controlplane/distribution/distribution.go
+++ b/internal/controlplane/distribution/distribution.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 
 	"applequay/internal/transport/wire"
@@ -11,14 +12,25 @@
 
 // Board holds the newest known copy of each topic.
 type Board struct {
-	topics map[string]wire.Topic
+	topics map[string]kept
 	fresh  map[string]bool
+	names  []string // sorted
+	sums   map[string]uint64
+}
+
+// kept is a topic with the service that tells of it and the hash of its mark.
+type kept struct {
+	wire.Topic
+	service string
+	hash    uint64
 }
 
 // NewBoard makes an empty board.
 //
 //	board := distribution.NewBoard()
-func NewBoard() *Board { return &Board{topics: map[string]wire.Topic{}, fresh: map[string]bool{}} }
+func NewBoard() *Board {
+	return &Board{topics: map[string]kept{}, fresh: map[string]bool{}, sums: map[string]uint64{}}
+}
 
 // Newer tells whether a topic's mark is past another's.
 //
@@ -31,11 +43,20 @@
 //
 //	if board.Put(topic) { ... }
 func (b *Board) Put(topic wire.Topic) bool {
-	kept, ok := b.topics[topic.Name]
-	if ok && !Newer(topic, kept) {
+	before, known := b.topics[topic.Name]
+	if known && !Newer(topic, before.Topic) {
 		return false
 	}
-	b.topics[topic.Name] = topic
+	next := kept{Topic: topic, service: before.service, hash: hash(topic)}
+	if !known {
+		next.service = ServiceOf(topic.Name)
+		at, _ := slices.BinarySearch(b.names, topic.Name)
+		b.names = slices.Insert(b.names, at, topic.Name)
+	}
+	if summed(topic.Name) {
+		b.sums[next.service] += next.hash - before.hash
+	}
+	b.topics[topic.Name] = next
 	b.fresh[topic.Name] = true
 	return true
 }
@@ -44,21 +65,14 @@
 //
 //	topic, ok := board.Get("policy")
 func (b *Board) Get(name string) (wire.Topic, bool) {
-	topic, ok := b.topics[name]
-	return topic, ok
+	kept, ok := b.topics[name]
+	return kept.Topic, ok
 }
 
-// Names lists the topics kept, sorted.
+// Names lists the topics kept, sorted. Nobody may change the list.
 //
 //	for _, name := range board.Names() { ... }
-func (b *Board) Names() []string {
-	names := make([]string, 0, len(b.topics))
-	for name := range b.topics {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func (b *Board) Names() []string { return b.names }
 
 // Fresh returns the topics that rose since it was last asked.
 //
@@ -68,9 +82,9 @@
 	if len(b.fresh) == 0 {
 		return nil
 	}
-	for _, name := range b.Names() {
-		if b.fresh[name] {
-			out = append(out, b.topics[name])
+	for _, name := range slices.Sorted(maps.Keys(b.fresh)) {
+		if topic, known := b.topics[name]; known {
+			out = append(out, topic.Topic)
 		}
 	}
 	b.fresh = map[string]bool{}
@@ -82,35 +96,31 @@
 //	board.Renew("policy")
 func (b *Board) Renew(name string) { b.fresh[name] = true }
 
-// Have lists the marks kept, without bodies, of the topics asked for.
-//
-//	subscribe := &wire.Subscribe{Have: board.Have(nil)}
-func (b *Board) Have(only func(name string) bool) []wire.Topic {
+// have lists the marks kept of a service, without bodies; of all if none is named.
+func (b *Board) have(service string) []wire.Topic {
 	var out []wire.Topic
-	for _, name := range b.Names() {
-		if only == nil || only(name) {
-			kept := b.topics[name]
+	for _, name := range b.names {
+		if kept := b.topics[name]; service == "" || kept.service == service {
 			out = append(out, wire.Topic{Name: name, Term: kept.Term, Step: kept.Step})
 		}
 	}
 	return out
 }
 
-// Since answers a subscriber with all that is past what it has.
-//
-//	told := board.Since(subscribe, nil)
-func (b *Board) Since(asked *wire.Subscribe, only func(name string) bool) *wire.News {
-	have := map[string]wire.Topic{}
-	for _, topic := range asked.Have {
+// since is all of a service that is past what a subscriber has.
+func (b *Board) since(service string, listed []wire.Topic) *wire.News {
+	have := make(map[string]wire.Topic, len(listed))
+	for _, topic := range listed {
 		have[topic.Name] = topic
 	}
 	told := &wire.News{}
-	for _, name := range b.Names() {
-		if only != nil && !only(name) {
+	for _, name := range b.names {
+		kept := b.topics[name]
+		if service != "" && kept.service != service {
 			continue
 		}
-		if kept, ok := have[name]; !ok || Newer(b.topics[name], kept) {
-			told.Topics = append(told.Topics, b.topics[name])
+		if other, ok := have[name]; !ok || Newer(kept.Topic, other) {
+			told.Topics = append(told.Topics, kept.Topic)
 		}
 	}
 	return told
--- a/internal/controlplane/distribution/distribution_test.go
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -27,15 +27,62 @@
 }
 
 func TestSubscribersGetWhatTheyLack(t *testing.T) {
+	holder := NewBoard()
+	for _, topic := range []wire.Topic{{Name: "policy", Step: 3}, {Name: "homes/llm/w1", Term: 1, Step: 1}, {Name: "homes/llm/w2", Term: 1, Step: 7}, {Name: WaitsTopic, Term: 4}, {Name: ZoneTopic, Step: 1}} {
+		holder.Put(topic)
+	}
+	cases := []struct {
+		name    string
+		has     []wire.Topic
+		service string
+		asked   bool // for its list
+		told    []string
+	}{
+		{"nothing yet", nil, "homes/llm", false, []string{"homes/llm/w1", "homes/llm/w2"}},
+		{"the same", []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: 1}, {Name: "homes/llm/w2", Term: 1, Step: 7}}, "homes/llm", false, nil},
+		{"one is older", []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: 1}, {Name: "homes/llm/w2", Term: 1, Step: 6}}, "homes/llm", true, []string{"homes/llm/w2"}},
+		{"one is newer than here", []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: 1}, {Name: "homes/llm/w2", Term: 2}}, "homes/llm", true, nil},
+		{"the marks of two are those of each other", []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: 7}, {Name: "homes/llm/w2", Term: 1, Step: 1}}, "homes/llm", true, []string{"homes/llm/w2"}},
+		{"all, but waits and a zone of its own", []wire.Topic{{Name: "policy", Step: 3}, {Name: "homes/llm/w1", Term: 1, Step: 1}, {Name: "homes/llm/w2", Term: 1, Step: 7}, {Name: ZoneTopic, Step: 1}}, "", false, nil},
+		{"another service of which nobody holds anything", nil, "homes/app", false, nil},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			c := qt.New(t)
+			board := NewBoard()
+			for _, topic := range one.has {
+				board.Put(topic)
+			}
+			kind, answer := holder.Answers(board.Asks(one.service))
+			if asked, is := answer.(*wire.Subscribe); is {
+				c.Check(one.asked && asked.Tell && kind == wire.KindSubscribe, qt.IsTrue)
+				_, listed := board.Answers(asked)
+				kind, answer = holder.Answers(listed.(*wire.Subscribe))
+			} else {
+				c.Check(one.asked, qt.IsFalse)
+			}
+			var told []string
+			if one.told != nil {
+				c.Assert(kind, qt.Equals, wire.KindNews)
+				for _, topic := range answer.(*wire.News).Topics {
+					told = append(told, topic.Name)
+				}
+			}
+			c.Check(told, qt.DeepEquals, one.told)
+			c.Check(answer != nil, qt.Equals, one.told != nil)
+		})
+	}
+}
+
+func TestFreshIsToldOnce(t *testing.T) {
 	c := qt.New(t)
 	board := NewBoard()
 	board.Put(wire.Topic{Name: "policy", Step: 3})
 	board.Put(wire.Topic{Name: "homes/llm/w1", Term: 1, Step: 1})
-	told := board.Since(&wire.Subscribe{Have: []wire.Topic{{Name: "policy", Step: 3}}}, nil)
-	c.Check(told.Topics, qt.HasLen, 1)
-	c.Check(told.Topics[0].Name, qt.Equals, "homes/llm/w1")
 	c.Check(board.Fresh(), qt.HasLen, 2)
 	c.Check(board.Fresh(), qt.HasLen, 0)
+	board.Renew("policy")
+	c.Check(board.Fresh(), qt.HasLen, 1)
 }
 
 // All agents of a zone agree on a home, homes are spread over services, and
--- a/internal/controlplane/partition/waits.go
+++ b/internal/controlplane/partition/waits.go
@@ -4,12 +4,10 @@
 	"cmp"
 	"slices"
 
+	"applequay/internal/controlplane/distribution"
 	"applequay/internal/transport/wire"
 )
 
-// WaitsTopic names the news of when what waits for the store will be there.
-const WaitsTopic = "waits"
-
 // publishWaits tells the fronts, from the store's key, when each load that has
 // or waits for a turn can be done at the earliest, so that who cannot be served
 // in time hears so at once. What jumps the queue makes it later, never earlier.
@@ -22,7 +20,7 @@
 	p.toldWaits, p.waitsMs = waiting, now
 	p.news++
 	body := wire.Encode(&wire.Waits{WallMs: p.view.WallMs, Waits: p.foresee(now)})
-	out.After(p.self, wire.KindNews, &wire.News{Topics: []wire.Topic{{Name: WaitsTopic, Term: p.state.Fence, Step: p.state.Input<<16 | p.news&0xffff, Body: body}}})
+	out.After(p.self, wire.KindNews, &wire.News{Topics: []wire.Topic{{Name: distribution.WaitsTopic, Term: p.state.Fence, Step: p.state.Input<<16 | p.news&0xffff, Body: body}}})
 }
 
 // foresee gives turns in the order in which the store's key will, as if each
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -121,7 +121,7 @@
 // also asks for what the agent knows and this process does not.
 func (p *Plugboard) report(turn int) {
 	if turn%subscribeEvery == 0 {
-		p.cable.Send(p.agent, wire.KindSubscribe, &wire.Subscribe{Have: p.board.Have(nil)})
+		p.cable.Send(p.agent, wire.KindSubscribe, p.board.Asks(""))
 	}
 	told := &wire.Report{}
 	for _, want := range p.holding {
@@ -158,6 +158,10 @@
 		if changed {
 			p.renew()
 		}
+	case *wire.Subscribe:
+		if kind, body := p.board.Answers(told); told.Tell {
+			p.cable.Send(p.agent, kind, body)
+		}
 	case *wire.Waits:
 		p.told.Waits, p.told.WaitsTo = map[string]int64{}, p.now()+told.ValidMs
 		for _, wait := range told.Waits {
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -95,6 +95,12 @@
 
 // fed takes what the agent feeds its proxy.
 func (f *front) fed(_ string, body wire.Record) {
+	if asked, is := body.(*wire.Subscribe); is {
+		if kind, listed := f.heard.Answers(asked); asked.Tell {
+			f.world.Send(&f.board.Node, f.Addr, kind, listed)
+		}
+		return
+	}
 	told, ok := body.(*wire.News)
 	if !ok {
 		f.ticket(f.book.Hear(f.Clock(), body))
@@ -150,7 +156,7 @@
 func (f *front) report() {
 	w := f.world
 	f.ticket(f.book.Tick(f.Clock()))
-	w.Send(&f.board.Node, f.Addr, wire.KindSubscribe, &wire.Subscribe{Have: f.heard.Have(nil)})
+	w.Send(&f.board.Node, f.Addr, wire.KindSubscribe, f.heard.Asks(""))
 	told := &wire.Report{}
 	if f.bad != nil {
 		f.came += 10
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -687,10 +687,11 @@
 type Subscribe struct {
 	Service string  `avro:"service"`
 	Have    []Topic `avro:"have"`
-	All     bool    `avro:"all"`
+	Sum     int64   `avro:"sum"`
+	Tell    bool    `avro:"tell"`
 }
 
-var schemaSubscribe = schemaOf(`{"name":"Subscribe","type":"record","fields":[{"name":"service","type":"string"},{"name":"have","type":{"type":"array","items":"Topic"}},{"name":"all","type":"boolean"}]}`)
+var schemaSubscribe = schemaOf(`{"name":"Subscribe","type":"record","fields":[{"name":"service","type":"string"},{"name":"have","type":{"type":"array","items":"Topic"}},{"name":"sum","type":"long"},{"name":"tell","type":"boolean"}]}`)
 
 // Schema returns the schema for Subscribe.
 func (o *Subscribe) Schema() avro.Schema {
