--- a/internal/controlplane/controller/push_test.go
+++ b/internal/controlplane/controller/push_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"applequay/internal/controlplane/distribution"
 	"applequay/internal/transport/wire"
 )
 
@@ -25,8 +26,8 @@
 	}{
 		{"all", wire.Subscribe{}, []string{"homes/llm/w1"}, true},
 		{"homes of a pool", wire.Subscribe{Service: "homes/llm"}, []string{"homes/llm/w1"}, false},
-		{"control", wire.Subscribe{Service: ControlService}, nil, true},
-		{"the policy it has", wire.Subscribe{Service: ControlService, Have: []wire.Topic{{Name: PolicyKey, Step: 7}}}, nil, false},
+		{"control", wire.Subscribe{Service: distribution.ControlService}, nil, true},
+		{"the policy it has", wire.Subscribe{Service: distribution.ControlService, Have: []wire.Topic{{Name: PolicyKey, Step: 7}}}, nil, false},
 		{"homes it has", wire.Subscribe{Service: "homes/llm", Have: []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: 3}}}, nil, false},
 		{"homes of another pool", wire.Subscribe{Service: "homes/app"}, nil, false},
 	}
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -412,9 +412,10 @@
 	Seq     int64    `avro:"seq"`
 	WallMs  int64    `avro:"wallMs"`
 	Members []Member `avro:"members"`
+	Sums    []int64  `avro:"sums"`
 }
 
-var schemaProbe = schemaOf(`{"name":"Probe","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}}]}`)
+var schemaProbe = schemaOf(`{"name":"Probe","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}},{"name":"sums","type":{"type":"array","items":"long"}}]}`)
 
 // Schema returns the schema for Probe.
 func (o *Probe) Schema() avro.Schema {
@@ -710,10 +711,11 @@
 type Subscribe struct {
 	Service string  `avro:"service"`
 	Have    []Topic `avro:"have"`
-	All     bool    `avro:"all"`
+	Sum     int64   `avro:"sum"`
+	Tell    bool    `avro:"tell"`
 }
 
-var schemaSubscribe = schemaOf(`{"name":"Subscribe","type":"record","fields":[{"name":"service","type":"string"},{"name":"have","type":{"type":"array","items":"Topic"}},{"name":"all","type":"boolean"}]}`)
+var schemaSubscribe = schemaOf(`{"name":"Subscribe","type":"record","fields":[{"name":"service","type":"string"},{"name":"have","type":{"type":"array","items":"Topic"}},{"name":"sum","type":"long"},{"name":"tell","type":"boolean"}]}`)
 
 // Schema returns the schema for Subscribe.
 func (o *Subscribe) Schema() avro.Schema {
