Agent and feed rest until something is due; the proxy hears what changed

Cause: an agent woke twenty times a second to look at its clock and told its proxy five times that it is in touch; the proxy woke ten times and asked twice what it lacks. At a start an agent asked all controllers at once, and got as many copies of the configuration.

Change: an agent with nothing under way rests until its next probe, answer or end of suspicion (DueMs); the event loop sets its timer by that. The proxy is told at once that contact or the number of fronts changed, and else every two or four probes. A young agent asks one controller after the other.

Simulated fronts rest by the same rule, so all scenarios go through it.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -62,6 +62,11 @@
 	// passing is what the zone's peers are to be told, newsMs when news went last.
 	passing map[string]wire.Topic
 	newsMs  int64
+	// toldFronts and toldContact are what the proxy was told; youngAsked counts
+	// the controllers asked at the start.
+	toldFronts  int64
+	toldContact wire.Contact
+	youngAsked  int
 	// newestOf and frontsOf are the versions of the members that were looked at.
 	newestOf, frontsOf int64
 	// told was passed on at toldMs; a tally came at tallyMs, uses alone at usesMs.
--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -131,9 +131,16 @@
 func (l *Line) contact(now int64, out *wire.Outputs) {
 	l.watchFronts(now)
 	l.settle(now)
-	if l.inTouch() {
-		out.Send(l.boot.Proxy, wire.KindContact, &wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4, GraceMs: l.graceMs()})
+	if !l.inTouch() {
+		l.toldContact = wire.Contact{}
+		return
 	}
+	told := wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4, GraceMs: l.graceMs()}
+	if told == l.toldContact && !l.due(now, "unchanged", 2*l.boot.ProbeMs) {
+		return
+	}
+	l.toldContact, l.timers["unchanged"] = told, now
+	out.Send(l.boot.Proxy, wire.KindContact, &told)
 }
 
 // sortedRosters are those of a list by the marks that replaced them.
--- /dev/null
+++ b/internal/controlplane/agent/rest_test.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/controlplane/controller"
+	"applequay/internal/controlplane/register"
+	"applequay/internal/transport/wire"
+)
+
+const proxyAddr = "10.0.2.1:1"
+
+// rested is a front among others, long after its start, with nothing under way; a
+// controller told it of a policy.
+func rested(fronts int) *Line {
+	line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Zone: "z", Proxy: proxyAddr, LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
+	line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+	members := []wire.Member{{ID: "c1~z", Role: "controller", Addr: "10.0.0.1:1", Born: 5}}
+	for i := range fronts - 1 {
+		members = append(members, wire.Member{ID: fmt.Sprintf("l%d~b", i+2), Role: "agent", Zone: "z", Addr: fmt.Sprintf("10.0.1.%d:1", i+2), Born: 5})
+	}
+	line.Hear(2, "c1~z", &wire.ProbeAck{Members: members})
+	line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: register.FateDone, Has: true, Value: wire.Value{Mark: 5, Body: []byte("{}")}}}}})
+	for now := int64(50); now <= 5000; now += 50 {
+		line.answerAll(now, line.Tick(now, now))
+	}
+	return line
+}
+
+// answerAll lets all who are probed answer.
+func (l *Line) answerAll(now int64, out wire.Outputs) {
+	for _, send := range out.Sends {
+		if probe, is := send.Body.(*wire.Probe); is {
+			l.Hear(now, send.To, &wire.ProbeAck{Seq: probe.Seq})
+		}
+	}
+}
+
+// An agent rests until its next probe, unless something is under way.
+func TestRests(t *testing.T) {
+	homes := func(mark int64) wire.Record {
+		return &wire.News{Topics: []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: mark}}}
+	}
+	cases := []struct {
+		name  string
+		then  func(l *Line, now int64)
+		rests bool
+	}{
+		{"nothing happens", func(*Line, int64) {}, true},
+		{"the first news goes on at once", func(l *Line, now int64) { l.Hear(now, "c1~z", homes(1)) }, true},
+		{"the second soon after it waits", func(l *Line, now int64) { l.Hear(now, "c1~z", homes(1)); l.Hear(now+1, "c1~z", homes(2)) }, false},
+		{"an operator's call", func(l *Line, now int64) { l.Change(now, 1, register.Write{Key: controller.PolicyKey}) }, false},
+		{"a key asked for", func(l *Line, now int64) { l.Hear(now, "s1~x", &wire.TicketWish{Op: 1, Key: "k"}) }, false},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			c := qt.New(t)
+			line, now := rested(4), int64(5010)
+			one.then(line, now)
+			due := line.DueMs(now + 1)
+			c.Check(due > now+1, qt.Equals, one.rests, qt.Commentf("due at %d, now %d", due, now+1))
+			c.Check(due <= now+1+200, qt.IsTrue)
+		})
+	}
+}
+
+// Bursts of news of homes go to peers and proxy together; a policy goes at once.
+func TestBurstsGoTogether(t *testing.T) {
+	c := qt.New(t)
+	line := rested(4)
+	count := func(out wire.Outputs) (peers, proxy int) {
+		for _, send := range out.Sends {
+			if _, is := send.Body.(*wire.News); is && send.To == proxyAddr {
+				proxy++
+			} else if is {
+				peers++
+			}
+		}
+		return peers, proxy
+	}
+	var peers, proxy int
+	add := func(out wire.Outputs) {
+		toPeers, toProxy := count(out)
+		peers, proxy = peers+toPeers, proxy+toProxy
+	}
+	now := int64(5010)
+	for step := range int64(40) {
+		// Forty in a fifth of a second, and ticks every 50 ms.
+		now += 5
+		add(line.Hear(now, "c1~z", &wire.News{Topics: []wire.Topic{{Name: fmt.Sprintf("homes/llm/w%d", step%8), Term: 1, Step: step}}}))
+		if now%50 == 0 {
+			add(line.Tick(now, now))
+		}
+	}
+	c.Check(proxy <= 5 && proxy >= 3, qt.IsTrue, qt.Commentf("%d to the proxy", proxy))
+	c.Check(peers <= 15 && peers >= 9, qt.IsTrue, qt.Commentf("%d to three peers", peers))
+	add(line.Tick(now+60, now+60))
+	at, _ := line.board.Get("homes/llm/w7")
+	c.Check(at.Step, qt.Equals, int64(39))
+	c.Check(line.passing, qt.HasLen, 0)
+
+	line.Hear(now+61, "c1~z", &wire.News{Topics: []wire.Topic{{Name: "homes/llm/w1", Term: 2}}})
+	peers, proxy = count(line.Hear(now+62, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: 9, Body: []byte("{}")}}}))
+	c.Check([]int{peers, proxy}, qt.DeepEquals, []int{3, 1}, qt.Commentf("a policy waits for nothing"))
+}
+
+// The proxy hears that all is as it was only now and then, and at once what changed;
+// one that was started again is told anew.
+func TestContactIsToldWhenItChanges(t *testing.T) {
+	c := qt.New(t)
+	line := rested(4)
+	line.Hear(5010, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.DirectoryKey, Step: 1, Body: wire.Encode(&wire.WorkerList{})}}})
+	line.Hear(5020, "s1~x", &wire.Report{})
+	told := func(from, to int64) (contacts, fleets int) {
+		for now := from; now < to; now += 50 {
+			out := line.Tick(now, now)
+			line.answerAll(now, out)
+			for _, send := range out.Sends {
+				switch send.Body.(type) {
+				case *wire.Contact:
+					contacts++
+				case *wire.Fleet:
+					fleets++
+				}
+			}
+		}
+		return contacts, fleets
+	}
+	told(5050, 6000)
+	contacts, fleets := told(6000, 10000)
+	c.Check(contacts >= 9 && contacts <= 11, qt.IsTrue, qt.Commentf("%d contacts in 4 s", contacts))
+	c.Check(fleets >= 4 && fleets <= 6, qt.IsTrue, qt.Commentf("%d fleets in 4 s", fleets))
+	line.Hear(10010, "s1~y", &wire.Report{})
+	contacts, fleets = told(10050, 10300)
+	c.Check(contacts >= 1 && fleets >= 1, qt.IsTrue, qt.Commentf("%d, %d", contacts, fleets))
+}
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -29,25 +29,47 @@
 	if l.due(now, "contact", l.boot.ProbeMs) {
 		l.contact(now, &out)
 	}
-	if l.due(now, "fleet", 4*l.boot.ProbeMs) {
-		fronts := l.members.Alive("agent")
-		out.Send(l.boot.Proxy, wire.KindFleet, &wire.Fleet{Fronts: int64(max(len(fronts), 1))})
-	}
+	l.fleet(now, &out)
 	l.wantsTick(now, &out)
 	l.resend(now, &out)
 	l.newsOut(now, &out)
 	return out
 }
 
+// fleet tells the proxy how many fronts there are: when that changes, and now and
+// then in case it missed it.
+func (l *Line) fleet(now int64, out *wire.Outputs) {
+	fronts := int64(max(len(l.members.Alive("agent")), 1))
+	if fronts != l.toldFronts || l.due(now, "fleet", 4*l.boot.ProbeMs) {
+		l.toldFronts, l.timers["fleet"] = fronts, now
+		out.Send(l.boot.Proxy, wire.KindFleet, &wire.Fleet{Fronts: fronts})
+	}
+}
+
+// DueMs is when Tick has something to do at the latest, if nothing is heard
+// before: at the next probe where nothing is under way.
+//
+//	if line.DueMs(now) <= now { out := line.Tick(now, wallMs) }
+func (l *Line) DueMs(now int64) int64 {
+	busy := !l.begun || l.young(now) || l.proposer.Busy() || len(l.asking) > 0 || len(l.passing) > 0 || l.board.HasFresh()
+	for _, kept := range l.boxes {
+		busy = busy || len(kept.msgs) > 0
+	}
+	if busy {
+		return now
+	}
+	return l.members.DueMs()
+}
+
 // subscribe asks the zone's home of each service for what is past the marks
 // here, which is little: homes pass on what they are told; a home asks a controller. Once in a while, and while the core is deaf to
 // it, a home asks its zone's peers too, and a front that knows nothing asks all.
 func (l *Line) subscribe(now int64, out *wire.Outputs) {
 	if l.young(now) {
-		if l.due(now, "young", l.boot.ProbeMs/2) {
-			for _, seat := range l.proposer.Core().Seats {
-				out.Send(seat.ID, wire.KindSubscribe, l.board.Asks(""))
-			}
+		if seats := l.proposer.Core().Seats; len(seats) > 0 && l.due(now, "young", l.boot.ProbeMs/2) {
+			// One after the other: each is asked for what those before lacked.
+			l.youngAsked++
+			out.Send(seats[l.youngAsked%len(seats)].ID, wire.KindSubscribe, l.board.Asks(""))
 		}
 	}
 	if !l.due(now, "subscribe", 2*l.boot.ProbeMs) {
--- a/internal/controlplane/agent/tickets.go
+++ b/internal/controlplane/agent/tickets.go
@@ -137,10 +137,15 @@
 // sawBoard notes when another proxy is beside this agent than before:
 // the memory of the one before is lost.
 func (l *Line) sawBoard(now int64, id string) {
-	if l.boardID != "" && l.boardID != id {
+	if l.boardID == id {
+		return
+	}
+	if l.boardID != "" {
 		l.boardAt = l.members.Wall(now)
 	}
 	l.boardID = id
+	// It was told nothing yet.
+	l.toldContact, l.toldFronts = wire.Contact{}, 0
 }
 
 // weigh takes what another front knows of memories that were lost. Fronts older
--- a/internal/controlplane/distribution/distribution.go
+++ b/internal/controlplane/distribution/distribution.go
@@ -91,6 +91,11 @@
 	return out
 }
 
+// HasFresh tells whether any topic rose since it was last asked for them.
+//
+//	if board.HasFresh() { ... }
+func (b *Board) HasFresh() bool { return len(b.fresh) > 0 }
+
 // Renew makes a topic count as risen once more.
 //
 //	board.Renew("policy")
--- a/internal/controlplane/eventloop/eventloop.go
+++ b/internal/controlplane/eventloop/eventloop.go
@@ -59,6 +59,8 @@
 	lastNow  int64
 	jumped   int64
 	looked   int64
+	// ticked is when the machine last had a tick, tickAt when it gets the next.
+	ticked, tickAt int64
 }
 
 // Options are what a position is made of.
@@ -112,8 +114,9 @@
 //
 //	err := control.Run(ctx)
 func (p *Position) Run(ctx context.Context) error {
-	ticker := time.NewTicker(p.tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(p.tick)
+	defer timer.Stop()
+	p.tickAt = p.Now() + p.tick.Milliseconds()
 	var done chan Written
 	if p.writer != nil {
 		done = p.writer.done
@@ -132,8 +135,9 @@
 					more = false
 				}
 			}
-		case <-ticker.C:
+		case <-timer.C:
 			now := p.Now()
+			p.ticked, p.tickAt = now, never
 			p.perform(now, p.machine.Tick(now, p.wall()))
 			p.watchDisk(now)
 			p.watchMachine(now)
@@ -152,6 +156,7 @@
 		}
 		p.drain()
 		p.flush()
+		p.arm(timer)
 	}
 }
 
--- a/internal/controlplane/idempotency/hear.go
+++ b/internal/controlplane/idempotency/hear.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// Busy tells whether any key waits for what others say.
+//
+//	if book.Busy() { ... }
+func (b *Book) Busy() bool { return len(b.wishes) > 0 }
+
 // Tick says wishes again that were not heard, gives up those that wait too
 // long, and forgets keys that may not be repeated any more.
 //
--- a/internal/controlplane/membership/list.go
+++ b/internal/controlplane/membership/list.go
@@ -12,6 +12,8 @@
 	ids     []string
 	all     []wire.Member
 	alive   map[string][]wire.Member
+	// suspectMs is since when the first of those suspected is; nought if none is.
+	suspectMs int64
 }
 
 // All lists everyone known, this node among them, sorted by id. Nobody may
@@ -53,7 +55,11 @@
 		if !self && m.self.ID < id {
 			self, next.all = true, append(next.all, m.self)
 		}
-		next.all = append(next.all, m.table[id].member)
+		kept := m.table[id]
+		next.all = append(next.all, kept.member)
+		if wire.Standing(kept.member.Standing) == wire.StandingSuspect && (next.suspectMs == 0 || kept.since < next.suspectMs) {
+			next.suspectMs = kept.since
+		}
 	}
 	if !self {
 		next.all = append(next.all, m.self)
@@ -64,3 +70,17 @@
 
 // ids are those of all others, sorted. Nobody may change the list.
 func (m *Members) ids() []string { return m.list().ids }
+
+// DueMs is when Tick has something to do at the latest, if nothing is heard before.
+//
+//	if picture.DueMs() <= now { out := picture.Tick(now) }
+func (m *Members) DueMs() int64 {
+	due := m.probed + m.limits.ProbeMs
+	for _, sent := range m.probes {
+		due = min(due, sent.sent+m.limits.AnswerMs)
+	}
+	if since := m.list().suspectMs; since > 0 {
+		due = min(due, since+m.limits.SuspectMs)
+	}
+	return due
+}
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -240,6 +240,11 @@
 	return out
 }
 
+// Busy tells whether any call is under way.
+//
+//	if proposer.Busy() { ... }
+func (p *Proposer) Busy() bool { return len(p.ops) > 0 }
+
 func (p *Proposer) finish(out *wire.Outputs, o *operation, outcome Outcome) {
 	delete(p.ops, o.op)
 	out.Answers = append(out.Answers, wire.Answer{Call: o.call, Body: outcome})
--- a/internal/dataplane/feed/demand.go
+++ b/internal/dataplane/feed/demand.go
@@ -1,6 +1,10 @@
 package feed
 
-import "applequay/internal/transport/wire"
+import (
+	"time"
+
+	"applequay/internal/transport/wire"
+)
 
 // work is a request for an item that began or ended at a server.
 type work struct {
@@ -83,9 +87,9 @@
 }
 
 // tally tells the agent how much each item is asked for; an item that is not any more is told of once.
-func (p *Plugboard) tally() {
+func (p *Plugboard) tally(past time.Duration) {
 	told := &wire.Tally{}
-	seconds := reportEvery.Seconds() * tallyEvery
+	seconds := min(past, aliveEvery).Seconds()
 	for item, kept := range p.demand {
 		now := int64(float64(kept.began) * 1000 / seconds)
 		kept.rate, kept.began = (kept.rate*rateKeep+now*(rateParts-rateKeep))/rateParts, 0
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -44,6 +44,8 @@
 	put     func(*routing.Table)
 	chain   *pipeline.Switch
 	current func() *routing.Table
+	// aliveAt is when the agent heard of this process last, talliedAt of its demand.
+	aliveAt, talliedAt time.Time
 }
 
 // New makes a feed for the agent at an address.
@@ -80,14 +82,6 @@
 	}
 }
 
-// Times of the feed's own work.
-const (
-	reportEvery    = 100 * time.Millisecond
-	subscribeEvery = 5  // reports
-	tallyEvery     = 4  // reports
-	useEvery       = 10 // reports
-)
-
 // contactAnswers is for how many times that others may take to answer a word of
 // contact holds.
 const contactAnswers = 2
@@ -96,9 +90,9 @@
 //
 //	err := plugs.Run(ctx)
 func (p *Plugboard) Run(ctx context.Context) error {
-	report := time.NewTicker(reportEvery)
-	defer report.Stop()
-	for turn := 0; ; {
+	timer := time.NewTimer(reportEvery)
+	defer timer.Stop()
+	for resting := false; ; {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -114,37 +108,19 @@
 			p.nextID++
 			p.waiting[p.nextID] = ask.back
 			p.perform(p.book.Take(p.clock(), p.nextID, ask.call))
-		case <-report.C:
+		case <-timer.C:
 			p.perform(p.book.Tick(p.clock()))
-			p.report(turn)
-			turn++
+			p.report()
+			if resting = !p.waits(); resting {
+				timer.Reset(restEvery)
+			} else {
+				timer.Reset(reportEvery)
+			}
 		}
-	}
-}
-
-// report tells the agent what is held, and now and then what is in work; it
-// also asks for what the agent knows and this process does not.
-func (p *Plugboard) report(turn int) {
-	if turn%subscribeEvery == 0 {
-		p.cable.Send(p.agent, wire.KindSubscribe, p.board.Asks(""))
-	}
-	told := &wire.Report{}
-	for _, want := range p.holding {
-		told.Wants = append(told.Wants, *want)
-	}
-	for item, one := range p.coming {
-		if p.holding[item] != nil || p.now() > one.untilMs {
-			delete(p.coming, item)
-			continue
+		if resting && p.waits() {
+			resting = false
+			timer.Reset(reportEvery)
 		}
-		told.Wants = append(told.Wants, wire.Want{Item: item, Held: 1, Weight: one.weight})
-	}
-	if turn%tallyEvery == 0 {
-		p.tally()
-	}
-	told.Came, told.Bad = p.counts.Came.Load(), p.counts.Bad.Load()
-	if len(told.Wants) > 0 || turn%useEvery == 0 {
-		p.cable.Send(p.agent, wire.KindReport, told)
 	}
 }
 
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -43,7 +43,11 @@
 	f := &front{zone: zone}
 	f.node = w.newNode(name, addr)
 	f.Hear = func(from string, body wire.Record) { f.perform(f.line.Hear(f.Clock(), from, body)) }
-	f.Tick = func() { f.perform(f.line.Tick(f.Clock(), w.NowMs+f.WallMs)) }
+	f.Tick = func() {
+		if f.line.DueMs(f.Clock()) <= f.Clock() {
+			f.perform(f.line.Tick(f.Clock(), w.NowMs+f.WallMs))
+		}
+	}
 	f.board = w.newNode("s"+name[1:], strings.Replace(addr, ":1", ":2", 1))
 	f.board.ID = "s" + name
 	f.board.Hear = f.fed
