--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -27,15 +27,13 @@
 
 // Boot is what a controller is told at its start.
 type Boot struct {
-	ID, Name, Addr, Zone, Outward string
-	Born                          int64
-	Core                          []string
-	Seeds                         []string
-	Partitions                    int64
-	LeaseMs, PollMs, ProbeMs      int64
-	CallMs                        int64
-	// ListPerS is how many calls a second the worker list allows to all nodes
-	// together; nought for no bound.
+	ID, Name, Addr, Zone, Outward    string
+	Born                             int64
+	Core                             []string
+	Seeds                            []string
+	Partitions                       int64
+	LeaseMs, PollMs, ProbeMs, CallMs int64
+	// ListPerS bounds the calls a second to the worker list, of all nodes; 0: no bound.
 	ListPerS int64
 	// CatchUpMs is how long after its start a core machine must take part.
 	CatchUpMs int64
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -91,8 +91,7 @@
 	phaseEnds, ends  int64
 	began            int64
 	attempts         int
-	// epoch is that of the core set whose majorities this attempt counts.
-	epoch int64
+	epoch            int64 // of the core set whose majorities this attempt counts
 }
 
 // numbers is from how many the first operation's number is drawn: an answer to
