Fronts ask a controller too: a zone's home may be cut off from them

Cause: fronts took what must be in force everywhere (configuration, worker list) from their zone's home and from peers in the zone alone. A home that is cut off from the controllers but not from the other fronts stands well in everybody's eyes and stays the home; the others in its zone, in touch all the while, kept the old configuration for as long as the cut lasts.

Ruled out: another home chosen by what members say of their contact, since such a word takes about as long as the cut before it is known, and choice then flutters.

Change: each front asks one of the controllers that stand for the control service, by its sum, every third probe (600 ms), whoever the home is.

TestHomeWithoutControllers failed before on both shapes (31 and 52 versions not in force in time) and passes.

--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"applequay/internal/controlplane/controller"
 	"applequay/internal/controlplane/distribution"
@@ -72,20 +73,16 @@
 			out.Send(seats[l.youngAsked%len(seats)].ID, wire.KindSubscribe, l.board.Asks(""))
 		}
 	}
+	l.askController(now, out)
 	if !l.due(now, "subscribe", 2*l.boot.ProbeMs) {
 		return
 	}
 	agents := l.members.Alive("agent")
-	seats := l.proposer.Core().Seats
 	for _, service := range l.services() {
-		asked := l.board.Asks(service)
-		home := distribution.Home(service, l.boot.Zone, agents)
-		if home != l.boot.ID && home != "" {
-			out.Send(home, wire.KindSubscribe, asked)
-			continue
-		}
-		if len(seats) > 0 {
-			out.Send(seats[l.random.Intn(len(seats))].ID, wire.KindSubscribe, asked)
+		if home := distribution.Home(service, l.boot.Zone, agents); home != l.boot.ID && home != "" {
+			out.Send(home, wire.KindSubscribe, l.board.Asks(service))
+		} else {
+			l.askAnyController(out, service)
 		}
 	}
 	if _, knows := l.board.Get(controller.PolicyKey); knows && !l.due(now, "peers", 8*l.boot.ProbeMs) {
@@ -99,6 +96,30 @@
 	}
 }
 
+// askController asks a controller itself what must be in force everywhere in time
+// (configuration, worker list): the zone's home may be cut off from the
+// controllers while it stands well among the fronts. A question holds a sum.
+func (l *Line) askController(now int64, out *wire.Outputs) {
+	if !l.young(now) && l.due(now, "controller", 3*l.boot.ProbeMs) {
+		l.askAnyController(out, distribution.ControlService)
+	}
+}
+
+// askAnyController asks one of the controllers that stand, or any if none does.
+func (l *Line) askAnyController(out *wire.Outputs, service string) {
+	seats := slices.Clone(l.proposer.Core().Seats)
+	well := slices.DeleteFunc(slices.Clone(seats), func(seat wire.Seat) bool {
+		standing, _ := l.members.Standing(seat.ID)
+		return standing != wire.StandingWell
+	})
+	if len(well) > 0 {
+		seats = well
+	}
+	if len(seats) > 0 {
+		out.Send(seats[l.random.Intn(len(seats))].ID, wire.KindSubscribe, l.board.Asks(service))
+	}
+}
+
 // young tells whether this front started so lately that it may lack what others
 // know, and what all controllers have is worth asking for.
 func (l *Line) young(now int64) bool { return now-l.startMs < 8*l.boot.ProbeMs }
