Orders: refused only where they were taken nowhere and never will be

Cause: an order whose base is above the version in place got 412, although an earlier sending of it (waiting at a node, given to another proposer's round, in a frozen process) takes effect once the base comes: refused, then in force.

Ruled out: refusals as tombstones in the value (a write for every refusal, and bounded again); a time after which no sending can be under way (a frozen process has none).

Change: register.Fared says how a write that may have been sent before fares by a value; register.Write carries Again. Stale is final now: below the version in place and not forgotten. The lineage holds digests of 8 bytes and varints instead of names, 256 at least and up to an eighth of the body, at most 4096, and Forgot, the newest mark that it dropped: a write that expected Forgot or more is told exactly, of one that expected less nobody can tell.

--- a/internal/controlplane/adminapi/policies.go
+++ b/internal/controlplane/adminapi/policies.go
@@ -6,7 +6,6 @@
 	"applequay/internal/controlplane/controller"
 	"applequay/internal/controlplane/eventloop"
 	"applequay/internal/controlplane/register"
-	"applequay/internal/transport/wire"
 )
 
 // Policies is the register of the policy, for those who serve operators in
@@ -25,13 +24,14 @@
 //
 //	outcome := adminapi.Policies{Control: control}.Change(ctx, 5, 7, body, name)
 func (p Policies) Change(ctx context.Context, expected, next int64, body []byte, name string) register.Outcome {
-	return p.Control.Change(ctx, eventloop.Write{Key: controller.PolicyKey, Expected: expected, Next: next, Body: body, Name: name})
+	return p.Control.Change(ctx, eventloop.Write{Key: controller.PolicyKey, Expected: expected, Next: next, Body: body, Name: name, Again: true})
 }
 
-// Written finds the mark that a write got, by its name, while the value
-// remembers it.
+// Fared tells by what a read found what became of a change that may have been
+// sent before, here or at other nodes.
 //
-//	mark, ok := adminapi.Policies{}.Written(outcome.Value, name)
-func (p Policies) Written(value wire.Value, name string) (int64, bool) {
-	return register.Written(value, name)
+//	outcome := adminapi.Policies{}.Fared(found, 5, 7, name)
+func (p Policies) Fared(found register.Outcome, expected, next int64, name string) register.Outcome {
+	found.Fate = register.Fared(found.Value, register.Write{Expected: expected, Next: next, Name: name})
+	return found
 }
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -104,7 +104,7 @@
 	if asked.Name == "" {
 		asked.Name = fmt.Sprintf("%s#%x", l.boot.ID, l.random.Int63())
 	}
-	return l.proposer.Change(now, call, asked.Key, asked.Expected, asked.Next, asked.Body, asked.Name)
+	return l.proposer.Write(now, call, asked)
 }
 
 // Read runs a read at a majority; the outcome answers the call.
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -23,7 +23,7 @@
 )
 
 // LineageLen is how many writes a register remembers by name.
-const LineageLen = 64
+const LineageLen = 256
 
 // Boot is what a controller is told at its start.
 type Boot struct {
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -129,7 +129,7 @@
 	if asked.Name == "" {
 		asked.Name = f.writeName()
 	}
-	return f.settle(now, f.proposer.Change(now, call, asked.Key, asked.Expected, asked.Next, asked.Body, asked.Name))
+	return f.settle(now, f.proposer.Write(now, call, asked))
 }
 
 // Read runs a read at a majority; the outcome answers the call.
--- /dev/null
+++ b/internal/controlplane/register/lineage.go
@@ -0,0 +1,106 @@
+package register
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+
+	"applequay/internal/transport/wire"
+)
+
+// A value's lineage remembers its newest writes, so that a write that is sent
+// again is known at every node for as long as the value is. Each entry is a
+// digest of the write's name and, as a varint, how far the mark rose with it.
+// Forgot is the mark of the newest write that was dropped. Marks only rise: a
+// write that is not remembered and that expected a mark of Forgot or above was
+// never made; of one that expected less nobody can tell.
+
+const (
+	// digestBytes of SHA-256 stand for a name: two of 4096 names meet once in
+	// 10^12 lineages.
+	digestBytes = 8
+	// lineageShare: a lineage may take this part of its value's body, so that
+	// rounds never carry much more for it; and lineageTimes its least length.
+	lineageShare = 8
+	lineageTimes = 16
+	// entryBytes is what most entries take.
+	entryBytes = digestBytes + 2
+)
+
+// entries goes through what a lineage holds, oldest first, until told to stop.
+func entries(value wire.Value, each func(digest []byte, mark int64, rest []byte) bool) {
+	mark := value.Forgot
+	for rest := value.Lineage; len(rest) > digestBytes; {
+		rose, size := binary.Uvarint(rest[digestBytes:])
+		if size <= 0 {
+			return
+		}
+		digest := rest[:digestBytes]
+		mark, rest = mark+int64(rose), rest[digestBytes+size:]
+		if !each(digest, mark, rest) {
+			return
+		}
+	}
+}
+
+func digestOf(name string) []byte {
+	sum := sha256.Sum256([]byte(name))
+	return sum[:digestBytes]
+}
+
+// Written finds the mark that a write got, by its name, while the value
+// remembers it.
+//
+//	mark, ok := register.Written(outcome.Value, "l2~9c#44")
+func Written(value wire.Value, name string) (written int64, ok bool) {
+	asked := digestOf(name)
+	entries(value, func(digest []byte, mark int64, _ []byte) bool {
+		if bytes.Equal(digest, asked) {
+			written, ok = mark, true
+		}
+		return !ok
+	})
+	return written, ok
+}
+
+// Forgotten tells whether a write that expected a mark, -1 for any, may have
+// been made although the value does not remember it.
+//
+//	if !ok && register.Forgotten(outcome.Value, 5) { ... }
+func Forgotten(value wire.Value, expected int64) bool { return expected < value.Forgot }
+
+// Standing is a value under its own mark, where an outcome told that of an
+// earlier write.
+//
+//	value := register.Standing(outcome.Value)
+func Standing(value wire.Value) wire.Value {
+	entries(value, func(_ []byte, mark int64, _ []byte) bool {
+		value.Mark = max(value.Mark, mark)
+		return true
+	})
+	return value
+}
+
+// remember is the value after a write, with the write in its lineage and as many
+// before it as there is room for.
+func remember(before wire.Value, body []byte, name string, mark int64, least int) wire.Value {
+	if len(before.Lineage) == 0 {
+		before.Forgot = before.Mark
+	}
+	lineage := make([]byte, 0, len(before.Lineage)+digestBytes+binary.MaxVarintLen64)
+	lineage = append(append(lineage, before.Lineage...), digestOf(name)...)
+	lineage = binary.AppendUvarint(lineage, uint64(mark-before.Mark))
+	value := wire.Value{Mark: mark, Body: body, Lineage: lineage, Forgot: before.Forgot}
+	most := min(max(least, len(body)/(lineageShare*entryBytes)), lineageTimes*least)
+	over := -most
+	entries(value, func([]byte, int64, []byte) bool { over++; return true })
+	if over <= 0 {
+		return value
+	}
+	entries(value, func(_ []byte, mark int64, rest []byte) bool {
+		over--
+		value.Forgot, value.Lineage = mark, rest
+		return over > 0
+	})
+	return value
+}
--- /dev/null
+++ b/internal/controlplane/register/lineage_test.go
@@ -0,0 +1,61 @@
+package register
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/transport/wire"
+)
+
+// written is a value after one more write; it remembers four at least.
+func written(before wire.Value, name string, mark int64) wire.Value {
+	return remember(before, before.Body, name, mark, 4)
+}
+
+// Whatever the number of later writes: a write that was made is found, or cannot
+// be told from one that was forgotten; and one that was not made is never found.
+func TestLineageNeverDenies(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []int{0, 700, 4000} {
+		value := wire.Value{Body: bytes.Repeat([]byte("b"), size)}
+		var bases []int64
+		for at := range 200 {
+			bases = append(bases, value.Mark)
+			value = written(value, fmt.Sprint("w", at), value.Mark+1+int64(at%7)*300)
+			for old, base := range bases {
+				_, ok := Written(value, fmt.Sprint("w", old))
+				c.Assert(ok || Forgotten(value, base), qt.IsTrue, qt.Commentf("%d of %d", old, at))
+				c.Assert(ok && Forgotten(value, base) && old == at, qt.IsFalse)
+			}
+			_, ok := Written(value, fmt.Sprint("x", at))
+			c.Assert(ok, qt.IsFalse)
+			c.Assert(Forgotten(value, value.Mark), qt.IsFalse)
+			c.Assert(Standing(value).Mark, qt.Equals, value.Mark)
+		}
+		kept := 0
+		entries(value, func([]byte, int64, []byte) bool { kept++; return true })
+		c.Check(kept, qt.Equals, map[int]int{0: 4, 700: 8, 4000: 50}[size])
+		c.Check(len(value.Lineage) <= max(size/lineageShare, 4*(entryBytes+1)), qt.IsTrue)
+	}
+}
+
+// A value whose last write has no name, as the first core set, is not taken for
+// one that remembers all.
+func TestLineageOfNamelessValues(t *testing.T) {
+	c := qt.New(t)
+	value := written(wire.Value{Mark: 3}, "a", 9)
+	mark, ok := Written(value, "a")
+	c.Check(ok, qt.IsTrue)
+	c.Check(mark, qt.Equals, int64(9))
+	c.Check(Forgotten(value, 2), qt.IsTrue)
+	c.Check(Forgotten(value, 3), qt.IsFalse)
+	// Bytes that are no lineage tell of nothing.
+	for cut := range len(value.Lineage) {
+		broken := wire.Value{Mark: 9, Lineage: value.Lineage[:cut]}
+		_, ok = Written(broken, "a")
+		c.Check(ok, qt.IsFalse)
+	}
+}
--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -62,7 +62,7 @@
 			case known:
 				outcome.Value.Mark = mark
 			case asked.sentMark == 0 && asked.overtaken(value):
-				outcome.Fate = FateStale
+				outcome.Fate = asked.missed(value)
 			default:
 				return false
 			}
@@ -77,7 +77,7 @@
 }
 
 // overtaken tells whether a write can never come about any more.
-func (w *write) overtaken(value wire.Value) bool {
+func (w Write) overtaken(value wire.Value) bool {
 	return (w.Expected >= 0 && value.Mark > w.Expected) || (w.Next > 0 && value.Mark >= w.Next)
 }
 
--- a/internal/controlplane/register/writes.go
+++ b/internal/controlplane/register/writes.go
@@ -1,10 +1,7 @@
 package register
 
 import (
-	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 
 	"applequay/internal/transport/wire"
 )
@@ -12,12 +9,14 @@
 // Write is one compare-and-set as callers ask for it. Expected is the mark that
 // must stand, -1 for any; Next is the mark it shall get, 0 for the one after.
 // Name tells it from all others: a write with a name that the value remembers is
-// acknowledged again.
+// acknowledged again. Again says that it may have been sent before, here or at
+// other nodes; it then fares as all its sendings do together.
 type Write struct {
 	Key            string
 	Expected, Next int64
 	Body           []byte
 	Name           string
+	Again          bool
 }
 
 // write is one caller's write within an operation; those on one register go
@@ -40,14 +39,21 @@
 //
 //	out := proposer.Change(now, call, "policy", 7, 0, body, "l2~9c#44")
 func (p *Proposer) Change(now, call int64, key string, expected, next int64, body []byte, name string) wire.Outputs {
-	asked := &write{Write: Write{Key: key, Expected: expected, Next: next, Body: body, Name: name}, call: call, ends: now + p.limits.CallMs}
+	return p.Write(now, call, Write{Key: key, Expected: expected, Next: next, Body: body, Name: name})
+}
+
+// Write is Change for a write that may have been sent before.
+//
+//	out := proposer.Write(now, call, register.Write{Key: "policy", Expected: 7, Body: body, Name: "9c44", Again: true})
+func (p *Proposer) Write(now, call int64, asked Write) wire.Outputs {
+	one := &write{Write: asked, call: call, ends: now + p.limits.CallMs}
 	for _, op := range sortedOps(p.ops) {
-		if o := p.ops[op]; o.key == key && len(o.writes) > 0 {
-			o.writes = append(o.writes, asked)
+		if o := p.ops[op]; o.key == asked.Key && len(o.writes) > 0 {
+			o.writes = append(o.writes, one)
 			return wire.Outputs{}
 		}
 	}
-	return p.start(now, &operation{key: key, writes: []*write{asked}})
+	return p.start(now, &operation{key: asked.Key, writes: []*write{one}})
 }
 
 // Knows tells whether a write is under way here.
@@ -62,41 +68,6 @@
 	return false
 }
 
-// Written finds the mark that a write got, by its name, while the value
-// remembers it.
-//
-//	mark, ok := register.Written(outcome.Value, "l2~9c#44")
-func Written(value wire.Value, name string) (int64, bool) {
-	for _, entry := range slices.Backward(value.Lineage) {
-		if written, mark := parseEntry(entry); written == name {
-			return mark, true
-		}
-	}
-	return 0, false
-}
-
-// Standing is a value under its own mark, where an outcome told that of an
-// earlier write.
-//
-//	value := register.Standing(outcome.Value)
-func Standing(value wire.Value) wire.Value {
-	if last := len(value.Lineage) - 1; last >= 0 {
-		_, mark := parseEntry(value.Lineage[last])
-		value.Mark = max(value.Mark, mark)
-	}
-	return value
-}
-
-// parseEntry reads what a value remembers of a write, as "l2~9c#44@7".
-func parseEntry(entry string) (string, int64) {
-	at := strings.LastIndexByte(entry, '@')
-	if at < 0 {
-		return entry, 0
-	}
-	mark, _ := strconv.ParseInt(entry[at+1:], 10, 64)
-	return entry[:at], mark
-}
-
 // decide works out what the accept phase carries: the writes that go on top of
 // what is there, in turn; else what is there, so that it is chosen before it is
 // told.
@@ -114,30 +85,41 @@
 			next = current.Mark + 1
 		}
 		if (asked.Expected >= 0 && current.Mark != asked.Expected) || next <= current.Mark {
-			asked.fate = FateStale
-			// One given to another proposer may yet come about, but for what was overtaken.
-			if (asked.sentMark > 0 && p.forgotten(current, asked.sentMark)) || (asked.given != "" && !asked.overtaken(current)) {
-				asked.fate = FateUnknown
-			}
+			asked.fate = asked.missed(current)
 			continue
 		}
-		lineage := append(slices.Clone(current.Lineage), fmt.Sprintf("%s@%d", asked.Name, next))
-		if over := len(lineage) - p.limits.LineageLen; over > 0 {
-			lineage = lineage[over:]
-		}
-		current = wire.Value{Mark: next, Body: asked.Body, Lineage: lineage}
+		current = remember(current, asked.Body, asked.Name, next, p.limits.LineageLen)
 		asked.fate, asked.sentMark, o.hasChosen = FateDone, next, true
 	}
 	o.chosen = current
 }
 
-// forgotten tells whether a value may have had a write that it no longer names.
-func (p *Proposer) forgotten(value wire.Value, mark int64) bool {
-	if len(value.Lineage) < p.limits.LineageLen {
-		return false
+// Fared tells how a write that may have been sent before fares where a value
+// stands: it was done; or, stale, it never was and never will be; else nobody
+// can tell, since a sending may be under way yet, or may have been forgotten.
+//
+//	fate := register.Fared(outcome.Value, asked)
+func Fared(value wire.Value, asked Write) Fate {
+	_, known := Written(value, asked.Name)
+	switch {
+	case known:
+		return FateDone
+	case !asked.overtaken(value) || Forgotten(value, asked.Expected):
+		return FateUnknown
+	}
+	return FateStale
+}
+
+// missed is the fate of a write that a value does not name and that cannot come
+// upon it. One that was offered may have been made and forgotten.
+func (w *write) missed(value wire.Value) Fate {
+	if w.Again || w.given != "" {
+		return Fared(value, w.Write)
+	}
+	if w.sentMark > 0 && w.sentMark <= value.Forgot {
+		return FateUnknown
 	}
-	_, oldest := parseEntry(value.Lineage[0])
-	return oldest > mark
+	return FateStale
 }
 
 // told ends a round: it answers all whose fate it decided, and goes on with
--- a/internal/controlplane/register/writes_test.go
+++ b/internal/controlplane/register/writes_test.go
@@ -51,7 +51,8 @@
 	}
 	_, ok := Written(wire.Value{Mark: 3}, "a")
 	c.Check(ok, qt.IsFalse)
-	late := wire.Value{Mark: 5, Lineage: []string{"a@5", "d@6"}}
+	late := written(written(wire.Value{}, "a", 5), "d", 6)
+	late.Mark = 5
 	c.Check(Standing(late).Mark, qt.Equals, int64(6))
 }
 
@@ -85,8 +86,9 @@
 		answers int
 		fate    Fate
 	}{
-		{"taken along", wire.Value{Mark: 2, Lineage: []string{"x#1@1", "p#1@2"}}, 1, FateDone},
-		{"overtaken", wire.Value{Mark: 1, Lineage: []string{"x#1@1"}}, 1, FateStale},
+		{"taken along", written(written(wire.Value{}, "x#1", 1), "p#1", 2), 1, FateDone},
+		{"overtaken", written(wire.Value{}, "x#1", 1), 1, FateStale},
+		{"overtaken, and perhaps taken along long ago", written(written(written(written(written(written(wire.Value{}, "p#1", 1), "b", 2), "c", 3), "d", 4), "e", 5), "f", 6), 1, FateUnknown},
 		{"nothing yet", wire.Value{Mark: 0}, 0, FateDone},
 	}
 	for _, one := range cases {
@@ -114,6 +116,34 @@
 	}
 }
 
+// A write that was sent before and builds on what is not there yet is not called
+// stale: the sending before may wait here or at another node, and is done once
+// its base comes.
+func TestBaseThatComesLate(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "p", "q")
+	late := Write{Key: "policy", Expected: 7, Next: 9, Body: []byte("late"), Name: "late", Again: true}
+	p := b.proposers["p"]
+	// p leaves another's round its time, and its network is slow then.
+	p.Sense(0, "x", &wire.Prepare{Key: "policy", Ballot: wire.Ballot{N: 9, By: "x"}})
+	b.carry("p", 0, p.Write(0, 1, late))
+	b.carry("q", 0, b.proposers["q"].Write(0, 1, late))
+	for now := int64(20); now < 1600; now += 20 {
+		b.tick("q", now)
+	}
+	c.Check(b.outcomes["q/1"].Fate, qt.Equals, FateUnknown)
+	b.carry("q", 0, b.proposers["q"].Change(0, 2, "policy", 0, 7, []byte("base"), "base"))
+	for now := int64(20); now < 1600; now += 20 {
+		b.tick("q", now)
+		b.tick("p", now)
+	}
+	c.Check(b.outcomes["q/2"].Fate, qt.Equals, FateDone)
+	c.Check(b.outcomes["p/1"].Fate, qt.Equals, FateDone)
+	// One that was never sent before is refused there, as it was.
+	b.carry("q", 2000, b.proposers["q"].Change(2000, 3, "policy", 70, 71, []byte("new"), "new"))
+	c.Check(b.outcomes["q/3"].Fate, qt.Equals, FateStale)
+}
+
 // Once a copy has told which registers there are, nobody makes another under an
 // older core set.
 func TestKeysCloseOldSets(t *testing.T) {
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -30,12 +30,15 @@
 
 // Value is a generated struct.
 type Value struct {
-	Mark    int64    `avro:"mark"`
-	Body    []byte   `avro:"body"`
-	Lineage []string `avro:"lineage"`
+	Mark int64  `avro:"mark"`
+	Body []byte `avro:"body"`
+	// The newest writes, oldest first: a digest of each name and how far its mark rose.
+	Lineage []byte `avro:"lineage"`
+	// The newest mark whose write the lineage no longer holds; 0 if it holds all.
+	Forgot int64 `avro:"forgot"`
 }
 
-var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"mark","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":{"type":"array","items":"string"}}]}`)
+var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"mark","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":"bytes"},{"name":"forgot","type":"long"}]}`)
 
 // Schema returns the schema for Value.
 func (o *Value) Schema() avro.Schema {
