Simulator: operators' histories judged as one register with named writes

What operators saw in any run (reads, writes with their base and version, lost answers, repeats, refusals) is given to porcupine's linearizability checker against a compare-and-set register whose writes have names. A write without a clear answer may take effect at any time after it was sent, or never; one that was refused may never.

The hand-written check of marks takes writes sent more than once; it goes on for all others as it was. An operator of the simulator has one way to call a node instead of two pairs of closures. Op's unused fields go.

--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -15,7 +15,6 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"applequay/internal/simulation"
 	"applequay/internal/testbed/fleet"
 )
 
@@ -158,30 +157,3 @@
 	}
 	return len(breaches) == 0
 }
-
-func simCommand() *ffcli.Command {
-	set := flag.NewFlagSet("sim", flag.ContinueOnError)
-	name := set.String("deployment", "brilleverk", "brilleverk or krizanka")
-	seed := set.Int64("seed", 1, "seed to replay")
-	return &ffcli.Command{Name: "sim", ShortHelp: "replay a seed of the simulator and print its history", FlagSet: set,
-		Exec: func(context.Context, []string) error {
-			shape := simulation.Brilleverk()
-			switch *name {
-			case "brilleverk":
-			case "krizanka":
-				shape = simulation.Krizanka()
-			default:
-				return fmt.Errorf("%w: no deployment %q; there are brilleverk and krizanka", errUsage, *name)
-			}
-			world := simulation.Faults(shape, *seed)
-			fmt.Println(strings.Join(world.History, "\n"))
-			breaches := world.Breaches()
-			for _, breach := range breaches {
-				fmt.Println("BREACH", breach)
-			}
-			if len(breaches) > 0 {
-				return errBreaches
-			}
-			return nil
-		}}
-}
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -17,10 +17,10 @@
 	var breaches []string
 	breach := func(format string, args ...any) { breaches = append(breaches, fmt.Sprintf(format, args...)) }
 	byMark := map[int64]string{}
-	writes := map[string]*Op{}
+	writes := map[string][]*Op{}
 	for _, op := range ops {
 		if op.Kind == "set" {
-			writes[op.Name] = op
+			writes[op.Name] = append(writes[op.Name], op)
 		}
 	}
 	see := func(op *Op, mark int64, name string) {
@@ -31,16 +31,27 @@
 			breach("mark %d was seen as %s and as %s", mark, old, name)
 		}
 		byMark[mark] = name
-		write, ok := writes[name]
-		switch {
-		case !ok:
+		sent := writes[name]
+		if len(sent) == 0 {
 			breach("mark %d: nobody wrote %s", mark, name)
+			return
+		}
+		write, done := sent[0], false
+		for _, one := range sent {
+			done = done || !one.Answered || one.Fate != register.FateNone
+			if one.Answered && one.Fate == register.FateStale {
+				breach("mark %d: %s was refused and is there all the same", mark, name)
+			}
+		}
+		switch {
 		case write.Began > op.Ended:
 			breach("mark %d: %s was seen before it was written", mark, name)
-		case write.Answered && (write.Fate == register.FateNone || write.Fate == register.FateStale):
-			breach("mark %d: %s was refused and is there all the same", mark, name)
-		case write.Expected >= 0 && write.Expected != mark-1:
+		case !done:
+			breach("mark %d: %s came to nothing and is there all the same", mark, name)
+		case write.Next == 0 && write.Expected >= 0 && write.Expected != mark-1:
 			breach("mark %d: %s expected %d", mark, name, write.Expected)
+		case write.Next > 0 && write.Next != mark:
+			breach("mark %d: %s was to be %d", mark, name, write.Next)
 		}
 	}
 	for _, op := range ops {
@@ -55,6 +66,10 @@
 		default:
 			see(op, op.Mark, op.Found)
 		}
+		if op.Kind == "set" && op.Next > 0 && op.Fate == register.FateDone {
+			// It may have been sent before, and told of what it made then.
+			continue
+		}
 		for _, before := range ops {
 			known := before.Answered && (before.Fate == register.FateDone || before.Fate == register.FateStale)
 			if known && before.Ended < op.Began && op.Mark < before.Mark {
@@ -136,6 +151,7 @@
 		out = append(out, CheckRate(w.facts.loads, w.Shape.StoreMbPerS, window)...)
 	}
 	out = append(out, CheckRegister(w.facts.ops)...)
+	out = append(out, w.CheckHistory()...)
 	out = append(out, CheckForce(w.facts.ops, w.facts.force, nil, 2000, nil)...)
 	return append(out, w.CheckLeaving(3000)...)
 }
--- a/internal/simulation/facts.go
+++ b/internal/simulation/facts.go
@@ -18,6 +18,7 @@
 	leaving map[string][]left
 	waits   []served
 	room    int64
+	turns   int64
 }
 
 // Ordered is one order that a worker took.
@@ -36,14 +37,15 @@
 
 // Op is one operator's call, as the operator saw it.
 type Op struct {
-	Kind, Name       string
-	Expected         int64
-	Began, Ended     int64
-	Answered         bool
-	Fate             register.Fate
-	Mark             int64
-	Found            string
-	Connected, Cured bool
+	Kind, Name     string
+	Expected, Next int64
+	Began, Ended   int64
+	First, Last    int64 // Began and Ended in the order of all
+	Answered       bool
+	Fate           register.Fate
+	Mark           int64
+	Found          string
+	Client         string
 }
 
 // InForce says that a front took up a mark.
@@ -70,12 +72,15 @@
 func (f *facts) loaded(from, to, sizeMb int64) { f.loads = append(f.loads, Load{from, to, sizeMb}) }
 
 func (f *facts) begin(now int64, kind, name string, expected int64) *Op {
-	op := &Op{Kind: kind, Name: name, Expected: expected, Began: now}
+	f.turns++
+	op := &Op{Kind: kind, Name: name, Expected: expected, Began: now, First: f.turns}
 	f.ops = append(f.ops, op)
 	return op
 }
 
 func (f *facts) end(now int64, op *Op, outcome register.Outcome, found string) {
+	f.turns++
+	op.Last = f.turns
 	op.Answered, op.Ended, op.Fate, op.Mark, op.Found = true, now, outcome.Fate, outcome.Value.Mark, found
 }
 
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -11,15 +11,20 @@
 
 // Operator writes policies through any node, as a person at applequayctl would.
 type Operator struct {
-	world *World
-	name  string
-	turn  int
+	world  *World
+	name   string
+	turn   int
+	orders []order
 }
 
 // NewOperator makes an operator.
 //
 //	ann := world.NewOperator("ann")
-func (w *World) NewOperator(name string) *Operator { return &Operator{world: w, name: name} }
+func (w *World) NewOperator(name string) *Operator {
+	one := &Operator{world: w, name: name}
+	w.operators = append(w.operators, one)
+	return one
+}
 
 // Body is a policy for the shape, told apart by a name in it.
 //
@@ -49,61 +54,79 @@
 	return body
 }
 
-// at picks a node that is up, a front or a core machine.
-func (o *Operator) at() (change func(key string, expected int64, body []byte, done func(register.Outcome)), read func(key string, done func(register.Outcome))) {
+// caller is a node that takes operators' calls.
+type caller struct {
+	change func(asked register.Write, done func(register.Outcome))
+	read   func(key string, done func(register.Outcome))
+}
+
+// at picks a node that is up, a front or a core machine; nil if the one it
+// picked is not.
+func (o *Operator) at() *caller {
 	w := o.world
 	pick := w.Random.Intn(len(w.fronts) + len(w.cores))
 	if pick < len(w.fronts) {
-		f := w.fronts[pick]
-		if !f.Up {
-			return nil, nil
-		}
-		return func(key string, expected int64, body []byte, done func(register.Outcome)) {
-				f.On(func() {
-					f.nextAsk++
-					f.answers[f.nextAsk] = done
-					f.perform(f.line.Change(f.Clock(), f.nextAsk, register.Write{Key: key, Expected: expected, Body: body}))
-				})
-			}, func(key string, done func(register.Outcome)) {
-				f.On(func() {
-					f.nextAsk++
-					f.answers[f.nextAsk] = done
-					f.perform(f.line.Read(f.Clock(), f.nextAsk, key))
-				})
-			}
+		return w.fronts[pick].caller()
+	}
+	return w.cores[pick-len(w.fronts)].caller()
+}
+
+func (f *front) caller() *caller {
+	if !f.Up {
+		return nil
 	}
-	e := w.cores[pick-len(w.fronts)]
+	ask := func(done func(register.Outcome), start func(now, call int64) wire.Outputs) {
+		f.On(func() {
+			f.nextAsk++
+			f.answers[f.nextAsk] = done
+			f.perform(start(f.Clock(), f.nextAsk))
+		})
+	}
+	return &caller{
+		change: func(asked register.Write, done func(register.Outcome)) {
+			ask(done, func(now, call int64) wire.Outputs { return f.line.Change(now, call, asked) })
+		},
+		read: func(key string, done func(register.Outcome)) {
+			ask(done, func(now, call int64) wire.Outputs { return f.line.Read(now, call, key) })
+		},
+	}
+}
+
+func (e *controllerNode) caller() *caller {
 	if !e.Up {
-		return nil, nil
+		return nil
+	}
+	ask := func(done func(register.Outcome), start func(now, call int64) wire.Outputs) {
+		e.On(func() {
+			e.nextAsk++
+			e.answers[e.nextAsk] = done
+			e.perform(start(e.Clock(), e.nextAsk))
+		})
+	}
+	return &caller{
+		change: func(asked register.Write, done func(register.Outcome)) {
+			ask(done, func(now, call int64) wire.Outputs { return e.core.Change(now, call, asked) })
+		},
+		read: func(key string, done func(register.Outcome)) {
+			ask(done, func(now, call int64) wire.Outputs { return e.core.Read(now, call, key) })
+		},
 	}
-	return func(key string, expected int64, body []byte, done func(register.Outcome)) {
-			e.On(func() {
-				e.nextAsk++
-				e.answers[e.nextAsk] = done
-				e.perform(e.core.Change(e.Clock(), e.nextAsk, register.Write{Key: key, Expected: expected, Body: body}))
-			})
-		}, func(key string, done func(register.Outcome)) {
-			e.On(func() {
-				e.nextAsk++
-				e.answers[e.nextAsk] = done
-				e.perform(e.core.Read(e.Clock(), e.nextAsk, key))
-			})
-		}
 }
 
 // Set writes a policy where the mark is the expected one; -1 takes any.
 //
 //	ann.Set(3)
 func (o *Operator) Set(expected int64) {
-	change, _ := o.at()
-	if change == nil {
+	node := o.at()
+	if node == nil {
 		return
 	}
 	w := o.world
 	o.turn++
 	name := fmt.Sprintf("%s-%d", o.name, o.turn)
 	op := w.facts.begin(w.NowMs, "set", name, expected)
-	change(controller.PolicyKey, expected, w.Body(name), func(outcome register.Outcome) {
+	op.Client = o.name
+	node.change(register.Write{Key: controller.PolicyKey, Expected: expected, Body: w.Body(name)}, func(outcome register.Outcome) {
 		w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
 		w.Note("%s set %s expecting %d: fate %d mark %d", o.name, name, expected, outcome.Fate, outcome.Value.Mark)
 	})
@@ -113,13 +136,14 @@
 //
 //	ann.Get(func(mark int64) { ann.Set(mark) })
 func (o *Operator) Get(then func(mark int64)) {
-	_, read := o.at()
-	if read == nil {
+	node := o.at()
+	if node == nil {
 		return
 	}
 	w := o.world
 	op := w.facts.begin(w.NowMs, "get", "", 0)
-	read(controller.PolicyKey, func(outcome register.Outcome) {
+	op.Client = o.name
+	node.read(controller.PolicyKey, func(outcome register.Outcome) {
 		w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
 		if outcome.Fate == register.FateDone && then != nil {
 			then(outcome.Value.Mark)
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -70,7 +70,8 @@
 	rolledBy string
 	Counts   Counts
 	// openings go into every policy that operators write.
-	openings []any
+	openings  []any
+	operators []*Operator
 }
 
 // Counts are what a run did.
