--- a/platform_test.go
+++ b/platform_test.go
@@ -71,10 +71,11 @@
 }
 
 // mayUse tells whether a file of the folder may import a package. The stand-ins,
-// which are no part of what runs there, may use the model of a worker too.
+// which are no part of what runs there, may use the model of a worker and the
+// judge of histories too.
 func mayUse(file, path string) bool {
 	_, listed := platformUses[path]
-	if strings.HasPrefix(file, "platform/stand/") && path == "applequay/internal/workermodel" {
+	if strings.HasPrefix(file, "platform/stand/") && slices.Contains([]string{"applequay/internal/workermodel", "applequay/internal/simulation/history"}, path) {
 		return true
 	}
 	return listed || !strings.HasPrefix(path, "applequay/") || strings.HasPrefix(path, "applequay/platform") || strings.HasSuffix(path, "/protocol")
