Histories: all sendings of a write are one operation; orders sent ahead of their base

The search tried each unclear sending for each version: a false history of 900 calls was not decided within 20 s (trials with flaws put in on purpose). All sendings of a write make it at most once, between the first sending and the first acknowledgement; acknowledgements tell only that it was made. That says the same, and a history has one operation for each write.

In races every third operator sends, at once, another order on what its first would make.

--- a/internal/simulation/history/history.go
+++ b/internal/simulation/history/history.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -83,32 +84,67 @@
 	return porcupine.VisualizePath(model, info, path)
 }
 
-// operationsOf are the calls as the checker takes them. Unclear writes may come
-// at any time until the end, which is a call of its own: only then they may have
-// come to nothing, which spares the search most of its ways.
+// operationsOf are the calls as the checker takes them. All sendings of a write
+// together make it at most once, between the first sending and the first
+// acknowledgement, or at any time where there is none; each acknowledgement then
+// only tells that it was made. What has no acknowledgement may have come to
+// nothing once all is over: the end is an operation of its own, which spares the
+// search most of its ways.
 func operationsOf(calls []Call) []porcupine.Operation {
 	last := int64(0)
 	for _, call := range calls {
 		last = max(last, call.Began, call.Ended)
 	}
-	clients, winners := map[string]int{}, winnersOf(calls)
-	var out []porcupine.Operation
+	out := []porcupine.Operation{{Input: theEnd{}, Call: last + 1, Return: last + 1}}
+	clients, winners, writes := map[string]int{}, winnersOf(calls), map[string]*made{}
 	for _, call := range calls {
-		winner, over := winners[call.Base]
-		lost := call.Answer == Unclear && over && call.Base >= 0 && winner != call.Name
-		if call.Answer == Nothing || lost || (call.Read && call.Answer != Acknowledged) {
-			continue
-		}
 		if _, known := clients[call.Client]; !known {
-			clients[call.Client] = len(clients)
+			clients[call.Client] = len(clients) + 1
 		}
-		ended := call.Ended
-		if call.Answer == Unclear {
-			ended = last + 2
+		operation := porcupine.Operation{ClientId: clients[call.Client], Input: call, Call: call.Began, Return: call.Ended}
+		switch {
+		case call.Answer == Nothing || (call.Read && call.Answer != Acknowledged):
+			continue
+		case call.Read || call.Answer == Refused || call.Answer == Invalid:
+		case call.Answer == Acknowledged:
+			writes[call.Name] = writes[call.Name].with(call, call.Ended)
+			operation.Input = told{call}
+		default:
+			winner, over := winners[call.Base]
+			if !over || call.Base < 0 || winner == call.Name {
+				writes[call.Name] = writes[call.Name].with(call, last+2)
+			}
+			continue
 		}
-		out = append(out, porcupine.Operation{ClientId: clients[call.Client], Input: call, Output: call.Answer, Call: call.Began, Return: ended})
+		out = append(out, operation)
+	}
+	for _, name := range slices.Sorted(maps.Keys(writes)) {
+		one := writes[name]
+		out = append(out, porcupine.Operation{ClientId: len(clients) + 1, Input: *one, Call: one.Began, Return: one.Ended})
+	}
+	return out
+}
+
+// theEnd comes after all that was answered.
+type theEnd struct{}
+
+// told is an acknowledgement: the write was made before.
+type told struct{ Call }
+
+// made is all sendings of a write that may have made it.
+type made struct{ Call }
+
+// with adds a sending; ends is when the write was made by, as far as it tells.
+func (m *made) with(call Call, ends int64) *made {
+	if m == nil {
+		call.Ended = ends
+		return &made{call}
 	}
-	return append(out, porcupine.Operation{ClientId: len(clients), Input: theEnd{}, Call: last + 1, Return: last + 1})
+	if call.Answer == Acknowledged {
+		m.Answer, m.Version = Acknowledged, call.Version
+	}
+	m.Began, m.Ended = min(m.Began, call.Began), min(m.Ended, ends)
+	return m
 }
 
 // winnersOf names the write that was acknowledged on each version: what else
@@ -123,9 +159,6 @@
 	return winners
 }
 
-// theEnd comes after all that was answered.
-type theEnd struct{}
-
 // explain tells how far a history can be explained, and what comes next then.
 func explain(operations []porcupine.Operation, within time.Duration) string {
 	_, info := porcupine.CheckOperationsVerbose(model, operations, within)
@@ -153,7 +186,7 @@
 	}
 	text := fmt.Sprintf("no order of the calls explains their answers: after %d of %d, %s, none of these can be the next", len(longest), len(operations), model.DescribeState(at))
 	for _, one := range rest {
-		if call, is := one.Input.(Call); is && one.Call <= first && call.Answer != Unclear {
+		if call, is := one.Input.(fmt.Stringer); is && one.Call <= first {
 			text += "\n  " + call.String()
 		}
 	}
--- a/internal/simulation/history/model.go
+++ b/internal/simulation/history/model.go
@@ -38,7 +38,7 @@
 	},
 	Hash: func(one any) uint64 { return one.(state).top.sum },
 	DescribeOperation: func(input, _ any) string {
-		if call, is := input.(Call); is {
+		if call, is := input.(fmt.Stringer); is {
 			return call.String()
 		}
 		return "the end"
@@ -50,45 +50,34 @@
 }
 
 func step(now state, input any) (bool, any) {
-	call, is := input.(Call)
-	if !is {
-		now.over = true
-		return true, now
-	}
-	if call.Read {
-		return now.shows(call), now
-	}
-	if call.Answer == Unclear {
-		return now.mayCome(call)
-	}
-	made := now.top.find(call)
-	switch call.Answer {
-	case Acknowledged:
-		if made != nil {
-			return made.number == call.Version, now
-		}
-		return now.take(call, call.Version)
-	case Refused:
-		// A refusal is for good: the write is neither in force nor ever will be.
-		if made != nil || now.fits(call) || !now.shows(call) {
-			return false, now
+	switch call := input.(type) {
+	case made:
+		if now.over {
+			return call.Answer == Unclear, now
 		}
-		return true, now.refuse(call)
-	default:
-		return made == nil && call.Faulty, now.refuse(call)
+		return now.take(call.Call)
+	case told:
+		found := now.top.find(call.Call)
+		return found != nil && found.number == call.Version, now
+	case Call:
+		return now.answers(call)
 	}
+	now.over = true
+	return true, now
 }
 
-// mayCome takes a write that was not answered clearly: it comes about, or all is
-// over and it never did.
-func (s state) mayCome(call Call) (bool, any) {
+// answers tells whether a read or a refusal could be answered so.
+func (s state) answers(call Call) (bool, any) {
 	switch {
-	case s.over:
-		return true, s
-	case !s.fits(call) || s.top.find(call) != nil:
+	case call.Read:
+		return s.shows(call), s
+	case s.top.find(call) != nil:
 		return false, s
+	case call.Answer == Invalid:
+		return call.Faulty, s.refuse(call)
 	}
-	return s.take(call, 0)
+	// A refusal is for good: the write is neither in force nor ever will be.
+	return !s.fits(call) && s.shows(call), s.refuse(call)
 }
 
 // shows tells whether what an answer told is what is in place.
@@ -101,14 +90,14 @@
 	return !call.Faulty && (call.Base < 0 || call.Base == s.top.number) && (call.Next == 0 || call.Next > s.top.number)
 }
 
-// take puts a write in force, if it may be; number is the version that it was
-// told to be, 0 if it was told nothing.
-func (s state) take(call Call, number int64) (bool, any) {
+// take puts a write in force, if it may be, as the version that was told, if any
+// was.
+func (s state) take(call Call) (bool, any) {
 	next := call.Next
 	if next == 0 {
 		next = s.top.number + 1
 	}
-	if !s.fits(call) || (number > 0 && number != next) || slices.Contains(strings.Fields(s.refused), call.Name) {
+	if !s.fits(call) || (call.Version > 0 && call.Version != next) || slices.Contains(strings.Fields(s.refused), call.Name) {
 		return false, s
 	}
 	sum := maphash.Comparable(seed, struct {
--- a/internal/simulation/orders_test.go
+++ b/internal/simulation/orders_test.go
@@ -24,7 +24,8 @@
 	for _, race := range races {
 		c.Run(race.name, func(c *qt.C) {
 			c.Parallel()
-			from, to := seeds(c, 1, 1)
+			// With 2 the freeze and the lost disk showed an order refused ahead of its base.
+			from, to := seeds(c, 2, 2)
 			for seed := from; seed <= to; seed++ {
 				w := race.run(bySeeds(Brilleverk(), 3, 4), seed)
 				fates := w.RemindAll(60)
--- a/internal/simulation/races.go
+++ b/internal/simulation/races.go
@@ -61,8 +61,8 @@
 }
 
 // Races lets eight operators send a change each, with one number, on the version
-// in place, again and again, until a moment; of a hundred answers so many are
-// lost.
+// in place, again and again, until a moment, and some of them at once another on
+// what that change would make; of a hundred answers so many are lost.
 //
 //	world.Races(9000, 20000, 700, 50)
 func (w *World) Races(from, until, everyMs int64, lost int) {
@@ -73,8 +73,11 @@
 	for at := from; at < until; at += everyMs {
 		w.At(at, func() {
 			racers[0].Get(func(mark int64) {
-				for _, one := range racers {
+				for at, one := range racers {
 					one.Order(mark, mark+2, 8, lost, nil)
+					if at%3 == 0 {
+						one.Order(mark+2, mark+4, 8, lost, nil)
+					}
 				}
 			})
 			racers[w.Random.Intn(len(racers))].Remind(lost)
