--- a/internal/simulation/races.go
+++ b/internal/simulation/races.go
@@ -25,6 +25,16 @@
 		w.After(6000, func() { w.Drain(2) })
 	}},
 	{"race-power", "all lose power", func(w *World) { w.powerOfAll(true, 500) }},
+	{"race-power-acks", "all lose power right after acknowledgements", func(w *World) {
+		kay := w.NewOperator("kay")
+		for at := range int64(5) {
+			w.After(at*2500, func() {
+				kay.Get(func(mark int64) {
+					kay.Order(mark, mark+1, 8, 0, func(register.Fate) { w.powerOfAll(true, 400) })
+				})
+			})
+		}
+	}},
 	{"race-restarts", "all are killed, and again while they start", func(w *World) {
 		w.powerOfAll(true, 400)
 		w.After(900, func() { w.powerOfAll(false, 400) })
