--- a/internal/simulation/explorer/facts.go
+++ b/internal/simulation/explorer/facts.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 
 	"applequay/internal/controlplane/controller"
@@ -94,15 +93,13 @@
 		f.clash = fmt.Sprintf("%s was %q and %q", at, old, value.Body)
 	}
 	f.bodies[at] = string(value.Body)
-	for _, entry := range value.Lineage {
-		cut := strings.LastIndexByte(entry, '@')
-		mark, _ := strconv.ParseInt(entry[cut+1:], 10, 64)
-		name := key + "/" + entry[:cut]
+	register.Remembered(value, func(digest string, mark int64) {
+		name := key + "/" + digest
 		if old, ok := f.names[name]; ok && old != mark && f.clash == "" {
-			f.clash = fmt.Sprintf("%s took effect as %d and as %d", name, old, mark)
+			f.clash = fmt.Sprintf("%x of %s took effect as %d and as %d", digest, key, old, mark)
 		}
 		f.names[name] = mark
-	}
+	})
 }
 
 // said looks at what a machine sends to another.
--- a/internal/simulation/scenarios.go
+++ b/internal/simulation/scenarios.go
@@ -20,6 +20,14 @@
 	out := []Scenario{
 		{"faults", "faults drawn from the seed", checked(Faults)},
 		{"harder", "the same, with full and lost disks and losses together", checked(Harder)},
+		{"orders", "as harder, with operators whose answers are lost", checked(Orders)},
+	}
+	for _, one := range races {
+		out = append(out, Scenario{one.name, "eight operators race while " + one.help, checked(func(shape Shape, seed int64) *World {
+			w := one.run(shape, seed)
+			w.RemindAll(60)
+			return w
+		})})
 	}
 	for _, cut := range Cuts() {
 		out = append(out, Scenario{"cut-" + cut.Name, cut.Help + ", for twenty seconds", func(shape Shape, seed int64) (*World, []string) {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -83,7 +83,8 @@
 	// cut is what a run of CutOff cut off.
 	cut *cutting
 	// openings go into every policy that operators write.
-	openings []any
+	openings  []any
+	operators []*Operator
 }
 
 // Counts are what a run did.
