Agent: a lost memory of keys is noted with the first word of the new proxy

Cause: an agent learnt that another proxy is beside it from reports and tallies only, the first of which comes a tenth of a second after the start. What the new proxy told of a key, or wished, before that went out as if it knew all that the one before had sent: with one more memory lost elsewhere, a key could go to a second server.

Change: its answers about keys and its wishes say who it is as well.

TestMemoryLostBeforeAReport failed in both of its parts before, and passes.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -102,6 +102,7 @@
 	l.now = now
 	switch told := body.(type) {
 	case *wire.TicketWish:
+		l.sawBoard(now, from)
 		l.wished(now, &out, told)
 	case *wire.Bare:
 		l.noteBare(now, told.AgeMs)
--- a/internal/controlplane/agent/tickets.go
+++ b/internal/controlplane/agent/tickets.go
@@ -103,6 +103,7 @@
 // here.
 func (l *Line) toldTicket(now int64, out *wire.Outputs, from string, told *wire.TicketTold) {
 	if told.Asker != l.boot.ID {
+		l.sawBoard(now, from)
 		told.LineMs = now - l.startMs
 		told.Lost, told.Bad = l.judge(told.FromMs, told.Mark)
 		if l.boardAt >= told.FromMs {
--- a/internal/controlplane/agent/tickets_test.go
+++ b/internal/controlplane/agent/tickets_test.go
@@ -78,6 +78,34 @@
 	}
 }
 
+// A proxy that was started again tells what it knows of a key before it reports for
+// the first time: that the memory of the one before is lost goes along, to the front
+// that asks and into this front's own verdict.
+func TestMemoryLostBeforeAReport(t *testing.T) {
+	c := qt.New(t)
+	now := int64(100000)
+	start := func() *Line {
+		line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000}, rand.New(rand.NewSource(1)))
+		line.members.Clock(now, now)
+		line.rosters = []wire.Roster{{Pool: "app", Mark: 7, FromMs: 50000, UntilMs: 90000}}
+		line.fronts["l2~b"] = &otherFront{name: "l2", stands: true, stoodMs: now, stoodAt: now, seenAt: 99100, mark: 7}
+		line.Hear(now, "s1~old", &wire.Report{})
+		return line
+	}
+	for _, board := range []string{"s1~old", "s1~new"} {
+		lost := board == "s1~new"
+		told := start().Hear(now+10, board, &wire.TicketTold{Op: 1, Asker: "l2~b", FromMs: 50000, Mark: 7}).Sends
+		c.Assert(told, qt.HasLen, 1)
+		c.Check(len(told[0].Body.(*wire.TicketTold).Lost) == 1, qt.Equals, lost)
+		line := start()
+		line.Hear(now+10, board, &wire.TicketWish{Op: 2, Key: "k", Server: "b2@x", Marks: []int64{7}})
+		// The other front lost its memory too: together nobody knows.
+		done := line.Hear(now+20, "l2~b", &wire.TicketTold{Op: 2, Asker: "l1~a", LineMs: 90000, Lost: []string{"l2"}}).Sends
+		c.Assert(done, qt.HasLen, 1)
+		c.Check(done[0].Body.(*wire.TicketDone).Ok, qt.Equals, !lost)
+	}
+}
+
 // A list is settled once every front, those that went too, has gone by a newer
 // one for as long as a key may be repeated.
 func TestSettled(t *testing.T) {
