--- a/internal/simulation/explorer/steps.go
+++ b/internal/simulation/explorer/steps.go
@@ -35,7 +35,7 @@
 		if oldest || w.model.Deviations < 0 {
 			steps = append(steps, m.step(Deliver))
 		}
-		if oldest {
+		if oldest || w.model.Deviations < 0 {
 			steps = append(steps, w.messageSteps(m)...)
 		}
 		oldest = false
