--- a/internal/simulation/explorer/model.go
+++ b/internal/simulation/explorer/model.go
@@ -104,6 +104,9 @@
 		{Name: "lease-takeover", Help: "the holder of a lease is not heard of by one of two granters", Seated: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
 			Focus: []string{"GrantAsk", "GrantBack"}, Opening: takeover(), Unclosed: true,
 			Budget: Budget{Crashes: 1, Freezes: 1, Stalls: 1}, Depth: 60, Deviations: 2},
+		{Name: "lease-again", Help: "a machine that held a lease is back, another holds it now", Seated: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
+			Focus: []string{"GrantAsk", "GrantBack"}, Opening: again(), Unclosed: true,
+			Budget: Budget{Crashes: 2, Freezes: 1, Stalls: 1, Cuts: 1}, Depth: 60, Deviations: 1},
 		{Name: "founding", Help: "three seeds and a fourth machine found the first core set", Seated: 3, Spare: 1, Unfounded: true, Rounds: true,
 			Focus:  []string{"FoundAsk", "FoundTold", "Found"},
 			Budget: Budget{Crashes: 2, Wipes: 1, Repeats: 1, Holds: 2, Losses: 2, Stalls: 1}, Depth: 120, Deviations: 3},
@@ -136,3 +139,16 @@
 	}
 	return steps
 }
+
+// again leads to where a lease was taken over from a machine that is back since.
+func again() []Step {
+	steps := []Step{{Do: Crash, Node: "c3"}}
+	for range 96 {
+		steps = append(steps, Step{Do: Round, With: WithAll})
+	}
+	steps = append(steps, Step{Do: Start, Node: "c3"})
+	for range 64 {
+		steps = append(steps, Step{Do: Round, With: WithAll})
+	}
+	return steps
+}
