--- a/internal/controlplane/register/lineage.go
+++ b/internal/controlplane/register/lineage.go
@@ -54,6 +54,11 @@
 	})
 }
 
+// Digest is what a value remembers of a write's name.
+//
+//	digest := register.Digest("l2~9c#44")
+func Digest(name string) string { return string(digestOf(name)) }
+
 func digestOf(name string) []byte {
 	sum := sha256.Sum256([]byte(name))
 	return sum[:digestBytes]
--- a/internal/simulation/explorer/invariants.go
+++ b/internal/simulation/explorer/invariants.go
@@ -69,7 +69,7 @@
 // as overtaken.
 func noOrderTakenIsRefused(w *World) string {
 	for _, op := range w.facts.ops {
-		if mark, taken := w.facts.names[controller.PolicyKey+"/"+op.Name]; op.Kind == "write" && op.Answered && op.Fate == register.FateStale && taken {
+		if mark, taken := w.facts.names[controller.PolicyKey+"/"+register.Digest(op.Name)]; op.Kind == "write" && op.Answered && op.Fate == register.FateStale && taken {
 			return fmt.Sprintf("%s was refused at %s and took effect as version %d", op.Name, op.Node, mark)
 		}
 	}
@@ -85,7 +85,7 @@
 		open[op.Name] = open[op.Name] || !refused
 	}
 	for _, op := range w.facts.ops {
-		if mark, taken := w.facts.names[controller.PolicyKey+"/"+op.Name]; op.Kind == "write" && !open[op.Name] && taken {
+		if mark, taken := w.facts.names[controller.PolicyKey+"/"+register.Digest(op.Name)]; op.Kind == "write" && !open[op.Name] && taken {
 			return fmt.Sprintf("%s was answered as not done at %s and took effect as version %d", op.Name, op.Node, mark)
 		}
 	}
--- a/internal/simulation/explorer/invariants_test.go
+++ b/internal/simulation/explorer/invariants_test.go
@@ -45,11 +45,11 @@
 		}},
 		{"no order taken is refused", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateStale, 1)}
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: []string{"a@1"}})
+			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
 		}},
 		{"refused orders have no effect", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateNone, 0)}
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: []string{"a@1"}})
+			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
 		}},
 		{"one of two orders on one base", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 3, register.FateDone, 1), write("b", 0, 2, 4, register.FateDone, 1)}
