Routing: the next table takes over what did not change; short lines at fronts

Cause: each news of a worker made all servers of a proxy's table anew, with the list of holders of each item: 0.8 ms and 176 kB with 143 workers, up to twenty times a second while models are loaded, most of what a proxy burned then. And each of an agent's lines to 93 others had room for 2048 messages, 6 MB in all.

Fronts' lines hold 256 messages, controllers' 2048.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -44,7 +44,7 @@
 	}, rand.New(rand.NewSource(epoch.UnixNano())))
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	cable := transport.New(work, id, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4)
+	cable := transport.New(work, id, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4, transport.FrontDepth)
 	control := eventloop.New(eventloop.Options{Machine: line, Self: id, Cable: cable, Log: log, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
 	router := mux.NewRouter()
 	router.Handle("/trunk", cable.Handler(control.Deliver)).Methods("POST")
--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -68,7 +68,7 @@
 
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	cable := transport.New(work, found.Identity, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4)
+	cable := transport.New(work, found.Identity, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4, transport.ControllerDepth)
 	writer := eventloop.NewWriter(kept, given.LogKb<<10, func() []byte { return wire.Encode(core.Snapshot()) })
 	control := eventloop.New(eventloop.Options{Machine: core, Self: found.Identity, Cable: cable, Log: log, Writer: writer, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
 	clerk := orders.New(work, start.Workers(found.Identity), settings.Ms(given.PollMs)*2)
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -37,7 +37,7 @@
 	given := start.Settings
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	cable := transport.New(work, health.Identity(given.Name), given.Listen, given.Listen, time.Second)
+	cable := transport.New(work, health.Identity(given.Name), given.Listen, given.Listen, time.Second, transport.FrontDepth)
 	plugs := feed.New(given.Agent, cable, start.Form)
 	limits := pipeline.LimitsFor(given.Slots, given.BodyKb<<10, settings.Ms(given.HoldMs))
 	limits.RetrySlack = given.RetrySlack
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -191,16 +191,13 @@
 	return false
 }
 
-// renew makes the next table. What it is made of is copied, so that no table
-// ever changes.
+// renew makes the next table. What tables keep of what they are made of is
+// copied, so that no table ever changes.
 func (p *Plugboard) renew() {
 	if p.policy != nil {
 		p.told.Policy = p.policy.For(p.zone)
 	}
-	told := routing.News{Waits: p.told.Waits, WaitsTo: p.told.WaitsTo, Policy: p.told.Policy, Workers: p.told.Workers, Rosters: p.told.Rosters, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
-	for name, room := range p.told.Rooms {
-		told.Rooms[name] = room
-	}
+	told := routing.News{Waits: p.told.Waits, WaitsTo: p.told.WaitsTo, Policy: p.told.Policy, Workers: p.told.Workers, Rosters: p.told.Rosters, Rooms: p.told.Rooms, Refused: map[string]int64{}}
 	for item, until := range p.told.Refused {
 		if until > p.now() {
 			told.Refused[item] = until
--- a/internal/dataplane/feed/feed_test.go
+++ b/internal/dataplane/feed/feed_test.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	seen := map[int64]bool{}
 	for range 4 {
-		p := New("127.0.0.1:1", transport.New(ctx, "p1", "127.0.0.1:2", "127.0.0.1:2", time.Second), configuration.Native)
+		p := New("127.0.0.1:1", transport.New(ctx, "p1", "127.0.0.1:2", "127.0.0.1:2", time.Second, transport.FrontDepth), configuration.Native)
 		p.book.Hear(1, &wire.Contact{KeyMs: 60000, AnswerMs: 800, GraceMs: 6400})
 		out := p.book.Take(1, 1, idempotency.Call{Key: "k", Choice: "b1@10.0.0.1:1", Open: func(string) bool { return true }})
 		c.Assert(out.Sends, qt.HasLen, 1)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -17,6 +17,7 @@
 	Leaving, Dark          bool
 	Loaded                 map[string]bool
 	Load                   *Load
+	loaded                 []wire.Loaded // of which Loaded is made
 }
 
 // Table is one state of all that routing needs.
@@ -37,6 +38,9 @@
 	holders map[string][]*Server
 	// pasts are what the servers of each pool were by lists before.
 	pasts map[string][]past
+	// order is that of the list of workers; rosters are what pasts was made of.
+	order   []*Server
+	rosters []wire.Roster
 }
 
 // Empty is the table of a proxy that knows nothing yet.
@@ -57,61 +61,6 @@
 	WaitsTo int64
 }
 
-// After makes the next table; counters of servers and services that stay are
-// kept.
-//
-//	next := current.After(news)
-func (t *Table) After(told News) *Table {
-	next := Empty()
-	next.Waits, next.WaitsTo = told.Waits, told.WaitsTo
-	next.Policy, next.Known, next.Refused, next.pasts = told.Policy, told.Policy.Mark > 0, told.Refused, pastsOf(told.Rosters)
-	for _, worker := range told.Workers {
-		server := &Server{Name: worker.Name, Addr: worker.Addr, Pool: worker.Pool, Zone: worker.Zone, Leaving: worker.Leaving, Loaded: map[string]bool{}}
-		if old, ok := t.Servers[worker.Name]; ok && old.Addr == worker.Addr {
-			server.Load = old.Load
-		} else {
-			server.Load = &Load{}
-		}
-		room := told.Rooms[worker.Name]
-		server.Leaving = server.Leaving || room.Leaving
-		server.Dark = room.Dark
-		for _, held := range room.Loaded {
-			server.Loaded[held.Item] = held.Ready
-		}
-		next.Servers[server.Name] = server
-		next.Pools[server.Pool] = append(next.Pools[server.Pool], server)
-	}
-	next.hold()
-	for name := range told.Policy.Services {
-		if next.Budgets[name] = t.Budgets[name]; next.Budgets[name] == nil {
-			next.Budgets[name] = &Budget{}
-		}
-	}
-	if told.Policy == t.Policy {
-		next.routes = t.routes
-		return next
-	}
-	next.routes = newRoutes(told.Policy.Routes)
-	return next
-}
-
-// hold notes of each item of a pool which servers have it.
-func (t *Table) hold() {
-	for pool, servers := range t.Pools {
-		for _, server := range servers {
-			if server.Leaving || server.Dark {
-				continue
-			}
-			for item, ready := range server.Loaded {
-				if base := t.Policy.Items[item].Base; ready && (base == "" || server.Loaded[base]) {
-					key := pool + "|" + item
-					t.holders[key] = append(t.holders[key], server)
-				}
-			}
-		}
-	}
-}
-
 // Holders lists the servers of a pool that have an item, and its model. The
 // list is not to be changed.
 //
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -29,10 +29,16 @@
 	SentLetters, SentBatches, SentBytes, LostLetters, HeardLetters atomic.Int64
 }
 
+// How many messages may wait for one address. A front has a line to each of its
+// peers and little to say; controllers say all that was not answered at once.
+const (
+	FrontDepth      = 256
+	ControllerDepth = 2048
+)
+
 const (
 	mostBody    = 64 << 20
 	mostAnswer  = 4 << 10 // an answer says nothing; what is more is not read
-	lineDepth   = 2048
 	batchMost   = 128
 	batchBytes  = 1 << 20
 	silentWaits = 4        // after so many waits without a sign a connection is given up
@@ -41,6 +47,7 @@
 
 // Trunk sends for one control thread, which alone calls Send and Close.
 type Trunk struct {
+	depth      int // of a line
 	self, addr string
 	lines      map[string]chan wire.Letter
 	client     *http.Client
@@ -50,17 +57,18 @@
 }
 
 // New makes a transport for a node that others reach at addr and that listens at
-// listen; wait is how long a small batch may take.
+// listen; wait is how long a small batch may take, depth how many messages may
+// wait for one address.
 //
-//	cable := transport.New(ctx, "c1~7f", settings.Advertise, settings.Listen, time.Second)
-func New(ctx context.Context, self, addr, listen string, wait time.Duration) *Trunk {
+//	cable := transport.New(ctx, "c1~7f", settings.Advertise, settings.Listen, time.Second, transport.FrontDepth)
+func New(ctx context.Context, self, addr, listen string, wait time.Duration, depth int) *Trunk {
 	dialer := socket.Dialer(wait, silentWaits*wait)
 	if host, _, err := net.SplitHostPort(listen); err == nil {
 		// A machine speaks from the address that it listens on.
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
 	}
 	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
-	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: socket.Client(transport), wait: wait, ctx: ctx, Counts: &Counts{}}
+	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
 // Send puts a letter on the line to an address; a full line loses it.
@@ -69,7 +77,7 @@
 func (t *Trunk) Send(addr string, kind wire.Kind, body wire.Record) {
 	line, ok := t.lines[addr]
 	if !ok {
-		line = make(chan wire.Letter, lineDepth)
+		line = make(chan wire.Letter, t.depth)
 		t.lines[addr] = line
 		go t.run(addr, line)
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -48,7 +48,7 @@
 func newTrunk(c *qt.C) *Trunk {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
-	return New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 2*time.Second)
+	return New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 2*time.Second, FrontDepth)
 }
 
 // A batch leaves once: not again where its kept connection breaks under it, and
@@ -101,7 +101,7 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
-	cable := New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 100*time.Millisecond)
+	cable := New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 100*time.Millisecond, FrontDepth)
 	server := httptest.NewServer(cable.Handler(func(Arrived) bool { return true }))
 	c.Cleanup(server.Close)
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
