Membership: answers hold a bounded part of what differs; lists are told together

Cause: while workers register, a list of workers follows the last by a few hundred milliseconds, and each made every front change a fact of its own. All buckets then differed at once, and each answer held nearly all members (4.7 kB each, 30 kB a second and front, in the ten seconds before traffic).

Change: a front tells the first of lists that follow soon, and then the last (half a lease apart); until then it passes for one with an older list, which is the safe side. An answer holds at most 32 of those that differ, unless the other knows hardly anybody. Seeds are probed less often the larger the fleet, at a bounded rate of all nodes together (as often as before up to 32). Homes are asked for news of workers half as often as for what binds all.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand"
-	"slices"
 	"strings"
 
 	"applequay/internal/configuration"
@@ -49,13 +48,16 @@
 	now      int64
 	startMs  int64
 	listAt   int64
-	bareAt   int64
-	boardAt  int64 // when another proxy took the place of the one before
-	boardID  string
-	settled  int64
-	rosters  []wire.Roster
-	fronts   map[string]*otherFront
-	asking   map[int64]*asking
+	// list is what the others are to hear of listAt, listToldMs when they last did.
+	list       string
+	listToldMs int64
+	bareAt     int64
+	boardAt    int64 // when another proxy took the place of the one before
+	boardID    string
+	settled    int64
+	rosters    []wire.Roster
+	fronts     map[string]*otherFront
+	asking     map[int64]*asking
 	// begun: the first read has ended; fedMark was given on; newest was heard of.
 	begun, beginning bool
 	fedMark, newest  int64
@@ -67,6 +69,8 @@
 	toldFronts  int64
 	toldContact wire.Contact
 	youngAsked  int
+	// turns counts how often homes were asked.
+	turns int
 	// newestOf and frontsOf are the versions of the members that were looked at.
 	newestOf, frontsOf int64
 	// told was passed on at toldMs; a tally came at tallyMs, uses alone at usesMs.
@@ -83,7 +87,7 @@
 	}
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "agent", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": controller.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
 	l := &Line{
-		boot: boot, random: random, now: now, startMs: now, fronts: map[string]*otherFront{}, asking: map[int64]*asking{}, passing: map[string]wire.Topic{},
+		boot: boot, random: random, now: now, startMs: now, listToldMs: now - boot.LeaseMs, fronts: map[string]*otherFront{}, asking: map[int64]*asking{}, passing: map[string]wire.Topic{},
 		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: controller.LineageLen}),
 		board:    distribution.NewBoard(), policy: configuration.Empty(),
@@ -189,37 +193,6 @@
 	return true
 }
 
-// subscribed answers one that asks for what it lacks. The proxy beside gets only
-// what it may.
-func (l *Line) subscribed(out *wire.Outputs, from string, asked *wire.Subscribe) {
-	kind, body := l.board.Answers(asked)
-	if told, is := body.(*wire.News); is {
-		if _, peer := l.members.Addr(from); !peer {
-			told.Topics = l.fed(told.Topics)
-		}
-		if len(told.Topics) == 0 {
-			return
-		}
-	}
-	if body != nil {
-		out.Send(from, kind, body)
-	}
-}
-
-// feed gives the proxy beside this agent what rose; false if nothing did.
-func (l *Line) feed(out *wire.Outputs) bool {
-	fresh := l.board.Fresh()
-	some := len(fresh) > 0
-	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == distribution.WaitsTopic }); at >= 0 {
-		l.feedWaits(out, fresh[at])
-		fresh = slices.Delete(fresh, at, at+1)
-	}
-	if fresh = l.fed(fresh); len(fresh) > 0 {
-		out.Send(l.boot.Proxy, wire.KindNews, &wire.News{Topics: fresh})
-	}
-	return some
-}
-
 // zoneTopic tells the proxy its zone, by which it picks its part of a
 // policy that is rolled out; it is nobody else's news.
 const zoneTopic = distribution.ZoneTopic
--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -44,7 +44,18 @@
 	} else {
 		l.listAt = l.members.Wall(l.now)
 	}
-	l.members.Set(listFact, fmt.Sprintf("%d@%d", mark, l.listAt))
+	l.list = fmt.Sprintf("%d@%d", mark, l.listAt)
+	l.tellList()
+}
+
+// tellList tells the others by which list this front goes: at once, but where lists
+// follow one another soon only the last of them. Until then this front passes for
+// one that goes by an older list, which refuses keys and sends none.
+func (l *Line) tellList() {
+	if l.list != "" && l.now-l.listToldMs >= l.boot.LeaseMs/2 {
+		l.listToldMs = l.now
+		l.members.Set(listFact, l.list)
+	}
 }
 
 // watchFronts keeps account of the other fronts, those that went among them.
@@ -129,6 +140,7 @@
 // contact tells the proxy that keys may be sent, and which old lists
 // still matter for them.
 func (l *Line) contact(now int64, out *wire.Outputs) {
+	l.tellList()
 	l.watchFronts(now)
 	l.settle(now)
 	if !l.inTouch() {
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -138,3 +138,36 @@
 	contacts, fleets = told(10050, 10300)
 	c.Check(contacts >= 1 && fleets >= 1, qt.IsTrue, qt.Commentf("%d, %d", contacts, fleets))
 }
+
+// Where lists of workers follow one another soon, the others hear of the first at
+// once and then of the last.
+func TestListsThatFollowSoonAreToldTogether(t *testing.T) {
+	c := qt.New(t)
+	line := rested(4)
+	told := map[string]bool{}
+	now := int64(5010)
+	for mark := int64(1); mark <= 20; mark++ {
+		now += 100
+		line.Hear(now, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.DirectoryKey, Step: mark, Body: wire.Encode(&wire.WorkerList{})}}})
+		line.answerAll(now, line.Tick(now, now))
+		if mark == 1 {
+			c.Check(line.self().Fact[listFact], qt.Equals, "1@0")
+		}
+		told[line.self().Fact[listFact]] = true
+	}
+	c.Check(len(told) <= 3, qt.IsTrue, qt.Commentf("%v", told))
+	for range 40 {
+		now += 50
+		line.answerAll(now, line.Tick(now, now))
+	}
+	c.Check(line.self().Fact[listFact], qt.Matches, "20@.*")
+}
+
+func (l *Line) self() wire.Member {
+	for _, member := range l.members.All() {
+		if member.ID == l.boot.ID {
+			return member
+		}
+	}
+	return wire.Member{}
+}
--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -75,3 +75,34 @@
 // newsPerProbe is how often between two probes news goes on: what comes in a
 // burst goes together, and what comes alone at once.
 const newsPerProbe = 4
+
+// subscribed answers one that asks for what it lacks. The proxy beside gets only
+// what it may.
+func (l *Line) subscribed(out *wire.Outputs, from string, asked *wire.Subscribe) {
+	kind, body := l.board.Answers(asked)
+	if told, is := body.(*wire.News); is {
+		if _, peer := l.members.Addr(from); !peer {
+			told.Topics = l.fed(told.Topics)
+		}
+		if len(told.Topics) == 0 {
+			return
+		}
+	}
+	if body != nil {
+		out.Send(from, kind, body)
+	}
+}
+
+// feed gives the proxy beside this agent what rose; false if nothing did.
+func (l *Line) feed(out *wire.Outputs) bool {
+	fresh := l.board.Fresh()
+	some := len(fresh) > 0
+	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == distribution.WaitsTopic }); at >= 0 {
+		l.feedWaits(out, fresh[at])
+		fresh = slices.Delete(fresh, at, at+1)
+	}
+	if fresh = l.fed(fresh); len(fresh) > 0 {
+		out.Send(l.boot.Proxy, wire.KindNews, &wire.News{Topics: fresh})
+	}
+	return some
+}
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -78,7 +78,12 @@
 		return
 	}
 	agents := l.members.Alive("agent")
+	l.turns++
 	for _, service := range l.services() {
+		if service != distribution.ControlService && l.turns%2 == 0 && !l.young(now) {
+			// What a worker holds may be a little later than what binds all.
+			continue
+		}
 		if home := distribution.Home(service, l.boot.Zone, agents); home != l.boot.ID && home != "" {
 			out.Send(home, wire.KindSubscribe, l.board.Asks(service))
 		} else {
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -72,11 +72,6 @@
 	return &Members{self: self, limits: limits, random: random, seeds: seeds, table: map[string]*seen{}, probes: map[int64]*probe{}, probed: -limits.ProbeMs, version: 1, told: map[string]int{self.ID: 0}}
 }
 
-// SetSeeds takes the seeds of settings that were read again.
-//
-//	picture.SetSeeds([]string{"127.0.0.1:7100"})
-func (m *Members) SetSeeds(seeds []string) { m.seeds = seeds }
-
 // Leave marks this node as leaving, for all others to hear.
 //
 //	picture.Leave()
@@ -157,13 +152,9 @@
 			m.send(now, &out, target, &probe{target: target, sent: now})
 		}
 	}
-	if len(m.Alive("")) == 1 || m.random.Intn(16) == 0 {
-		for _, seed := range m.seeds {
-			if seed != m.self.Addr {
-				m.nextSeq++
-				out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling("", nil), Sums: m.sums(bucketsFor(len(m.table)))})
-			}
-		}
+	for _, seed := range m.seedsNow() {
+		m.nextSeq++
+		out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling("", nil), Sums: m.sums(bucketsFor(len(m.table)))})
 	}
 	return out
 }
--- /dev/null
+++ b/internal/controlplane/membership/seeds.go
@@ -0,0 +1,22 @@
+package membership
+
+import "slices"
+
+// SetSeeds takes the seeds of settings that were read again.
+//
+//	picture.SetSeeds([]string{"127.0.0.1:7100"})
+func (m *Members) SetSeeds(seeds []string) { m.seeds = seeds }
+
+// seedsNow are the seeds to be probed now: all while nobody else is known, and else
+// now and then, so that halves that lost each other meet again. How often falls as
+// the fleet grows: all nodes together probe the seeds at a bounded rate.
+func (m *Members) seedsNow() []string {
+	known := len(m.Alive(""))
+	if known > 1 && m.random.Intn(max(seedsOnceIn, known/2)) > 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(m.seeds), func(seed string) bool { return seed == m.self.Addr })
+}
+
+// seedsOnceIn is one in how many probes the seeds are probed, too, in a small fleet.
+const seedsOnceIn = 16
--- a/internal/controlplane/membership/sums.go
+++ b/internal/controlplane/membership/sums.go
@@ -43,21 +43,35 @@
 	return out
 }
 
-// differing are the ids of those in whose buckets another's sums are not as here.
+// differing are the ids of those in whose buckets another's sums are not as here:
+// some of them, where there are many, since the next messages bring the rest; all
+// for one that knows hardly anybody.
 func (m *Members) differing(sums []int64) []string {
 	if len(sums) == 0 || len(sums) > mostBuckets {
 		return nil
 	}
 	var out []string
-	mine := m.sums(len(sums))
+	mine, empty := m.sums(len(sums)), 0
+	for _, sum := range sums {
+		if sum == 0 {
+			empty++
+		}
+	}
 	for _, id := range m.ids() {
 		if at := m.table[id].hash % uint64(len(sums)); mine[at] != sums[at] {
 			out = append(out, id)
 		}
 	}
-	return out
+	if len(out) <= mostDiffering || 2*empty > len(sums) {
+		return out
+	}
+	from := m.random.Intn(len(out))
+	return append(out[from:], out[:from]...)[:mostDiffering]
 }
 
+// mostDiffering is how many members an answer holds for sums that differ.
+const mostDiffering = 2 * tellMost
+
 func (m *Members) hash(id string) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(id))
--- a/internal/controlplane/membership/sums_test.go
+++ b/internal/controlplane/membership/sums_test.go
@@ -121,6 +121,25 @@
 		differs := before.differing(sums)
 		c.Check(len(differs) > 0, qt.Equals, one.differ, qt.Commentf(one.name))
 	}
+	// One that knows hardly anybody is told all, one to whom much is new a part.
+	c.Check(before.differing(make([]int64, 8)), qt.HasLen, 30)
+	large := newRing(1).all["n0"]
+	for i := range 100 {
+		large.Hear(1, "n0", &wire.ProbeAck{Members: []wire.Member{{ID: fmt.Sprintf("m%d", i), Born: 1}}})
+	}
+	sums := large.sums(32)
+	for at := range sums {
+		sums[at]++
+	}
+	some := map[string]bool{}
+	for range 50 {
+		differ := large.differing(sums)
+		c.Assert(differ, qt.HasLen, mostDiffering)
+		for _, id := range differ {
+			some[id] = true
+		}
+	}
+	c.Check(some, qt.HasLen, 100, qt.Commentf("in the end all are told"))
 	c.Check(before.differing(picture(1, wire.StandingRemoved).sums(32)), qt.Contains, "m7")
 	for _, one := range [][2]int{{0, 4}, {13, 4}, {94, 32}, {1000, 64}} {
 		c.Check(bucketsFor(one[0]), qt.Equals, one[1], qt.Commentf("%d members", one[0]))
