Configurations: only JSON to the letter is taken

Cause: the parser reads more than JSON: control characters in names and texts, 0123 and NaN. A configuration with one of these was acknowledged as valid, and a change could leave a text that a stricter reader cannot read.

Change: whole configurations and changes are validated before they are parsed, on both forms. What an older release took with such a text would not be read again.

--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -23,6 +23,9 @@
 //
 //	table, faults, syntax := configuration.Parse(body, 7)
 func Parse(body []byte, mark int64) (table *Table, faults Faults, syntax bool) {
+	if err := StrictJSON(body); err != nil {
+		return nil, Faults{{Path: "", Said: "is not JSON: " + err.Error()}}, true
+	}
 	parser := parsers.Get()
 	defer parsers.Put(parser)
 	value, err := parser.ParseBytes(body)
--- a/internal/configuration/patch.go
+++ b/internal/configuration/patch.go
@@ -27,6 +27,9 @@
 	if err != nil {
 		return nil, Faults{{Said: "the policy kept is not JSON: " + err.Error()}}, true
 	}
+	if err = StrictJSON(change); err != nil {
+		return nil, Faults{{Said: "is not JSON: " + err.Error()}}, true
+	}
 	patch, err := fastjson.ParseBytes(change)
 	if err != nil {
 		return nil, Faults{{Said: "is not JSON: " + err.Error()}}, true
