--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -105,7 +105,7 @@
 // most of its time at the longest. Proposers that hear nobody, and turn each other
 // away, may begin rounds without end.
 func (p *Proposer) patient() int64 {
-	return min(p.limits.CallMs*3/4, max(p.limits.PhaseMs, 4*p.pace()))
+	return min(p.limits.CallMs*3/4, max(2*p.limits.PhaseMs, 4*p.pace()))
 }
 
 // defers makes a call wait while another's round is under way.
