Histories: of calls that only saw a version, the last sent and the first answered

A version stands for one while, so the last sent and the first answered of those who saw it bound it as all do. Who made a version is used as well.

--- a/internal/simulation/history/history.go
+++ b/internal/simulation/history/history.go
@@ -118,13 +118,49 @@
 		}
 		out = append(out, operation)
 	}
+	out = fewer(out, writes)
+	owners := ownersOf(calls)
 	for _, name := range slices.Sorted(maps.Keys(writes)) {
 		one := writes[name]
+		one.owners = &owners
 		out = append(out, porcupine.Operation{ClientId: len(clients) + 1, Input: *one, Call: one.Began, Return: one.Ended})
 	}
 	return out
 }
 
+// fewer leaves, of all calls that only saw a version in place, the one that was
+// sent last and the one that was answered first: a version stands for one while,
+// so if these two were answered within it, all were.
+func fewer(operations []porcupine.Operation, writes map[string]*made) []porcupine.Operation {
+	type seen struct {
+		version int64
+		found   string
+	}
+	sawOnly := func(o porcupine.Operation) (seen, bool) {
+		call, is := o.Input.(Call)
+		refused := is && call.Answer == Refused && call.Base >= 0 && call.Base < call.Version && writes[call.Name] == nil
+		return seen{call.Version, call.Found}, is && (call.Read || refused)
+	}
+	last, first := map[seen]int{}, map[seen]int{}
+	for at, one := range operations {
+		if what, only := sawOnly(one); only {
+			if old, known := last[what]; !known || one.Call > operations[old].Call {
+				last[what] = at
+			}
+			if old, known := first[what]; !known || one.Return < operations[old].Return {
+				first[what] = at
+			}
+		}
+	}
+	var out []porcupine.Operation
+	for at, one := range operations {
+		if what, only := sawOnly(one); !only || last[what] == at || first[what] == at {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
 // theEnd comes after all that was answered.
 type theEnd struct{}
 
@@ -132,13 +168,16 @@
 type told struct{ Call }
 
 // made is all sendings of a write that may have made it.
-type made struct{ Call }
+type made struct {
+	Call
+	owners *map[int64]string
+}
 
 // with adds a sending; ends is when the write was made by, as far as it tells.
 func (m *made) with(call Call, ends int64) *made {
 	if m == nil {
 		call.Ended = ends
-		return &made{call}
+		return &made{Call: call}
 	}
 	if call.Answer == Acknowledged {
 		m.Answer, m.Version = Acknowledged, call.Version
@@ -147,6 +186,21 @@
 	return m
 }
 
+// ownersOf names the write that made each version, as far as answers tell: no
+// other need be tried for it.
+func ownersOf(calls []Call) map[int64]string {
+	owners := map[int64]string{}
+	for _, call := range calls {
+		switch {
+		case call.Read && call.Answer == Acknowledged || call.Answer == Refused && call.Found != "":
+			owners[call.Version] = call.Found
+		case call.Answer == Acknowledged:
+			owners[call.Version] = call.Name
+		}
+	}
+	return owners
+}
+
 // winnersOf names the write that was acknowledged on each version: what else
 // built on it and got no clear answer came to nothing, and need not be tried.
 func winnersOf(calls []Call) map[int64]string {
--- a/internal/simulation/history/model.go
+++ b/internal/simulation/history/model.go
@@ -55,7 +55,7 @@
 		if now.over {
 			return call.Answer == Unclear, now
 		}
-		return now.take(call.Call)
+		return now.take(call)
 	case told:
 		found := now.top.find(call.Call)
 		return found != nil && found.number == call.Version, now
@@ -92,12 +92,13 @@
 
 // take puts a write in force, if it may be, as the version that was told, if any
 // was.
-func (s state) take(call Call) (bool, any) {
+func (s state) take(call made) (bool, any) {
 	next := call.Next
 	if next == 0 {
 		next = s.top.number + 1
 	}
-	if !s.fits(call) || (call.Version > 0 && call.Version != next) || slices.Contains(strings.Fields(s.refused), call.Name) {
+	owner, told := (*call.owners)[next]
+	if !s.fits(call.Call) || (told && owner != call.Name) || (call.Version > 0 && call.Version != next) || slices.Contains(strings.Fields(s.refused), call.Name) {
 		return false, s
 	}
 	sum := maphash.Comparable(seed, struct {
