--- a/internal/simulation/explorer/world.go
+++ b/internal/simulation/explorer/world.go
@@ -125,7 +125,7 @@
 	w.sent[link]++
 	m := &message{from: from.name, to: to.name, sender: from.id, kind: send.Kind, nth: w.sent[link], body: wire.Encode(send.Body), focus: slices.Contains(w.model.Focus, name), round: w.rounds}
 	m.plain = plain(send, m.body)
-	m.sum = sumStart.word(link).number(uint64(m.nth)).word(m.sender).bytes(m.plain)
+	m.sum = sumStart.word(link).number(uint64(m.nth)).number(uint64(m.round)).word(m.sender).bytes(m.plain)
 	m.held = m.focus && w.slow[[2]string{from.name, to.name}]
 	w.queue = append(w.queue, m)
 }
@@ -194,7 +194,7 @@
 	for link, is := range w.slow {
 		cut += 3 * uint64(sumStart.word(link[0]).word(link[1]).truth(is))
 	}
-	all = all.number(under).number(cut).number(uint64(w.now)).number(uint64(w.calm)).number(uint64(w.asked)).number(uint64(w.facts.sum))
+	all = all.number(under).number(cut).number(uint64(w.now)).number(uint64(w.calm)).number(uint64(w.calmBefore)).number(uint64(w.asked)).number(uint64(w.facts.sum))
 	b := w.left
 	for _, left := range []int{b.Crashes, b.Wipes, b.Older, b.Repeats, b.Holds, b.Losses, b.Stalls, b.Freezes, b.Cuts, b.Leaves} {
 		all = all.number(uint64(left))
