--- a/internal/controlplane/journal/journal.go
+++ b/internal/controlplane/journal/journal.go
@@ -31,18 +31,21 @@
 // ErrCorrupt is the code of an error that says synced bytes are damaged.
 const ErrCorrupt = "journal_corrupt"
 
-// ErrFull is the code of an error after which the batch may be tried again.
+// ErrFull is the code of an error after which the same call may be tried again:
+// the disk refused to write.
 const ErrFull = "journal_full"
 
+const identityName = "identity"
+
 // Open reads a data folder, cutting a torn tail. An empty folder gets the fresh
 // identity; damage to synced bytes is an error with the code ErrCorrupt.
 //
 //	kept, found, err := journal.Open(folder, "c1~9f31", emptySnapshot)
 func Open(disk Disk, freshIdentity string, emptySnapshot []byte) (*Journal, Recovered, error) {
 	kept := &Journal{disk: disk}
-	identity, there, err := disk.Read("identity")
+	identity, there, err := disk.Read(identityName)
 	if err != nil {
-		return nil, Recovered{}, oops.Wrapf(err, "reading identity")
+		return nil, Recovered{}, oops.Wrapf(err, "reading the identity")
 	}
 	if !there || len(identity) == 0 {
 		return kept.found(freshIdentity, emptySnapshot)
@@ -56,28 +59,36 @@
 	if err := kept.readLog(&recovered); err != nil {
 		return nil, Recovered{}, err
 	}
+	if kept.generation == 1 && len(recovered.Writes) == 0 {
+		// Nothing was ever promised under this identity, which the power may have
+		// cut short.
+		return (&Journal{disk: disk}).found(freshIdentity, emptySnapshot)
+	}
 	return kept, recovered, nil
 }
 
-// found makes a new folder; the identity is written last, so that a folder
-// with an identity always has a slot.
+// found makes a new folder. The names of its files last before the identity is
+// written, so that a folder with an identity always has a slot, whatever names a
+// loss of power takes.
 func (j *Journal) found(identity string, emptySnapshot []byte) (*Journal, Recovered, error) {
-	for _, name := range []string{"slot.0", "slot.1", "log.0", "log.1"} {
+	for _, name := range []string{"slot.0", "slot.1", "log.0", "log.1", identityName} {
 		if err := j.disk.Cut(name, 0); err != nil {
-			return nil, Recovered{}, oops.Wrapf(err, "making %s", name)
+			return nil, Recovered{}, oops.Code(ErrFull).Wrapf(err, "making %s", name)
 		}
 	}
+	if err := j.disk.SyncNames(); err != nil {
+		return nil, Recovered{}, oops.Wrapf(err, "syncing the folder")
+	}
 	if err := j.Checkpoint(emptySnapshot); err != nil {
 		return nil, Recovered{}, err
 	}
-	err := j.disk.Write("identity", 0, []byte(identity))
-	if err == nil {
-		err = j.disk.Sync("identity")
+	if err := j.disk.Write(identityName, 0, []byte(identity)); err != nil {
+		return nil, Recovered{}, oops.Code(ErrFull).Wrapf(err, "writing the identity")
 	}
-	if err == nil {
-		err = j.disk.SyncNames()
+	if err := j.disk.Sync(identityName); err != nil {
+		return nil, Recovered{}, oops.Wrapf(err, "syncing the identity")
 	}
-	return j, Recovered{Identity: identity, Fresh: true, Snapshot: emptySnapshot}, oops.Wrapf(err, "writing identity")
+	return j, Recovered{Identity: identity, Fresh: true, Snapshot: emptySnapshot}, nil
 }
 
 func (j *Journal) bestSlot() (readFrame, error) {
@@ -118,7 +129,7 @@
 		if laterFrame(body, j.generation, 0) {
 			return oops.Code(ErrCorrupt).Errorf("%s: its head is damaged", name)
 		}
-		return j.openLog()
+		return j.openLog(j.generation)
 	}
 	at := head.size
 	for at < len(body) {
@@ -143,7 +154,7 @@
 		return nil
 	}
 	if err := j.disk.Cut(name, j.offset); err != nil {
-		return oops.Wrapf(err, "cutting the torn tail of %s", name)
+		return oops.Code(ErrFull).Wrapf(err, "cutting the torn tail of %s", name)
 	}
 	return oops.Wrapf(j.sync(name), "cutting the torn tail of %s", name)
 }
@@ -164,39 +175,46 @@
 	return oops.Wrapf(j.sync(j.logName()), "syncing %s", j.logName())
 }
 
-// Checkpoint writes the whole state to the other slot and starts a new log.
+// Checkpoint writes the whole state to the other slot and starts a new log. If
+// the disk is full it may be tried again with the same snapshot: until the new log
+// is open, the slot and the log before stay in force.
 //
 //	err := kept.Checkpoint(wire.Encode(&snapshot))
 func (j *Journal) Checkpoint(snapshot []byte) error {
-	j.generation++
-	name := fmt.Sprintf("slot.%d", j.generation%2)
-	slot := frame(slotMagic, j.generation, 0, snapshot)
+	generation := j.generation + 1
+	name := fmt.Sprintf("slot.%d", generation%2)
+	slot := frame(slotMagic, generation, 0, snapshot)
 	if err := j.disk.Write(name, 0, slot); err != nil {
-		return oops.Wrapf(err, "writing %s", name)
+		return oops.Code(ErrFull).Wrapf(err, "writing %s", name)
 	}
 	if err := j.disk.Cut(name, int64(len(slot))); err != nil {
-		return oops.Wrapf(err, "writing %s", name)
+		return oops.Code(ErrFull).Wrapf(err, "writing %s", name)
 	}
 	if err := j.sync(name); err != nil {
 		return oops.Wrapf(err, "syncing %s", name)
 	}
-	return j.openLog()
+	return j.openLog(generation)
 }
 
-func (j *Journal) openLog() error {
-	name := j.logName()
-	head := frame(openMagic, j.generation, 0, nil)
+func (j *Journal) openLog(generation uint64) error {
+	name := logName(generation)
+	head := frame(openMagic, generation, 0, nil)
 	if err := j.disk.Cut(name, 0); err != nil {
-		return oops.Wrapf(err, "opening %s", name)
+		return oops.Code(ErrFull).Wrapf(err, "opening %s", name)
 	}
 	if err := j.disk.Write(name, 0, head); err != nil {
+		return oops.Code(ErrFull).Wrapf(err, "opening %s", name)
+	}
+	if err := j.sync(name); err != nil {
 		return oops.Wrapf(err, "opening %s", name)
 	}
-	j.serial, j.offset = 0, int64(len(head))
-	return oops.Wrapf(j.sync(name), "opening %s", name)
+	j.generation, j.serial, j.offset = generation, 0, int64(len(head))
+	return nil
 }
 
-func (j *Journal) logName() string { return fmt.Sprintf("log.%d", j.generation%2) }
+func (j *Journal) logName() string { return logName(j.generation) }
+
+func logName(generation uint64) string { return fmt.Sprintf("log.%d", generation%2) }
 
 func (j *Journal) sync(name string) error {
 	j.Syncs++
