--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -26,6 +26,10 @@
 	"applequay/platform"
 )
 
+// openAgain is how long a data folder that refuses to be written waits for the next
+// try.
+const openAgain = time.Second
+
 func main() {
 	start := platform.Start("controller", settings.PartNode|settings.PartDisk)
 	log := settings.Log("controller", start.Settings.Name)
@@ -50,7 +54,7 @@
 		return err
 	}
 	folder.Trial(given.DiskTrial)
-	kept, found, err := journal.Open(folder, health.Identity(given.Name), controller.EmptySnapshot())
+	kept, found, err := openJournal(ctx, folder, given.Name)
 	if err != nil {
 		return err
 	}
@@ -144,6 +148,21 @@
 	return supervisor.Run(work, log, settings.Patience, children...)
 }
 
+// openJournal reads the data folder; a disk that refuses to write is tried again.
+func openJournal(ctx context.Context, folder journal.Disk, name string) (*journal.Journal, journal.Recovered, error) {
+	for {
+		kept, found, err := journal.Open(folder, health.Identity(name), controller.EmptySnapshot())
+		if failed, ok := oops.AsOops(err); err == nil || !ok || failed.Code() != journal.ErrFull {
+			return kept, found, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, journal.Recovered{}, ctx.Err()
+		case <-time.After(openAgain):
+		}
+	}
+}
+
 // handOver waits until all partitions are with their next owners, or too long.
 func handOver(control *eventloop.Position, most, look time.Duration) {
 	ends := time.NewTimer(most)
