--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand"
 	"strings"
@@ -73,7 +74,7 @@
 	e.core = controller.New(e.Clock(), controller.Boot{
 		ID: e.ID, Name: e.Name, Addr: e.Addr, Zone: "z0", Born: w.NowMs + 1 + e.WallMs, Core: core, Seeds: seeds, Partitions: w.Shape.Partitions,
 		LeaseMs: w.Shape.LeaseMs, PollMs: w.Shape.PollMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs,
-		CatchUpMs: 4000, Bootstrap: first,
+		CatchUpMs: cmp.Or(w.Shape.CatchUpMs, 4000), Bootstrap: first,
 	}, rand.New(rand.NewSource(w.Random.Int63())), &snapshot, found.Writes)
 	w.Note("%s starts as %s, %d records replayed", e.Name, e.ID, len(found.Writes))
 	e.Every(w.Shape.TickMs)
--- a/internal/simulation/founding_test.go
+++ b/internal/simulation/founding_test.go
@@ -17,32 +17,6 @@
 	return shape
 }
 
-// allIn tells whether every core machine that is up has a seat in one whole set.
-func (w *World) allIn() bool {
-	up, epoch := 0, int64(0)
-	for at, e := range w.cores {
-		if !e.Up {
-			continue
-		}
-		up++
-		core := w.coreAt(at)
-		if !core.Swept || !seated(core, e.ID) || (epoch != 0 && core.Epoch != epoch) {
-			return false
-		}
-		epoch = core.Epoch
-	}
-	return len(w.coreAt(w.firstUp()).Seats) == up
-}
-
-func (w *World) firstUp() int {
-	for at, e := range w.cores {
-		if e.Up {
-			return at
-		}
-	}
-	return 0
-}
-
 // Machines that start in any order within 0.3 s take part within 4 s, be they
 // seeds or not.
 func TestFoundedBySeeds(t *testing.T) {
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"applequay/internal/controlplane/register"
-	"applequay/internal/transport/wire"
 )
 
 // steady is a world where traffic and a policy are going.
@@ -24,12 +22,6 @@
 	return w
 }
 
-func (w *World) coreAt(at int) wire.CoreSet { return w.cores[at].core.Page(w.cores[at].Clock()).Core }
-
-func seated(core wire.CoreSet, id string) bool {
-	return slices.ContainsFunc(core.Seats, func(s wire.Seat) bool { return s.ID == id })
-}
-
 func each(c *qt.C, run func(c *qt.C, shape Shape)) {
 	for _, shape := range []Shape{Brilleverk(), Krizanka()} {
 		c.Run(shape.Name, func(c *qt.C) {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -18,7 +18,9 @@
 	RoomMb, SyncMs, StoreMbPerS, Turns       int64
 	LeaseMs, PollMs, ProbeMs, CallMs, TickMs int64
 	LossPercent                              int
-	Partitions                               int64
+	// CatchUpMs is how long a machine that is back counts as lost; 4000 where nought.
+	CatchUpMs  int64
+	Partitions int64
 	// Seeds is how many of the core machines, first in order, found the core set;
 	// 0 means all, who are then told of each other.
 	Seeds int
