Core set: a leaver stays until the set is whole without it; newcomers never carry a majority

Now a leaver tells the members at once and ends when a set without it is whole, or three quarters of its drain are over; of three it waits for its successor's seat. A set grows only where a majority of the one to come is of seats that stand, had their time to catch up and answered under this epoch. A newcomer makes way while a seat is to go. The time between two losses of seats is that of a grant, from when the set before was whole. Sets that were missed count as large. A newcomer that cannot be given its copies makes no seat go.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -131,12 +131,15 @@
 	start.Desk(operators, control, settings.Ms(given.CallMs)*2, stop)
 	go start.Watch(work, log, func(next *settings.Boot) { control.Seeds(work, next.Seeds) })
 	go func() {
-		// SIGTERM: partitions are handed over, what is left is given back and the
-		// members are told; then the rest stops.
+		// SIGTERM: the members are told, partitions are handed over and what is left
+		// is given back; once the core set does without this node, the rest stops.
 		<-ctx.Done()
 		control.Do(work, core.Leave)
-		handOver(control, min(settings.Ms(given.LeaseMs), settings.Ms(given.DrainMs)/2), settings.Ms(given.TickMs))
+		drain, look := settings.Ms(given.DrainMs), settings.Ms(given.TickMs)
+		began := time.Now()
+		await(min(settings.Ms(given.LeaseMs), drain/2), look, func() bool { return moved(control) })
 		control.Do(work, core.Gone)
+		await(drain*3/4-time.Since(began), look, func() bool { return !needed(control) })
 		<-time.After(settings.Ms(given.ProbeMs))
 		cancel()
 	}()
@@ -163,8 +166,8 @@
 	}
 }
 
-// handOver waits until all partitions are with their next owners, or too long.
-func handOver(control *eventloop.Position, most, look time.Duration) {
+// await waits until something is so, or too long.
+func await(most, look time.Duration, so func() bool) {
 	ends := time.NewTimer(most)
 	defer ends.Stop()
 	for {
@@ -172,9 +175,21 @@
 		case <-ends.C:
 			return
 		case <-time.After(2 * look):
-			if page := control.Page.Load(); page == nil || page.Moving == 0 {
+			if so() {
 				return
 			}
 		}
 	}
 }
+
+// moved tells whether all partitions are with their next owners.
+func moved(control *eventloop.Position) bool {
+	page := control.Page.Load()
+	return page == nil || page.Moving == 0
+}
+
+// needed tells whether the core set cannot do without this node yet.
+func needed(control *eventloop.Position) bool {
+	page := control.Page.Load()
+	return page != nil && page.Needed
+}
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -80,6 +80,7 @@
 	rolling    *rolling
 	leavers    map[string]bool
 	leaving    bool
+	outSince   int64 // the first set in which this node has no seat any more
 	stalled    bool
 	events     int64
 	StartedMs  int64
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -88,6 +88,9 @@
 	}
 	f.core = core
 	f.noteSize(now, known, core)
+	if seatOf(known.Seats, f.boot.ID) && !seatOf(core.Seats, f.boot.ID) {
+		f.outSince = core.Epoch
+	}
 	if core.Epoch > known.Epoch {
 		f.holder.Hurry(now)
 	}
--- a/internal/controlplane/controller/moves.go
+++ b/internal/controlplane/controller/moves.go
@@ -200,6 +200,7 @@
 func (f *Frame) Leave(now int64) wire.Outputs {
 	var out wire.Outputs
 	f.leaving = true
+	f.members.Leave()
 	var others []string
 	for _, seat := range f.proposer.Core().Seats {
 		if standing, _ := f.members.Standing(seat.ID); seat.ID != f.boot.ID && standing == wire.StandingWell {
@@ -217,15 +218,32 @@
 	return out
 }
 
-// Gone stops all turns that are left, gives their grants back and tells the
-// members that this node leaves.
+// Needed tells whether a node that leaves should stay: partitions are on their way,
+// or its seat is still its own, though the set can do without it or a successor
+// waits. Nobody may count on a seat that nobody keeps, and the registers must be
+// with the others: the set without this node is whole.
+//
+//	if !core.Needed() { ... }
+func (f *Frame) Needed() bool {
+	core := f.proposer.Core()
+	switch {
+	case len(f.moving) > 0:
+		return true
+	case !f.founded():
+		return false
+	case seatOf(core.Seats, f.boot.ID):
+		return len(core.Seats) > leastSeats || len(core.Joining) > 0 || len(f.newcomers(core)) > 0
+	}
+	return core.Epoch == f.outSince && !core.Swept
+}
+
+// Gone stops all turns that are left and gives their grants back.
 //
 //	out := core.Gone(now)
 func (f *Frame) Gone(now int64) wire.Outputs {
 	var out wire.Outputs
 	f.leaving = true
 	f.moving = map[int64]*handing{}
-	f.members.Leave()
 	f.release(&out)
 	out.Add(f.members.Tick(now))
 	return out
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -27,6 +27,8 @@
 	// Moving counts partitions on their way to another owner, Moves all that were.
 	Moving int
 	Moves  int64
+	// Needed says of a node that leaves that it should stay for a while.
+	Needed bool
 	// Seeds and Partitions are this node's own settings.
 	Seeds      []string
 	Partitions int64
@@ -40,6 +42,7 @@
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
 		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
 	page.Events, page.Moving, page.Moves = f.events, len(f.moving), f.Moves
+	page.Needed = f.Needed()
 	for _, owned := range f.owned {
 		page.Events += owned.Steps
 	}
--- a/internal/controlplane/controller/seats.go
+++ b/internal/controlplane/controller/seats.go
@@ -61,11 +61,13 @@
 func (f *Frame) nextCore(now int64, core wire.CoreSet) (wire.CoreSet, bool) {
 	newcomers := f.newcomers(core)
 	if len(core.Joining) > 0 {
-		// A newcomer that goes, or that cannot be given its copies, makes way.
+		// A newcomer that goes, or that cannot be given its copies while another waits,
+		// makes way; and so does one while somebody else is to go: it would be needed for
+		// a majority as soon as it had its seat.
 		joiner := core.Joining[0].ID
 		standing, _ := f.stands(now, joiner)
 		stuck := f.steward.failed[joiner] > 0 && len(newcomers) > 0 && newcomers[0].ID != joiner
-		return coreOf(core.Epoch+1, core.Seats), standing != wire.StandingWell || stuck
+		return coreOf(core.Epoch+1, core.Seats), standing != wire.StandingWell || stuck || f.leaver(now, core, newcomers) >= 0
 	}
 	if !core.Swept {
 		return core, false
@@ -73,7 +75,7 @@
 	if at := f.leaver(now, core, newcomers); at >= 0 {
 		return coreOf(core.Epoch+1, slices.Delete(slices.Clone(core.Seats), at, at+1)), true
 	}
-	if len(newcomers) > 0 && len(core.Seats) < mostSeats {
+	if len(newcomers) > 0 && len(core.Seats) < mostSeats && f.mayGrow(now, core) {
 		next := coreOf(core.Epoch+1, core.Seats)
 		next.Joining = newcomers[:1]
 		return next, true
@@ -87,6 +89,7 @@
 		return -1
 	}
 	worst, worstAt := wire.StandingWell, -1
+	waits := slices.ContainsFunc(newcomers, func(n wire.Seat) bool { return f.steward.failed[n.ID] == 0 })
 	for at, seat := range core.Seats {
 		standing, forMs := f.stands(now, seat.ID)
 		gone := standing == wire.StandingLeaving || forMs >= f.goneMs()
@@ -96,34 +99,97 @@
 		case reborn:
 			return at
 		case standing != wire.StandingLeaving && f.heardLately(now, seat.ID):
-		case standing > worst && (len(newcomers) > 0 || (gone && len(core.Seats) > leastSeats)):
+		case standing == wire.StandingLeaving && len(core.Seats) <= leastSeats:
+			// It stays until its successor has a seat, or it is gone.
+		case standing > worst && (waits || (gone && len(core.Seats) > leastSeats)):
 			worst, worstAt = standing, at
 		}
 	}
 	return worstAt
 }
 
+// mayGrow: a newcomer gets a seat only where the set that it comes into has a
+// majority of seats that stand and had their time to catch up. Until then such a
+// machine counts as lost, and so does one that is down: both may go, or go again,
+// and leave their seats behind.
+func (f *Frame) mayGrow(now int64, core wire.CoreSet) bool {
+	return len(f.settledSeats(now, core)) >= min((len(core.Seats)+1)/2+1, len(core.Seats))
+}
+
+// settledSeats are those that stand and had their time to catch up; where all
+// started together nobody is older than the others.
+func (f *Frame) settledSeats(now int64, core wire.CoreSet) map[string]bool {
+	oldest := int64(0)
+	for _, seat := range core.Seats {
+		age, _ := f.ageMs(now, seat.ID)
+		oldest = max(oldest, age)
+	}
+	settled := map[string]bool{}
+	for _, seat := range core.Seats {
+		standing, _ := f.stands(now, seat.ID)
+		age, known := f.ageMs(now, seat.ID)
+		ripe := !known || age >= f.boot.CatchUpMs || oldest-age <= f.togetherMs()
+		if ripe && (standing == wire.StandingWell || standing == wire.StandingLeaving) {
+			settled[seat.ID] = true
+		}
+	}
+	return settled
+}
+
+// togetherMs is how far apart the starts of machines are that start together.
+func (f *Frame) togetherMs() int64 { return f.boot.CatchUpMs / 4 }
+
+// ageMs is how long a process has been up; false if it did not say yet.
+func (f *Frame) ageMs(now int64, id string) (int64, bool) {
+	if id == f.boot.ID {
+		return now - f.StartedMs, true
+	}
+	return f.members.AgeMs(now, id)
+}
+
+// sized is how many seats there were before a set, and when that set was whole: a
+// grant given under the one before lasts for a lease from then at most.
+type sized struct {
+	seats, epoch, at int64
+	whole            bool
+}
+
+// grantMs is how long what a node granted lasts, with what its holder's clock may
+// be off.
+func (f *Frame) grantMs() int64 { return f.boot.LeaseMs/2 + f.boot.LeaseMs/16 }
+
 // mayShrink: within one lease the set loses no more than one seat of all it had.
 // Majorities before and after then meet, so that a grant given by the one is
 // known to the other; who is newly seated grants nothing for a lease.
 func (f *Frame) mayShrink(now int64, core wire.CoreSet) bool {
-	if now-f.StartedMs < f.boot.LeaseMs {
+	if now-f.StartedMs < f.grantMs() {
 		return false
 	}
 	most := int64(len(core.Seats))
 	for _, before := range f.steward.sizes {
-		if now-before.at <= f.boot.LeaseMs {
+		if !before.whole || now-before.at <= f.grantMs() {
 			most = max(most, before.seats)
 		}
 	}
 	return int64(len(core.Seats)) >= most
 }
 
-// noteSize remembers for a lease how many seats there were.
+// noteSize remembers for a lease how many seats there were. Of sets that were
+// missed in between nothing is known.
 func (f *Frame) noteSize(now int64, core, next wire.CoreSet) {
-	if len(core.Seats) == len(next.Seats) {
+	sizes := f.steward.sizes
+	for at := range sizes {
+		if one := &sizes[at]; !one.whole && (next.Epoch > one.epoch || next.Swept) {
+			one.whole, one.at = true, now
+		}
+	}
+	missed := core.Epoch > 0 && next.Epoch > core.Epoch+1
+	if len(core.Seats) == len(next.Seats) && !missed {
 		return
 	}
-	kept := slices.DeleteFunc(f.steward.sizes, func(s sized) bool { return now-s.at > f.boot.LeaseMs })
-	f.steward.sizes = append(kept, sized{at: now, seats: int64(len(core.Seats))})
+	before := sized{seats: int64(len(core.Seats)), epoch: next.Epoch, at: now, whole: next.Swept}
+	if missed {
+		before.seats = mostSeats + 1
+	}
+	f.steward.sizes = append(slices.DeleteFunc(sizes, func(s sized) bool { return s.whole && now-s.at > f.grantMs() }), before)
 }
--- a/internal/controlplane/controller/steward.go
+++ b/internal/controlplane/controller/steward.go
@@ -29,8 +29,6 @@
 	sizes []sized
 }
 
-type sized struct{ at, seats int64 }
-
 func (f *Frame) stewardTick(now int64, out *wire.Outputs) {
 	core := f.proposer.Core()
 	if !f.founded() || f.leaving || !seatOf(core.Seats, f.boot.ID) || !f.due(now, "steward", f.boot.ProbeMs/4) {
@@ -127,7 +125,7 @@
 		}
 		return out
 	})
-	out.Add(f.proposer.Keys(now, call))
+	out.Add(f.proposer.Keys(now, call, f.settledSeats(now, core)))
 }
 
 func (f *Frame) sweepFailed(now, turn int64, core wire.CoreSet) {
--- a/internal/controlplane/membership/clock.go
+++ b/internal/controlplane/membership/clock.go
@@ -40,3 +40,15 @@
 	}
 	return ""
 }
+
+// AgeMs is how long a member has been up by its own clock; false if its clock was
+// not heard of.
+//
+//	age, known := picture.AgeMs(now, "c2~51")
+func (m *Members) AgeMs(now int64, id string) (int64, bool) {
+	kept, ok := m.table[id]
+	if !ok || kept.offsetAt == 0 {
+		return 0, false
+	}
+	return max(now+kept.offset-kept.member.Born, 0), true
+}
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -203,8 +203,16 @@
 			continue
 		}
 		delete(m.probes, seq)
-		if kept, ok := m.table[sent.target]; ok && sent.forWhom == "" && wire.Standing(kept.member.Standing) == wire.StandingWell && kept.heardMs < sent.sent-m.limits.AnswerMs {
+		kept, ok := m.table[sent.target]
+		if !ok || sent.forWhom != "" || kept.heardMs >= sent.sent-m.limits.AnswerMs {
+			continue
+		}
+		switch wire.Standing(kept.member.Standing) {
+		case wire.StandingWell:
 			m.set(now, kept, wire.StandingSuspect)
+		case wire.StandingLeaving:
+			// It has left.
+			m.set(now, kept, wire.StandingRemoved)
 		}
 	}
 }
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -84,7 +84,7 @@
 	have             wire.Ballot
 	haveValue        []byte
 	agreed           int
-	found            map[string]bool
+	found, counted   map[string]bool
 	behind           []string
 	chosen           wire.Value
 	hasChosen        bool
@@ -135,11 +135,13 @@
 	return p.start(now, &operation{call: call, key: key, read: true, mend: true})
 }
 
-// Keys asks a majority which registers there are.
+// Keys asks a majority which registers there are. Where a newcomer is to be copied
+// to, only answers of the seats named count for the set that it comes into; all do
+// where none is named.
 //
-//	out := proposer.Keys(now, call)
-func (p *Proposer) Keys(now, call int64) wire.Outputs {
-	return p.start(now, &operation{call: call, keys: true, found: map[string]bool{}})
+//	out := proposer.Keys(now, call, nil)
+func (p *Proposer) Keys(now, call int64, counted map[string]bool) wire.Outputs {
+	return p.start(now, &operation{call: call, keys: true, found: map[string]bool{}, counted: counted})
 }
 
 func (p *Proposer) start(now int64, o *operation) wire.Outputs {
@@ -160,7 +162,7 @@
 	o.epoch = p.core.Epoch
 	o.heard, o.best, o.bestValue, o.agreed, o.behind = map[string]bool{}, wire.Ballot{}, nil, 0, nil
 	o.phaseEnds, o.began = now+p.limits.PhaseMs, now
-	if !asks {
+	if !asks || o.keys {
 		o.phaseEnds = now + p.patience()
 	}
 	switch {
--- a/internal/controlplane/register/rounds.go
+++ b/internal/controlplane/register/rounds.go
@@ -42,7 +42,7 @@
 			for _, key := range told.Keys {
 				o.found[key] = true
 			}
-			if len(o.heard) >= p.majority() {
+			if len(o.heard) >= p.majority() && p.vouched(o) {
 				keys := make([]string, 0, len(o.found))
 				for key := range o.found {
 					keys = append(keys, key)
@@ -199,6 +199,19 @@
 
 func (p *Proposer) majority() int { return len(p.core.Seats)/2 + 1 }
 
+// vouched tells whether enough seats answered for registers to be copied to a
+// newcomer: of those that count, as many as make a majority of the set that it
+// comes into, so that none ever stands that cannot do without the newcomer's vote.
+func (p *Proposer) vouched(o *operation) bool {
+	joining, count := len(p.core.Joining), 0
+	for _, seat := range p.core.Seats {
+		if o.heard[seat.ID] && (o.counted == nil || o.counted[seat.ID]) {
+			count++
+		}
+	}
+	return joining == 0 || count >= min((len(p.core.Seats)+joining)/2+1, len(p.core.Seats))
+}
+
 func sortedOps(ops map[int64]*operation) []int64 {
 	keys := make([]int64, 0, len(ops))
 	for op := range ops {
