--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -144,7 +144,10 @@
 	}
 	switch told := body.(type) {
 	case *wire.Prepare, *wire.Accept, *wire.Query, *wire.KeysAsk:
-		if f.seated() {
+		switch {
+		case epochOf(body) > f.proposer.Core().Epoch:
+			f.askSet(&out, from)
+		case f.seated():
 			out = f.acceptor.Hear(from, body)
 		}
 		// A round that is turned away, perhaps of one who hears nobody, holds nobody up.
--- /dev/null
+++ b/internal/controlplane/controller/epochs.go
@@ -0,0 +1,43 @@
+package controller
+
+import (
+	"applequay/internal/controlplane/register"
+	"applequay/internal/transport/wire"
+)
+
+// No node is bound to a core set by its epoch's number alone: before it answers
+// under a newer one it knows, durably, the set itself. So whoever turns an older
+// proposer away can tell it the set, should the coordinator that made it be gone.
+
+// epochOf is the epoch of the set that a proposer goes by.
+func epochOf(body wire.Record) int64 {
+	switch asked := body.(type) {
+	case *wire.Prepare:
+		return asked.Epoch
+	case *wire.Accept:
+		return asked.Epoch
+	case *wire.Query:
+		return asked.Epoch
+	case *wire.KeysAsk:
+		return asked.Epoch
+	}
+	return 0
+}
+
+// askSet asks a node that goes by a newer set for that set.
+func (f *Frame) askSet(out *wire.Outputs, from string) {
+	out.Send(from, wire.KindSubscribe, &wire.Subscribe{Service: ControlService, Have: f.board.Have(TopicsOf(ControlService))})
+}
+
+// tellSet tells a new set to those of it who had no seat before: all others hear
+// of it as of any value that was chosen.
+func (f *Frame) tellSet(out *wire.Outputs, before wire.CoreSet) {
+	core := f.proposer.Core()
+	for _, list := range [][]wire.Seat{core.Seats, core.Joining} {
+		for _, seat := range list {
+			if seat.ID != f.boot.ID && !seatOf(before.Seats, seat.ID) {
+				out.Send(seat.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
+			}
+		}
+	}
+}
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -82,7 +82,7 @@
 	}
 	// To lose a seat and get one again takes three changes, of which a node that
 	// was cut off may not have heard.
-	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+3
+	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+regained
 	if core.Epoch > 1 && seatOf(core.Seats, f.boot.ID) && (missed || !seatOf(known.Seats, f.boot.ID)) {
 		f.granter.Quiet(now)
 	}
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -93,17 +93,22 @@
 	}
 }
 
-// grantAsked votes on grants; who goes by a set older than this node knows may
-// count others than those who count now, and gets none.
+// regained is how many changes of the set it takes to lose a seat and get one again.
+const regained = 3
+
+// grantAsked votes on grants. Who goes by a set older than this node knows may
+// count others than those who count now, and gets none. Nor does anybody from a
+// node that may have got its seat since: it must keep quiet first.
 func (f *Frame) grantAsked(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
 	var out wire.Outputs
 	core := f.proposer.Core()
 	switch {
-	case !f.seated():
-	case asked.Epoch >= f.acceptor.Epoch():
-		out.Send(from, wire.KindGrantTold, f.granter.Ask(now, from, asked))
 	case asked.Epoch < core.Epoch:
 		out.Send(from, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
+	case seatOf(core.Seats, f.boot.ID) && asked.Epoch < core.Epoch+regained:
+		out.Send(from, wire.KindGrantTold, f.granter.Ask(now, from, asked))
+	case asked.Epoch > core.Epoch:
+		f.askSet(&out, from)
 	}
 	return out
 }
--- a/internal/controlplane/controller/steward.go
+++ b/internal/controlplane/controller/steward.go
@@ -68,12 +68,13 @@
 }
 
 func (f *Frame) changeCore(now int64, out *wire.Outputs, next wire.CoreSet) {
-	turn := f.begin()
+	turn, before := f.begin(), f.proposer.Core()
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
 		f.end(turn)
 		if outcome.Has {
 			f.learn(now, &out, register.CoreKey, outcome.Value)
+			f.tellSet(&out, before)
 			delete(f.timers, "steward")
 		}
 		return out
--- a/internal/controlplane/lease/holder.go
+++ b/internal/controlplane/lease/holder.go
@@ -215,9 +215,15 @@
 			continue
 		}
 		votes[from] = true
-		kept.votes = max(kept.votes, len(votes))
+		count := 0
+		for _, seat := range seats {
+			if votes[seat.ID] {
+				count++
+			}
+		}
+		kept.votes = max(kept.votes, count)
 		until := sent.sent + h.limits.LeaseMs - h.limits.MarginMs
-		if len(votes) < len(seats)/2+1 || now >= until {
+		if count < len(seats)/2+1 || now >= until {
 			continue
 		}
 		switch {
--- a/internal/controlplane/lease/lease_test.go
+++ b/internal/controlplane/lease/lease_test.go
@@ -114,3 +114,18 @@
 	c.Assert(out.Sends, qt.HasLen, len(seats))
 	c.Assert(out.Sends[0].Body.(*wire.GrantAsk).Holds, qt.HasLen, 12)
 }
+
+// The vote of a seat that was taken out meanwhile does not count in the set that
+// came: of four seats a and b granted, and of b, c and d only b did.
+func TestVotesOfTheSetThatIs(t *testing.T) {
+	c := qt.New(t)
+	four := []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	h := NewHolder(LimitsFor(3200))
+	h.Claim(0, 3)
+	_, out := h.Tick(1000, four, "")
+	asked := out.Sends[0].Body.(*wire.GrantAsk)
+	told := &wire.GrantTold{Op: asked.Op, Granted: asked.Holds}
+	c.Check(h.Told(1010, "a", told, four), qt.HasLen, 0)
+	c.Check(h.Told(1020, "b", told, four[1:]), qt.HasLen, 0)
+	c.Check(h.Told(1030, "c", told, four[1:]), qt.HasLen, 1)
+}
