--- a/coordination/simulation/simulation.go
+++ b/coordination/simulation/simulation.go
@@ -74,8 +74,8 @@
 	order  int64
 }
 
-// Carried counts messages.
-type Carried struct{ Messages, Lost int64 }
+// Carried counts messages, and the bytes of those that were not lost.
+type Carried struct{ Messages, Lost, Bytes int64 }
 
 // New makes an empty world.
 //
@@ -145,6 +145,7 @@
 	if w.Watch != nil {
 		w.Watch(from, target, kind, len(bytes))
 	}
+	w.Carried.Bytes += int64(len(bytes))
 	sender := from.ID
 	w.After(wait, func() {
 		if target.Up {
--- /dev/null
+++ b/internal/simulation/changes_test.go
@@ -0,0 +1,29 @@
+package simulation
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A machine that comes after many changes is caught up in the time it has, with as
+// many bytes as after few: the state is carried, and no history.
+func TestCaughtUpAfterManyChanges(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for _, away := range AwayKinds {
+		c.Run(away, func(c *qt.C) {
+			c.Parallel()
+			few, faults := Changes{Count: 70, Routes: 100, Away: away}.Run(3)
+			c.Check(faults, qt.HasLen, 0)
+			many, faults := Changes{Count: 280, Routes: 100, Away: away}.Run(3)
+			c.Check(faults, qt.HasLen, 0)
+			c.Logf("after 70: %+v, after 280: %+v", few, many)
+			for _, one := range []CatchUp{few, many} {
+				c.Check(one.Ms <= smallCatch, qt.IsTrue, qt.Commentf("%+v", one))
+			}
+			c.Check(many.State < few.State+few.State/10, qt.IsTrue)
+			c.Check(many.Bytes < 2*few.Bytes, qt.IsTrue)
+		})
+	}
+}
--- a/internal/simulation/repair_test.go
+++ b/internal/simulation/repair_test.go
@@ -6,38 +6,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-
-	"applequay/internal/controlplane/register"
-	"applequay/internal/transport/wire"
 )
 
-// behind counts the registers of which a core machine's copy is older than
-// another's, or missing.
-func (w *World) behind(core int) int {
-	newest := map[string]wire.Ballot{}
-	mine := map[string]wire.Ballot{}
-	for at, e := range w.cores {
-		if !e.Up {
-			continue
-		}
-		for _, kept := range e.core.Snapshot().Registers {
-			if register.Less(newest[kept.Key], kept.Accepted) {
-				newest[kept.Key] = kept.Accepted
-			}
-			if at == core {
-				mine[kept.Key] = kept.Accepted
-			}
-		}
-	}
-	count := 0
-	for key, ballot := range newest {
-		if register.Less(mine[key], ballot) {
-			count++
-		}
-	}
-	return count
-}
-
 // Copies that a machine missed while it was away, or lost with its disk, are
 // mended by reads and the sweep, without anybody writing. REPAIR_SHOW=1 prints
 // how many were missing and how long it took.
