--- a/internal/simulation/losses.go
+++ b/internal/simulation/losses.go
@@ -21,7 +21,7 @@
 }
 
 // LossKinds are the ways in which machines go and come in turn.
-var LossKinds = []string{"wiped", "gone", "planned", "coordinator", "dying", "empty-twice", "full", "halved"}
+var LossKinds = []string{"wiped", "gone", "planned", "coordinator", "dying", "empty-twice", "full", "halved", "closing"}
 
 // Times of the sites that have so many core machines: a machine counts as lost for
 // catchUpMs after its start, an order is taken within ackMs, a planned end may
@@ -143,6 +143,8 @@
 		stuck.disk.full = false
 	case "halved":
 		r.halve()
+	case "closing":
+		r.closing()
 	}
 	r.catchUp()
 }
@@ -172,6 +174,35 @@
 	r.catchUp()
 }
 
+// closing wipes as many machines as may be lost while all others lose power, right
+// after an order was acknowledged.
+func (r *losing) closing() {
+	w := r.w
+	acked := func() int {
+		return len(slices.DeleteFunc(slices.Clone(r.orders), func(one *orderSent) bool { return one.ended == 0 }))
+	}
+	for before, until := acked(), w.NowMs+ackMs; acked() == before && w.NowMs < until; {
+		w.Run(w.NowMs + 1)
+	}
+	victims := r.victims(false)
+	var others []int
+	for at, e := range w.cores {
+		if e.Up && !slices.Contains(victims, at) {
+			others = append(others, at)
+		}
+	}
+	r.crash(append(slices.Clone(victims), others...))
+	r.events = append(r.events, w.NowMs+contactMs)
+	back := w.NowMs + returnMs
+	for _, at := range victims {
+		w.At(back+w.Random.Int63n(300), func() { w.Restart(at, true) })
+	}
+	for _, at := range others {
+		w.At(back+w.Random.Int63n(300), func() { w.Restart(at, false) })
+	}
+	w.Run(back + 300)
+}
+
 func (r *losing) anyUp(cores []int) bool {
 	return slices.ContainsFunc(cores, func(at int) bool { return r.w.cores[at].Up })
 }
@@ -292,6 +323,9 @@
 			up = append(up, e)
 		}
 	}
+	if len(up) == 0 {
+		return
+	}
 	e := up[w.Random.Intn(len(up))]
 	e.On(func() {
 		e.nextAsk++
