--- a/internal/simulation/losses.go
+++ b/internal/simulation/losses.go
@@ -86,6 +86,7 @@
 	w := r.w
 	w.Run(9000)
 	r.expectWhole("after the founding")
+	r.watchVoters()
 	r.keepOrdering()
 	for round := range l.Rounds {
 		w.Run(w.NowMs + 300 + w.Random.Int63n(700))
@@ -361,6 +362,40 @@
 	}
 }
 
+// watchVoters looks, all the time, at every machine that gets a seat: it holds each
+// register that there is by then.
+func (r *losing) watchVoters() {
+	w := r.w
+	held := func(e *controllerNode) map[string]bool {
+		keys := map[string]bool{}
+		for _, kept := range e.core.Snapshot().Registers {
+			keys[kept.Key] = kept.Accepted.N > 0
+		}
+		return keys
+	}
+	all, known := held(w.cores[w.firstUp()]), map[string]bool{}
+	for _, seat := range w.coreAt(w.firstUp()).Seats {
+		known[seat.ID] = true
+	}
+	var look func()
+	look = func() {
+		for _, e := range w.cores {
+			if !e.Up || known[e.ID] || !seated(e.core.Page(e.Clock()).Core, e.ID) {
+				continue
+			}
+			known[e.ID] = true
+			mine := held(e)
+			for key, there := range all {
+				if there && !mine[key] {
+					r.fault("%s got a seat without the register %s", e.ID, key)
+				}
+			}
+		}
+		w.After(w.Shape.TickMs, look)
+	}
+	look()
+}
+
 // allIn tells whether every core machine that is up has a seat in one whole set.
 func (w *World) allIn() bool {
 	up, in, epoch := 0, 0, int64(0)
