--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -245,10 +245,3 @@
 	}
 	return f.owned[number]
 }
-
-// seated tells whether this node's identity is in the core set, or on its way
-// in: only then does it vote or keep copies.
-func (f *Frame) seated() bool {
-	core := f.proposer.Core()
-	return seatOf(core.Seats, f.boot.ID) || seatOf(core.Joining, f.boot.ID)
-}
--- a/internal/controlplane/controller/epochs.go
+++ b/internal/controlplane/controller/epochs.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"applequay/internal/controlplane/distribution"
 	"applequay/internal/controlplane/register"
 	"applequay/internal/transport/wire"
 )
@@ -26,7 +27,7 @@
 
 // askSet asks a node that goes by a newer set for that set.
 func (f *Frame) askSet(out *wire.Outputs, from string) {
-	out.Send(from, wire.KindSubscribe, &wire.Subscribe{Service: ControlService, Have: f.board.Have(TopicsOf(ControlService))})
+	out.Send(from, wire.KindSubscribe, f.board.Asks(distribution.ControlService))
 }
 
 // tellSet tells a new set to those of it who had no seat before: all others hear
@@ -41,3 +42,10 @@
 		}
 	}
 }
+
+// seated tells whether this node's identity is in the core set, or on its way
+// in: only then does it vote or keep copies.
+func (f *Frame) seated() bool {
+	core := f.proposer.Core()
+	return seatOf(core.Seats, f.boot.ID) || seatOf(core.Joining, f.boot.ID)
+}
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -211,7 +211,6 @@
 		case wire.StandingWell:
 			m.set(now, kept, wire.StandingSuspect)
 		case wire.StandingLeaving:
-			// It has left.
 			m.set(now, kept, wire.StandingRemoved)
 		}
 	}
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -135,9 +135,7 @@
 	return p.start(now, &operation{call: call, key: key, read: true, mend: true})
 }
 
-// Keys asks a majority which registers there are. Where a newcomer is to be copied
-// to, only answers of the seats named count for the set that it comes into; all do
-// where none is named.
+// Keys asks a majority which registers there are; counted seats vouch for a newcomer.
 //
 //	out := proposer.Keys(now, call, nil)
 func (p *Proposer) Keys(now, call int64, counted map[string]bool) wire.Outputs {
