--- a/cmd/testbed/losses.go
+++ b/cmd/testbed/losses.go
@@ -51,10 +51,14 @@
 	set := flag.NewFlagSet("changes", flag.ContinueOnError)
 	routes := set.Int("routes", 700, "routes of the last configuration")
 	seed := set.Int64("seed", 1, "seed")
+	only := set.String("away", "", "only one of "+strings.Join(simulation.AwayKinds, ", "))
 	return &ffcli.Command{Name: "changes", ShortHelp: "simulate 10, 100 and 1000 changes and what a machine that missed them takes", FlagSet: set,
 		Exec: func(context.Context, []string) error {
 			fmt.Println("changes, machine: ms, bytes, messages, checkpoint bytes, folder bytes, names kept")
 			for _, away := range simulation.AwayKinds {
+				if *only != "" && away != *only {
+					continue
+				}
 				for _, count := range []int{10, 100, 1000} {
 					took, faults := simulation.Changes{Count: count, Routes: *routes, Away: away}.Run(*seed)
 					fmt.Printf("%d, %s: %d, %d, %d, %d, %d, %d\n", count, away, took.Ms, took.Bytes, took.Messages, took.State, took.Disk, took.Names)
