--- a/internal/simulation/changes.go
+++ b/internal/simulation/changes.go
@@ -43,7 +43,7 @@
 	at := len(w.cores) - 1
 	late := w.cores[at]
 	if o.Away == "cut off" {
-		w.isolate(at, true)
+		w.setAlone(at, true)
 	}
 	if o.Away == "restarted" {
 		w.Crash(at, true)
@@ -59,7 +59,7 @@
 		w.Crash(at, true)
 		w.Restart(at, true)
 	case "cut off":
-		w.isolate(at, false)
+		w.setAlone(at, false)
 	case "restarted":
 		w.Restart(at, false)
 	case "new":
@@ -82,8 +82,8 @@
 	return took, w.Breaches()
 }
 
-// isolate cuts a core machine off from all others, or joins it again.
-func (w *World) isolate(at int, cut bool) {
+// setAlone cuts a core machine off from all others, or joins it again.
+func (w *World) setAlone(at int, cut bool) {
 	for addr := range w.Nodes {
 		if addr != w.cores[at].Addr {
 			w.Cut(addr, w.cores[at].Addr, cut)
