--- a/cmd/testbed/losses.go
+++ b/cmd/testbed/losses.go
@@ -54,7 +54,7 @@
 	only := set.String("away", "", "only one of "+strings.Join(simulation.AwayKinds, ", "))
 	return &ffcli.Command{Name: "changes", ShortHelp: "simulate 10, 100 and 1000 changes and what a machine that missed them takes", FlagSet: set,
 		Exec: func(context.Context, []string) error {
-			fmt.Println("changes, machine: ms, bytes, messages, checkpoint bytes, folder bytes, names kept")
+			fmt.Println("changes, machine: ms, bytes, messages, checkpoint bytes, folder bytes, size of names kept")
 			for _, away := range simulation.AwayKinds {
 				if *only != "" && away != *only {
 					continue
--- a/internal/simulation/changes.go
+++ b/internal/simulation/changes.go
@@ -28,7 +28,7 @@
 	Bytes, Messages int64
 	// State is what its checkpoint takes, Disk what its folder holds.
 	State, Disk int
-	// Names is how many writes the configuration's register remembers.
+	// Names is what the configuration register takes to remember writes by name.
 	Names int
 }
 
