--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -26,6 +26,10 @@
 	"applequay/platform"
 )
 
+// openAgain is how long a data folder that refuses to be written waits for the next
+// try.
+const openAgain = time.Second
+
 func main() {
 	start := platform.Start("controller", settings.PartNode|settings.PartDisk)
 	log := settings.Log("controller", start.Settings.Name)
@@ -50,7 +54,7 @@
 		return err
 	}
 	folder.Trial(given.DiskTrial)
-	kept, found, err := journal.Open(folder, health.Identity(given.Name), controller.EmptySnapshot())
+	kept, found, err := openJournal(ctx, folder, given.Name)
 	if err != nil {
 		return err
 	}
@@ -127,12 +131,15 @@
 	start.Desk(operators, control, settings.Ms(given.CallMs)*2, stop)
 	go start.Watch(work, log, func(next *settings.Boot) { control.Seeds(work, next.Seeds) })
 	go func() {
-		// SIGTERM: partitions are handed over, what is left is given back and the
-		// members are told; then the rest stops.
+		// SIGTERM: the members are told, partitions are handed over and what is left
+		// is given back; once the core set does without this node, the rest stops.
 		<-ctx.Done()
 		control.Do(work, core.Leave)
-		handOver(control, min(settings.Ms(given.LeaseMs), settings.Ms(given.DrainMs)/2), settings.Ms(given.TickMs))
+		drain, look := settings.Ms(given.DrainMs), settings.Ms(given.TickMs)
+		began := time.Now()
+		await(min(settings.Ms(given.LeaseMs), drain/2), look, func() bool { return moved(control) })
 		control.Do(work, core.Gone)
+		await(drain*3/4-time.Since(began), look, func() bool { return !needed(control) })
 		<-time.After(settings.Ms(given.ProbeMs))
 		cancel()
 	}()
@@ -144,8 +151,23 @@
 	return supervisor.Run(work, log, settings.Patience, children...)
 }
 
-// handOver waits until all partitions are with their next owners, or too long.
-func handOver(control *eventloop.Position, most, look time.Duration) {
+// openJournal reads the data folder; a disk that refuses to write is tried again.
+func openJournal(ctx context.Context, folder journal.Disk, name string) (*journal.Journal, journal.Recovered, error) {
+	for {
+		kept, found, err := journal.Open(folder, health.Identity(name), controller.EmptySnapshot())
+		if failed, ok := oops.AsOops(err); err == nil || !ok || failed.Code() != journal.ErrFull {
+			return kept, found, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, journal.Recovered{}, ctx.Err()
+		case <-time.After(openAgain):
+		}
+	}
+}
+
+// await waits until something is so, or too long.
+func await(most, look time.Duration, so func() bool) {
 	ends := time.NewTimer(most)
 	defer ends.Stop()
 	for {
@@ -153,9 +175,21 @@
 		case <-ends.C:
 			return
 		case <-time.After(2 * look):
-			if page := control.Page.Load(); page == nil || page.Moving == 0 {
+			if so() {
 				return
 			}
 		}
 	}
 }
+
+// moved tells whether all partitions are with their next owners.
+func moved(control *eventloop.Position) bool {
+	page := control.Page.Load()
+	return page == nil || page.Moving == 0
+}
+
+// needed tells whether the core set cannot do without this node yet.
+func needed(control *eventloop.Position) bool {
+	page := control.Page.Load()
+	return page != nil && page.Needed
+}
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -80,6 +80,7 @@
 	rolling    *rolling
 	leavers    map[string]bool
 	leaving    bool
+	outSince   int64 // the first set in which this node has no seat any more
 	stalled    bool
 	events     int64
 	StartedMs  int64
@@ -143,7 +144,10 @@
 	}
 	switch told := body.(type) {
 	case *wire.Prepare, *wire.Accept, *wire.Query, *wire.KeysAsk:
-		if f.seated() {
+		switch {
+		case epochOf(body) > f.proposer.Core().Epoch:
+			f.askSet(&out, from)
+		case f.seated():
 			out = f.acceptor.Hear(from, body)
 		}
 		// A round that is turned away, perhaps of one who hears nobody, holds nobody up.
@@ -241,10 +245,3 @@
 	}
 	return f.owned[number]
 }
-
-// seated tells whether this node's identity is in the core set, or on its way
-// in: only then does it vote or keep copies.
-func (f *Frame) seated() bool {
-	core := f.proposer.Core()
-	return seatOf(core.Seats, f.boot.ID) || seatOf(core.Joining, f.boot.ID)
-}
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -82,12 +82,15 @@
 	}
 	// To lose a seat and get one again takes three changes, of which a node that
 	// was cut off may not have heard.
-	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+3
+	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+regained
 	if core.Epoch > 1 && seatOf(core.Seats, f.boot.ID) && (missed || !seatOf(known.Seats, f.boot.ID)) {
 		f.granter.Quiet(now)
 	}
 	f.core = core
 	f.noteSize(now, known, core)
+	if seatOf(known.Seats, f.boot.ID) && !seatOf(core.Seats, f.boot.ID) {
+		f.outSince = core.Epoch
+	}
 	if core.Epoch > known.Epoch {
 		f.holder.Hurry(now)
 	}
