--- a/internal/controlplane/membership/telling.go
+++ b/internal/controlplane/membership/telling.go
@@ -64,7 +64,7 @@
 	for _, id := range ids {
 		m.told[id]++
 	}
-	if _, new := m.told[m.self.ID]; new {
+	if _, known := m.told[m.self.ID]; known {
 		m.told[m.self.ID]++
 	}
 	return ids
--- a/internal/settings/conns_test.go
+++ b/internal/settings/conns_test.go
@@ -112,8 +112,8 @@
 	<-d.came
 	d.leave()
 	select {
-	case err := <-d.served:
-		c.Fatalf("it ended with a request in work: %v", err)
+	case ended := <-d.served:
+		c.Fatalf("it ended with a request in work: %v", ended)
 	case <-time.After(200 * time.Millisecond):
 	}
 	d.let <- struct{}{}
--- a/internal/simulation/explorer/explorer_test.go
+++ b/internal/simulation/explorer/explorer_test.go
@@ -127,9 +127,9 @@
 			for _, other := range steps[i+1:] {
 				first, second := Replay(model, 1, path), Replay(model, 1, path)
 				first.Take(one)
-				print := first.touched
+				touched := first.touched
 				second.Take(other)
-				if !Independent(print, second.touched) {
+				if !Independent(touched, second.touched) {
 					continue
 				}
 				pairs++
--- a/internal/simulation/explorer/facts.go
+++ b/internal/simulation/explorer/facts.go
@@ -69,7 +69,7 @@
 	f.note("%s %s %s expecting %d begins", m.name, op.Kind, op.Name, op.Expected)
 }
 
-func (f *facts) answered(w *World, op *Op, outcome register.Outcome) {
+func (f *facts) answered(_ *World, op *Op, outcome register.Outcome) {
 	f.turns++
 	op.Answered, op.Ended, op.Fate, op.Mark = true, f.turns, outcome.Fate, outcome.Value.Mark
 	f.note("%s %s %s: fate %d version %d", op.Node, op.Kind, op.Name, op.Fate, op.Mark)
@@ -106,7 +106,7 @@
 }
 
 // said looks at what a machine sends to another.
-func (f *facts) said(m *machine, send wire.Send) {
+func (f *facts) said(_ *machine, send wire.Send) {
 	told, ok := send.Body.(*wire.Chosen)
 	var value wire.Value
 	if ok && len(told.Value) > 0 && value.Unmarshal(told.Value) == nil {
--- a/internal/simulation/explorer/machine.go
+++ b/internal/simulation/explorer/machine.go
@@ -45,6 +45,7 @@
 // small is a source of random numbers that costs nothing to seed (splitmix64).
 type small uint64
 
+// Uint64 draws 64 random bits.
 func (s *small) Uint64() uint64 {
 	*s += 0x9e3779b97f4a7c15
 	z := uint64(*s)
@@ -53,7 +54,10 @@
 	return z ^ (z >> 31)
 }
 
-func (s *small) Int63() int64    { return int64(s.Uint64() >> 1) }
+// Int63 draws 63 random bits.
+func (s *small) Int63() int64 { return int64(s.Uint64() >> 1) }
+
+// Seed begins anew from a seed.
 func (s *small) Seed(seed int64) { *s = small(seed) }
 
 // start begins a life with the disk there is.
--- a/internal/simulation/explorer/search.go
+++ b/internal/simulation/explorer/search.go
@@ -130,8 +130,8 @@
 		return
 	}
 	explored := map[Step]Footprint{}
-	for step, print := range sleep {
-		explored[step] = print
+	for step, touched := range sleep {
+		explored[step] = touched
 	}
 	used := world
 	for at, step := range world.Steps() {
@@ -152,11 +152,11 @@
 			continue
 		}
 		s.steps.Add(1)
-		print := used.touched
+		touched := used.touched
 		var next map[Step]Footprint
 		if s.model.Deviations < 0 {
-			next = awake(explored, print)
-			explored[step] = print
+			next = awake(explored, touched)
+			explored[step] = touched
 		}
 		s.branch(used, append(slices.Clone(path), step), rest, next)
 		used = nil
@@ -182,10 +182,10 @@
 }
 
 // awake are the steps searched before that may still be left out after a step.
-func awake(explored map[Step]Footprint, print Footprint) map[Step]Footprint {
+func awake(explored map[Step]Footprint, touched Footprint) map[Step]Footprint {
 	next := map[Step]Footprint{}
 	for step, other := range explored {
-		if Independent(other, print) {
+		if Independent(other, touched) {
 			next[step] = other
 		}
 	}
--- a/internal/simulation/explorer/try_test.go
+++ b/internal/simulation/explorer/try_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func TestTry(t *testing.T) {
+func TestTry(_ *testing.T) {
 	name := os.Getenv("M")
 	model, _ := ModelOf(name)
 	if d, err := strconv.Atoi(os.Getenv("DEPTH")); err == nil {
--- a/internal/simulation/explorer/walk.go
+++ b/internal/simulation/explorer/walk.go
@@ -20,7 +20,7 @@
 	calls int
 }
 
-func drawManner(w *World, random *rand.Rand) manner {
+func drawManner(_ *World, random *rand.Rand) manner {
 	m := manner{random: random, percent: []int{2, 6, 15, 30}[random.Intn(4)], weights: map[Action]int{}, single: []int{0, 0, 2, 10, 10}[random.Intn(5)], calls: []int{15, 40, 120}[random.Intn(3)]}
 	for _, do := range []Action{Deliver, Hold, Lose, Repeat, Crash, Stall, Freeze, Cut, Leave, Slow} {
 		m.weights[do] = []int{0, 1, 2, 6}[random.Intn(4)]
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -113,8 +113,8 @@
 	for range 2 {
 		_, err = fmt.Fprintf(conn, "POST /trunk HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(batch), batch)
 		c.Assert(err, qt.IsNil)
-		answer, err := http.ReadResponse(answers, nil)
-		c.Assert(err, qt.IsNil)
+		answer, failed := http.ReadResponse(answers, nil)
+		c.Assert(failed, qt.IsNil)
 		c.Check(answer.StatusCode, qt.Equals, http.StatusNoContent)
 		<-time.After(150 * time.Millisecond)
 	}
