--- a/cmd/testbed/day.go
+++ b/cmd/testbed/day.go
@@ -13,10 +13,14 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"applequay/internal/testbed/fleet"
+	"applequay/internal/testbed/freenet"
 	"applequay/platform/stand"
 )
 
 // dayCommand plays a day of a small fleet on the platform, with stand-ins.
+// findNet asks for addresses that nobody uses.
+const findNet = -1
+
 func dayCommand() *ffcli.Command {
 	set := flag.NewFlagSet("day", flag.ContinueOnError)
 	file := set.String("plan", "", "file of the day, YAML or JSON; a quiet small one if empty")
@@ -24,7 +28,7 @@
 	dir := set.String("dir", "", "folder for settings, data and logs; a new one if empty")
 	seconds := set.Float64("seconds", 0, "length of the traffic, in place of the plan's")
 	seed := set.Int64("seed", 0, "seed, in place of the plan's")
-	net := set.Int("net", 0, "second number of all addresses, in place of the plan's")
+	net := set.Int("net", 0, "second number of all addresses, in place of the plan's; -1 finds one that nobody uses")
 	straight := set.Bool("straight", false, "no programs: callers go straight to the stand-ins of workers")
 	hunt := set.Int("hunt", 0, "play so many days with troubles drawn by the seed and those after it")
 	picture := set.String("plot", "", "PNG file for a picture of the day")
@@ -46,6 +50,14 @@
 			if *net > 0 {
 				plan.Net = *net
 			}
+			if *net == findNet {
+				number, release, err := freenet.Claim()
+				if err != nil {
+					return err
+				}
+				defer release()
+				plan.Net = number
+			}
 			if *hunt == 0 {
 				return playDay(ctx, plan, *bin, *dir, *picture, *straight)
 			}
