Transport: smaller buffers and heads for the connection to each peer

One idle connection for each address is enough, since a line sends one batch after the other; buffers of 1 and 2 kB take the place of 4 kB each; batches and answers carry no User-Agent and no Date; a batch's body is read into memory of its announced length (64 kB at most), not into slices that grow.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -37,12 +37,16 @@
 )
 
 const (
-	mostBody    = 64 << 20
-	mostAnswer  = 4 << 10 // an answer says nothing; what is more is not read
-	batchMost   = 128
-	batchBytes  = 1 << 20
-	silentWaits = 4        // after so many waits without a sign a connection is given up
-	slowestLink = 64 << 10 // bytes a second that a link is allowed to be slow
+	mostBody   = 64 << 20
+	mostAnswer = 4 << 10 // an answer says nothing; what is more is not read
+	batchMost  = 128
+	// A front keeps a connection to each of its peers, on which little goes.
+	answerBuffer = 1 << 10
+	batchBuffer  = 2 << 10
+	bodyAtOnce   = 64 << 10 // of a batch's memory, for the length that was announced
+	batchBytes   = 1 << 20
+	silentWaits  = 4        // after so many waits without a sign a connection is given up
+	slowestLink  = 64 << 10 // bytes a second that a link is allowed to be slow
 )
 
 // Trunk sends for one control thread, which alone calls Send and Close.
@@ -67,7 +71,8 @@
 		// A machine speaks from the address that it listens on.
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
 	}
-	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		ReadBufferSize: answerBuffer, WriteBufferSize: batchBuffer}
 	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
@@ -127,6 +132,7 @@
 	if err != nil {
 		return err
 	}
+	request.Header["User-Agent"] = nil // no bytes for what nobody reads
 	answer, err := t.client.Do(request)
 	if err != nil {
 		return err
@@ -149,11 +155,13 @@
 func (t *Trunk) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	bounded := control.SetReadDeadline(time.Now().Add(t.patience(min(max(r.ContentLength, 0), mostBody)))) == nil
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	var body bytes.Buffer
+	body.Grow(int(min(max(r.ContentLength, 0), bodyAtOnce)) + bytes.MinRead)
+	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, mostBody))
 	if err == nil && bounded {
 		_ = control.SetReadDeadline(time.Time{})
 	}
-	return body, err
+	return body.Bytes(), err
 }
 
 // Handler takes batches in and hands each letter on. Deliver must not block
@@ -182,6 +190,7 @@
 				t.Counts.LostLetters.Add(1)
 			}
 		}
+		w.Header()["Date"] = nil
 		w.WriteHeader(http.StatusNoContent)
 	})
 }
