--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -14,73 +14,94 @@
 //
 //	breaches := simulation.CheckRegister(ops)
 func CheckRegister(ops []*Op) []string {
-	var breaches []string
-	breach := func(format string, args ...any) { breaches = append(breaches, fmt.Sprintf(format, args...)) }
-	byMark := map[int64]string{}
-	writes := map[string][]*Op{}
+	check := &registerCheck{byMark: map[int64]string{}, writes: map[string][]*Op{}}
 	for _, op := range ops {
 		if op.Kind == "set" {
-			writes[op.Name] = append(writes[op.Name], op)
-		}
-	}
-	see := func(op *Op, mark int64, name string) {
-		if mark == 0 || name == "" {
-			return
-		}
-		if old, ok := byMark[mark]; ok && old != name {
-			breach("mark %d was seen as %s and as %s", mark, old, name)
-		}
-		byMark[mark] = name
-		sent := writes[name]
-		if len(sent) == 0 {
-			breach("mark %d: nobody wrote %s", mark, name)
-			return
-		}
-		write, done := sent[0], false
-		for _, one := range sent {
-			done = done || !one.Answered || one.Fate != register.FateNone
-			if one.Answered && one.Fate == register.FateStale {
-				breach("mark %d: %s was refused and is there all the same", mark, name)
-			}
-		}
-		switch {
-		case write.Began > op.Ended:
-			breach("mark %d: %s was seen before it was written", mark, name)
-		case !done:
-			breach("mark %d: %s came to nothing and is there all the same", mark, name)
-		case write.Next == 0 && write.Expected >= 0 && write.Expected != mark-1:
-			breach("mark %d: %s expected %d", mark, name, write.Expected)
-		case write.Next > 0 && write.Next != mark:
-			breach("mark %d: %s was to be %d", mark, name, write.Next)
+			check.writes[op.Name] = append(check.writes[op.Name], op)
 		}
 	}
 	for _, op := range ops {
 		if !op.Answered || op.Fate == register.FateNone || op.Fate == register.FateUnknown {
 			continue
 		}
-		switch {
-		case op.Kind == "set" && op.Fate == register.FateDone:
-			see(op, op.Mark, op.Name)
-		case op.Kind == "set" && op.Expected == op.Mark:
-			breach("%s was called stale at the mark %d that it expected", op.Name, op.Mark)
-		default:
-			see(op, op.Mark, op.Found)
-		}
+		check.answer(op)
 		if op.Kind == "set" && op.Next > 0 && op.Fate == register.FateDone {
 			// It may have been sent before, and told of what it made then.
 			continue
 		}
-		for _, before := range ops {
-			known := before.Answered && (before.Fate == register.FateDone || before.Fate == register.FateStale)
-			if known && before.Ended < op.Began && op.Mark < before.Mark {
-				breach("a call that began at %d saw mark %d, after mark %d was known at %d", op.Began, op.Mark, before.Mark, before.Ended)
-			}
-			if known && before != op && before.Ended < op.Began && op.Kind == "set" && op.Fate == register.FateDone && op.Mark <= before.Mark {
-				breach("%s got mark %d, after mark %d was known", op.Name, op.Mark, before.Mark)
-			}
+		check.notBefore(op, ops)
+	}
+	return check.breaches
+}
+
+// registerCheck is what CheckRegister gathers: the writer of each mark, the
+// sendings of each write, and what was breached.
+type registerCheck struct {
+	byMark   map[int64]string
+	writes   map[string][]*Op
+	breaches []string
+}
+
+func (check *registerCheck) breach(format string, args ...any) {
+	check.breaches = append(check.breaches, fmt.Sprintf(format, args...))
+}
+
+// answer checks what one call was told.
+func (check *registerCheck) answer(op *Op) {
+	switch {
+	case op.Kind == "set" && op.Fate == register.FateDone:
+		check.see(op, op.Mark, op.Name)
+	case op.Kind == "set" && op.Expected == op.Mark:
+		check.breach("%s was called stale at the mark %d that it expected", op.Name, op.Mark)
+	default:
+		check.see(op, op.Mark, op.Found)
+	}
+}
+
+// see checks that a mark that was seen is the one write's that it can be.
+func (check *registerCheck) see(op *Op, mark int64, name string) {
+	if mark == 0 || name == "" {
+		return
+	}
+	if old, ok := check.byMark[mark]; ok && old != name {
+		check.breach("mark %d was seen as %s and as %s", mark, old, name)
+	}
+	check.byMark[mark] = name
+	sent := check.writes[name]
+	if len(sent) == 0 {
+		check.breach("mark %d: nobody wrote %s", mark, name)
+		return
+	}
+	write, done := sent[0], false
+	for _, one := range sent {
+		done = done || !one.Answered || one.Fate != register.FateNone
+		if one.Answered && one.Fate == register.FateStale {
+			check.breach("mark %d: %s was refused and is there all the same", mark, name)
+		}
+	}
+	switch {
+	case write.Began > op.Ended:
+		check.breach("mark %d: %s was seen before it was written", mark, name)
+	case !done:
+		check.breach("mark %d: %s came to nothing and is there all the same", mark, name)
+	case write.Next == 0 && write.Expected >= 0 && write.Expected != mark-1:
+		check.breach("mark %d: %s expected %d", mark, name, write.Expected)
+	case write.Next > 0 && write.Next != mark:
+		check.breach("mark %d: %s was to be %d", mark, name, write.Next)
+	}
+}
+
+// notBefore checks a call against all that ended before it began.
+func (check *registerCheck) notBefore(op *Op, ops []*Op) {
+	for _, before := range ops {
+		known := before.Answered && (before.Fate == register.FateDone || before.Fate == register.FateStale)
+		if known && before.Ended < op.Began && op.Mark < before.Mark {
+			check.breach("a call that began at %d saw mark %d, after mark %d was known at %d", op.Began, op.Mark, before.Mark, before.Ended)
+		}
+		if known && before != op && before.Ended < op.Began && op.Kind == "set" && op.Fate == register.FateDone && op.Mark <= before.Mark {
+			check.breach("%s got mark %d, after mark %d was known", op.Name, op.Mark, before.Mark)
 		}
 	}
-	return breaches
 }
 
 // CheckForce checks that no front's mark falls, over its restarts too, and an acknowledged policy
