--- a/internal/controlplane/journal/power_test.go
+++ b/internal/controlplane/journal/power_test.go
@@ -86,7 +86,7 @@
 		if got != sure && got != strings.TrimSpace(perhaps) {
 			c.Fatalf("%s: has %q, where %q was acknowledged\n%q", why, got, sure, folder)
 		}
-		if err := kept.Append(write("six")); err != nil {
+		if err = kept.Append(write("six")); err != nil {
 			c.Fatalf("%s: cannot go on: %v", why, err)
 		}
 		for name := range disk.pending {
