--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -598,7 +598,7 @@
 
 // Unmarshal decodes b into the receiver.
 func (o *AskRange) Unmarshal(b []byte) error {
-	return avro.Unmarshal(o.Schema(), b, o)
+	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
