--- a/internal/simulation/orders_test.go
+++ b/internal/simulation/orders_test.go
@@ -8,7 +8,7 @@
 	"applequay/internal/controlplane/register"
 )
 
-func TestOrders(t *testing.T) {
+func TestOrderHistories(t *testing.T) {
 	t.Parallel()
 	plan(qt.New(t), 1, 1, Orders)
 }
