Agent: only a zone's home passes on what controllers tell it

Cause: an agent passed all that a controller told it on to all peers of its zone. While only homes asked controllers that was right, but for starts; since each front asks a controller by itself, every front that fetched a new configuration sent it to all its peers again.

Change: news of a service is passed on by the agent that is its home.

--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"applequay/internal/controlplane/controller"
+	"applequay/internal/controlplane/distribution"
 	"applequay/internal/controlplane/register"
 	"applequay/internal/transport/wire"
 )
@@ -15,9 +16,20 @@
 const proxyAddr = "10.0.2.1:1"
 
 // rested is a front among others, long after its start, with nothing under way; a
-// controller told it of a policy.
+// controller told it of a policy. It is its zone's home of control and of a pool.
 func rested(fronts int) *Line {
-	line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Zone: "z", Proxy: proxyAddr, LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
+	var self string
+	for at := 0; ; at++ {
+		self = fmt.Sprintf("l1~a%d", at)
+		agents := []wire.Member{{ID: self, Zone: "z"}}
+		for i := range fronts - 1 {
+			agents = append(agents, wire.Member{ID: fmt.Sprintf("l%d~b", i+2), Zone: "z"})
+		}
+		if distribution.Home(distribution.ControlService, "z", agents) == self && distribution.Home("homes/llm", "z", agents) == self && distribution.Home("homes/app", "z", agents) != self {
+			break
+		}
+	}
+	line := New(1, Boot{ID: self, Name: "l1", Addr: "10.0.1.1:1", Zone: "z", Proxy: proxyAddr, LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
 	line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 	members := []wire.Member{{ID: "c1~z", Role: "controller", Addr: "10.0.0.1:1", Born: 5}}
 	for i := range fronts - 1 {
@@ -106,6 +118,16 @@
 	line.Hear(now+61, "c1~z", &wire.News{Topics: []wire.Topic{{Name: "homes/llm/w1", Term: 2}}})
 	peers, proxy = count(line.Hear(now+62, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: 9, Body: []byte("{}")}}}))
 	c.Check([]int{peers, proxy}, qt.DeepEquals, []int{3, 1}, qt.Commentf("a policy waits for nothing"))
+	for now += 100; len(line.passing) > 0; now += 100 {
+		line.Tick(now, now)
+	}
+	// Of a pool of which it is no home it tells its proxy alone, and what a peer told
+	// it goes no further either.
+	for at, from := range []string{"c1~z", "l2~b"} {
+		now += 500
+		peers, proxy = count(line.Hear(now, from, &wire.News{Topics: []wire.Topic{{Name: []string{"homes/app/b1", "homes/llm/w1"}[at], Term: 9}}}))
+		c.Check([]int{peers, proxy}, qt.DeepEquals, []int{0, 1}, qt.Commentf(from))
+	}
 }
 
 // The proxy hears that all is as it was only now and then, and at once what changed;
--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -35,12 +35,16 @@
 }
 
 // heardNews passes on and feeds what rose: to the zone's peers what a controller
-// told this home. News of homes that comes in a burst goes together.
+// told this front as their home. News of homes that comes in a burst goes together.
 func (l *Line) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
 	told.Topics = slices.DeleteFunc(told.Topics, func(topic wire.Topic) bool { return !l.take(topic) })
 	if l.members.Role(from) == "controller" {
+		agents := l.members.Alive("agent")
 		for _, topic := range told.Topics {
-			l.passing[topic.Name] = topic
+			// What a front that is no home asked for is for itself alone.
+			if distribution.Home(distribution.ServiceOf(topic.Name), l.boot.Zone, agents) == l.boot.ID {
+				l.passing[topic.Name] = topic
+			}
 		}
 	}
 	if slices.ContainsFunc(told.Topics, func(topic wire.Topic) bool { return distribution.ServiceOf(topic.Name) == distribution.ControlService }) {
