--- a/cmd/applequayctl/main.go
+++ b/cmd/applequayctl/main.go
@@ -78,7 +78,7 @@
 		set := flag.NewFlagSet(name, flag.ContinueOnError)
 		file := set.String("file", "-", "file with the JSON, - for standard input")
 		form := set.String("form", "", "native or objects; by the file's ending if empty")
-		mark := set.Int64("expected", -1, "mark that the policy must have; -1 for any")
+		version := set.Int64("expected", -1, "mark that the policy must have; -1 for any")
 		var zones *string
 		var pause, halt *int64
 		if method == http.MethodPut {
@@ -92,8 +92,8 @@
 				return err
 			}
 			query := url.Values{}
-			if *mark >= 0 {
-				query.Set("expected", fmt.Sprint(*mark))
+			if *version >= 0 {
+				query.Set("expected", fmt.Sprint(*version))
 			}
 			if *form == "objects" || (*form == "" && (strings.HasSuffix(*file, ".yaml") || strings.HasSuffix(*file, ".yml"))) {
 				query.Set("form", "objects")
--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -116,10 +116,10 @@
 	clerk.Saw = func(seen *wire.Seen) {
 		n.control.Deliver(transport.Arrived{From: "worker", Kind: wire.KindSeen, Body: seen})
 	}
-	clerk.List = func(mark int64, list orders.Listing) {
+	clerk.List = func(version int64, list orders.Listing) {
 		n.control.Do(work, func(now int64) wire.Outputs {
 			n.core.ListCalls(list.Calls)
-			out := n.core.Platform(now, mark, list.Workers)
+			out := n.core.Platform(now, version, list.Workers)
 			n.listFault(n.core.Unbelieved())
 			return out
 		})
--- a/cmd/fakeregistry/main.go
+++ b/cmd/fakeregistry/main.go
@@ -19,8 +19,8 @@
 )
 
 type list struct {
-	// Mark only rises, over restarts too.
-	Mark    int64           `json:"mark"`
+	// Version only rises, over restarts too.
+	Version int64           `json:"mark"`
 	Workers []orders.Listed `json:"workers"`
 }
 
@@ -45,7 +45,7 @@
 	router.HandleFunc("/workers", func(w http.ResponseWriter, _ *http.Request) {
 		switch faulty.Load().Mode {
 		case "empty":
-			adminapi.Say(w, http.StatusOK, &list{Mark: kept.Load().Mark, Workers: []orders.Listed{}})
+			adminapi.Say(w, http.StatusOK, &list{Version: kept.Load().Version, Workers: []orders.Listed{}})
 		case "malformed":
 			_, _ = w.Write([]byte(`{"workers":[{"name":"w1","addr"`))
 		case "older":
@@ -69,7 +69,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		next.Mark = time.Now().UnixMilli()
+		next.Version = time.Now().UnixMilli()
 		older.Store(kept.Swap(&next))
 		adminapi.Say(w, http.StatusOK, &next)
 	}).Methods(http.MethodPut)
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -1,5 +1,5 @@
 // Command proxy runs on each front: it takes callers' requests
-// and relays them where the newest marks say.
+// and relays them where the newest versions say.
 package main
 
 import (
--- a/cmd/testbed/figures.go
+++ b/cmd/testbed/figures.go
@@ -119,7 +119,7 @@
 	}
 	for _, note := range seen.Notes {
 		if note.Event == "opening" {
-			add("ready at the opening's moment", float64(note.Mark))
+			add("ready at the opening's moment", float64(note.Version))
 		}
 		if note.Event == "back" {
 			add("first second after the return with half of the bookings served", float64(fleet.FirstServed(seen, "book")))
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -137,10 +137,10 @@
 		case "rollout":
 			rolled = note.TimeMs
 		case "halted":
-			fmt.Printf("the roll-out was halted in zone %d after %d ms: %s\n", note.Mark, note.TimeMs-rolled, note.Why)
+			fmt.Printf("the roll-out was halted in zone %d after %d ms: %s\n", note.Version, note.TimeMs-rolled, note.Why)
 		}
 		if note.Event == "opening" {
-			fmt.Printf("opening %s: %d ready at its moment, missing %s\n", note.Name, note.Mark, note.Why)
+			fmt.Printf("opening %s: %d ready at its moment, missing %s\n", note.Name, note.Version, note.Why)
 		}
 	}
 	for _, name := range world.Cores {
--- a/coordination/partition/partition.go
+++ b/coordination/partition/partition.go
@@ -76,8 +76,8 @@
 // ParsePolicy reads an operator's policy, or lists all that is wrong with it.
 //
 //	table, faults := partition.ParsePolicy(body, 7)
-func ParsePolicy(body []byte, mark int64) (*Policy, Faults) {
-	table, faults, _ := configuration.Parse(body, mark)
+func ParsePolicy(body []byte, version int64) (*Policy, Faults) {
+	table, faults, _ := configuration.Parse(body, version)
 	return table, faults
 }
 
--- a/coordination/register/example_test.go
+++ b/coordination/register/example_test.go
@@ -11,7 +11,7 @@
 func carry(acceptors map[string]*register.Acceptor, proposer *register.Proposer, out register.Outputs) {
 	for _, answer := range out.Answers {
 		outcome := answer.Body.(register.Outcome)
-		fmt.Printf("call %d: fate %d mark %d %q\n", answer.Call, outcome.Fate, outcome.Value.Mark, outcome.Value.Body)
+		fmt.Printf("call %d: fate %d mark %d %q\n", answer.Call, outcome.Fate, outcome.Value.Version, outcome.Value.Body)
 	}
 	for _, send := range out.Sends {
 		for _, back := range acceptors[send.To].Hear("me", send.Body).Then {
@@ -20,7 +20,7 @@
 	}
 }
 
-// Three copies, two writes that expect the same mark, and a read.
+// Three copies, two writes that expect the same version, and a read.
 func Example() {
 	acceptors := map[string]*register.Acceptor{}
 	core := register.CoreSet{Epoch: 1, Swept: true}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -1,4 +1,4 @@
-// Package configuration reads operators' configurations and keeps what one mark of
+// Package configuration reads operators' configurations and keeps what one version of
 // them says. A Table is never changed once made.
 package configuration
 
@@ -121,9 +121,9 @@
 	Weights map[string]int64
 }
 
-// Table is one mark of the policy.
+// Table is one version of the policy.
 type Table struct {
-	Mark     int64
+	Version  int64
 	Kinds    map[string]Kind
 	Items    map[string]Item
 	Store    Store
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -44,7 +44,7 @@
 				c.Check(faults[at].Path, qt.Equals, path)
 			}
 			if len(faults) == 0 {
-				c.Check(table.Mark, qt.Equals, int64(3))
+				c.Check(table.Version, qt.Equals, int64(3))
 			}
 		})
 	}
--- a/internal/configuration/form.go
+++ b/internal/configuration/form.go
@@ -3,7 +3,7 @@
 // Form is how operators write policies. Parse lists all faults at once; syntax
 // is true where the text cannot be read at all.
 type Form interface {
-	Parse(body []byte, mark int64) (table *Table, faults Faults, syntax bool)
+	Parse(body []byte, version int64) (table *Table, faults Faults, syntax bool)
 }
 
 // Patcher is a form whose policies can be changed in part.
@@ -11,9 +11,9 @@
 	Patch(current, change []byte) (body []byte, faults Faults, syntax bool)
 }
 
-// Marker is a form whose policies say themselves which mark they are.
+// Marker is a form whose policies say themselves which version they are.
 type Marker interface {
-	MarkOf(body []byte) (mark int64, ok bool)
+	VersionOf(body []byte) (version int64, ok bool)
 }
 
 // Roller is a form whose policies can be rolled out from zone to zone, and be
@@ -29,7 +29,7 @@
 // Parse reads the product's own form.
 //
 //	table, faults, syntax := configuration.Native.Parse(body, 7)
-func (native) Parse(body []byte, mark int64) (*Table, Faults, bool) { return Parse(body, mark) }
+func (native) Parse(body []byte, version int64) (*Table, Faults, bool) { return Parse(body, version) }
 
 // Patch changes a policy of this form by a part of one.
 func (native) Patch(current, change []byte) ([]byte, Faults, bool) { return Patch(current, change) }
--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -22,7 +22,7 @@
 // true where the text is not JSON at all.
 //
 //	table, faults, syntax := configuration.Parse(body, 7)
-func Parse(body []byte, mark int64) (table *Table, faults Faults, syntax bool) {
+func Parse(body []byte, version int64) (table *Table, faults Faults, syntax bool) {
 	if err := StrictJSON(body); err != nil {
 		return nil, Faults{{Path: "", Said: "is not JSON: " + err.Error()}}, true
 	}
@@ -33,7 +33,7 @@
 		return nil, Faults{{Path: "", Said: "is not JSON: " + err.Error()}}, true
 	}
 	table = Empty()
-	table.Mark = mark
+	table.Version = version
 	p := &parse{table: table, faults: &faults}
 	p.read(value)
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
--- a/internal/configuration/rollout.go
+++ b/internal/configuration/rollout.go
@@ -38,7 +38,7 @@
 	if next := r.take("next", true); next != nil {
 		var faults Faults
 		inner := &parse{table: Empty(), faults: &faults}
-		inner.table.Mark = p.table.Mark
+		inner.table.Version = p.table.Version
 		inner.read(next)
 		if inner.table.Rollout != nil {
 			faults = append(faults, Fault{Path: "rollout", Said: "must not stand in another"})
@@ -72,7 +72,7 @@
 		return t
 	}
 	next, out := t.Rollout.Next, Empty()
-	out.Mark, out.Kinds, out.Services, out.Routes, out.Limits, out.Rollout = t.Mark, t.Kinds, t.Services, t.Routes, t.Limits, t.Rollout
+	out.Version, out.Kinds, out.Services, out.Routes, out.Limits, out.Rollout = t.Version, t.Kinds, t.Services, t.Routes, t.Limits, t.Rollout
 	out.Store = Store{MbPerS: min(t.Store.MbPerS, next.Store.MbPerS), Turns: min(t.Store.Turns, next.Store.Turns), LoadsPer1000S: lower(t.Store.LoadsPer1000S, next.Store.LoadsPer1000S)}
 	for _, table := range []*Table{t, next} {
 		for name, item := range table.Items {
--- a/internal/controlplane/adminapi/adminapi.go
+++ b/internal/controlplane/adminapi/adminapi.go
@@ -53,7 +53,7 @@
 
 // Say answers with JSON.
 //
-//	adminapi.Say(w, http.StatusOK, map[string]int64{"mark": 7})
+//	adminapi.Say(w, http.StatusOK, map[string]int64{"version": 7})
 func Say(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -64,14 +64,14 @@
 type Refusal struct {
 	Error   string               `json:"error"`
 	Faults  configuration.Faults `json:"faults,omitempty"`
-	Mark    *int64               `json:"mark,omitempty"`
+	Version *int64               `json:"mark,omitempty"`
 	Applied string               `json:"applied,omitempty"`
 }
 
-// Policy is the policy with its mark.
+// Policy is the policy with its version.
 type Policy struct {
-	Mark   int64           `json:"mark"`
-	Policy json.RawMessage `json:"policy"`
+	Version int64           `json:"mark"`
+	Policy  json.RawMessage `json:"policy"`
 }
 
 func (d *Desk) read(r *http.Request) (register.Outcome, bool) {
@@ -104,7 +104,7 @@
 	if len(body) == 0 {
 		body = []byte("{}")
 	}
-	Say(w, http.StatusOK, Policy{Mark: outcome.Value.Mark, Policy: body})
+	Say(w, http.StatusOK, Policy{Version: outcome.Value.Version, Policy: body})
 }
 
 func (d *Desk) body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
@@ -120,18 +120,18 @@
 	Say(w, http.StatusNotImplemented, Refusal{Error: "policies of the form in use here " + what, Applied: "no"})
 }
 
-// expected reads the expected mark; -1 where none is given.
+// expected reads the expected version; -1 where none is given.
 func expected(w http.ResponseWriter, r *http.Request) (int64, bool) {
 	text := r.URL.Query().Get("expected")
 	if text == "" {
 		return -1, true
 	}
-	mark, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || mark < 0 {
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || version < 0 {
 		Say(w, http.StatusBadRequest, Refusal{Error: "expected must be a mark", Applied: "no"})
 		return 0, false
 	}
-	return mark, true
+	return version, true
 }
 
 // largest is the room of the largest worker of each pool.
--- a/internal/controlplane/adminapi/change.go
+++ b/internal/controlplane/adminapi/change.go
@@ -42,7 +42,7 @@
 }
 
 func (d *Desk) setPolicy(w http.ResponseWriter, r *http.Request) {
-	mark, ok := expected(w, r)
+	version, ok := expected(w, r)
 	if !ok {
 		return
 	}
@@ -54,14 +54,14 @@
 	switch {
 	case !ok:
 	case len(how.zones) > 0:
-		d.rollOut(w, r, mark, told, how)
+		d.rollOut(w, r, version, told, how)
 	default:
-		d.change(w, r, mark, told)
+		d.change(w, r, version, told)
 	}
 }
 
 func (d *Desk) patchPolicy(w http.ResponseWriter, r *http.Request) {
-	mark, ok := expected(w, r)
+	version, ok := expected(w, r)
 	if !ok {
 		return
 	}
@@ -69,12 +69,12 @@
 	if !ok {
 		return
 	}
-	current, table, ok := d.standingPolicy(w, r, mark)
+	current, table, ok := d.standingPolicy(w, r, version)
 	if !ok {
 		return
 	}
 	if table.Rollout != nil {
-		d.underWay(w, table.Mark)
+		d.underWay(w, table.Version)
 		return
 	}
 	patcher, ok := d.form.(configuration.Patcher)
@@ -86,7 +86,7 @@
 	told.body, told.faults, told.syntax = body, append(told.faults, told.translate(faults)...), told.syntax || syntax
 	// What the change makes has the native form's paths.
 	told.translate = func(f configuration.Faults) configuration.Faults { return f }
-	d.change(w, r, table.Mark, told)
+	d.change(w, r, table.Version, told)
 }
 
 func (d *Desk) refuse(w http.ResponseWriter, faults configuration.Faults, syntax bool) {
@@ -97,18 +97,18 @@
 	Say(w, status, Refusal{Error: "the policy has faults", Faults: faults, Applied: "no"})
 }
 
-// next is the mark that a policy gives itself; nought where its form leaves
+// next is the version that a policy gives itself; nought where its form leaves
 // that to the register.
 func (d *Desk) next(body []byte) int64 {
 	if marker, ok := d.form.(configuration.Marker); ok {
-		if mark, said := marker.MarkOf(body); said {
-			return mark
+		if version, said := marker.VersionOf(body); said {
+			return version
 		}
 	}
 	return 0
 }
 
-func (d *Desk) change(w http.ResponseWriter, r *http.Request, mark int64, told written) {
+func (d *Desk) change(w http.ResponseWriter, r *http.Request, version int64, told written) {
 	if !told.syntax {
 		// All faults at once: those of the form, and those of what it says.
 		table, more, syntax := d.form.Parse(told.body, 0)
@@ -124,8 +124,8 @@
 		told.faults, told.syntax = append(told.faults, told.translate(more)...), syntax
 	}
 	next := d.next(told.body)
-	if mark >= 0 && next > 0 && next <= mark {
-		told.faults = append(told.faults, configuration.Fault{Said: fmt.Sprintf("gives itself mark %d, which is not above %d", next, mark)})
+	if version >= 0 && next > 0 && next <= version {
+		told.faults = append(told.faults, configuration.Fault{Said: fmt.Sprintf("gives itself mark %d, which is not above %d", next, version)})
 	}
 	if len(told.faults) > 0 {
 		d.refuse(w, told.faults, told.syntax)
@@ -133,13 +133,13 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), d.wait)
 	defer cancel()
-	outcome := d.control.Change(ctx, eventloop.Write{Key: controller.PolicyKey, Expected: mark, Next: next, Body: told.body})
-	now := outcome.Value.Mark
+	outcome := d.control.Change(ctx, eventloop.Write{Key: controller.PolicyKey, Expected: version, Next: next, Body: told.body})
+	now := outcome.Value.Version
 	switch outcome.Fate {
 	case register.FateDone:
 		Say(w, http.StatusOK, map[string]int64{"mark": now})
 	case register.FateStale:
-		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Mark: &now, Applied: "no"})
+		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Version: &now, Applied: "no"})
 	case register.FateNone:
 		unreached(w)
 	default:
--- a/internal/controlplane/adminapi/doctor.go
+++ b/internal/controlplane/adminapi/doctor.go
@@ -43,7 +43,7 @@
 	d.seeds()
 	d.seats()
 	d.machines()
-	d.marks()
+	d.versions()
 	d.owners()
 	d.models()
 	d.openings()
@@ -138,17 +138,17 @@
 	}
 }
 
-func (d *doctor) marks() {
+func (d *doctor) versions() {
 	var newest int64
 	for _, member := range d.page.Members {
-		if mark, ok := number(member, "mark"); ok && stands(member) {
-			newest = max(newest, mark)
+		if version, ok := number(member, "mark"); ok && stands(member) {
+			newest = max(newest, version)
 		}
 	}
 	for _, member := range d.page.Members {
-		mark, _ := number(member, "mark")
-		if member.Role == "agent" && stands(member) && mark < newest && d.wallMs-member.Born > behindMs {
-			d.find("a front is behind", member.Name, "look at its link to its zone and to the core", "it has policy mark %d, the newest known is %d", mark, newest)
+		version, _ := number(member, "mark")
+		if member.Role == "agent" && stands(member) && version < newest && d.wallMs-member.Born > behindMs {
+			d.find("a front is behind", member.Name, "look at its link to its zone and to the core", "it has policy mark %d, the newest known is %d", version, newest)
 		}
 	}
 }
--- a/internal/controlplane/adminapi/pages.go
+++ b/internal/controlplane/adminapi/pages.go
@@ -104,7 +104,7 @@
 		}
 		out = append(out, told)
 	}
-	Say(w, http.StatusOK, map[string]any{"mark": page.Policy.Mark, "openings": out})
+	Say(w, http.StatusOK, map[string]any{"mark": page.Policy.Version, "openings": out})
 }
 
 // Member is a member as this node sees it.
@@ -180,7 +180,7 @@
 	if page == nil {
 		return
 	}
-	Say(w, http.StatusOK, map[string]any{"id": page.ID, "role": page.Role, "marks": page.Marks, "owned": len(page.Owned), "recovered": page.Recovered, "swept": page.Swept, "epoch": page.Core.Epoch, "members": len(page.Members)})
+	Say(w, http.StatusOK, map[string]any{"id": page.ID, "role": page.Role, "marks": page.Versions, "owned": len(page.Owned), "recovered": page.Recovered, "swept": page.Swept, "epoch": page.Core.Epoch, "members": len(page.Members)})
 }
 
 func (d *Desk) drained(w http.ResponseWriter, _ *http.Request) {
--- a/internal/controlplane/adminapi/policies.go
+++ b/internal/controlplane/adminapi/policies.go
@@ -19,7 +19,7 @@
 	return p.Control.Read(ctx, controller.PolicyKey)
 }
 
-// Change makes the body the policy of the mark next, where the mark is the
+// Change makes the body the policy of the version next, where the version is the
 // expected one; a name that was taken already is acknowledged again.
 //
 //	outcome := adminapi.Policies{Control: control}.Change(ctx, 5, 7, body, name)
--- a/internal/controlplane/adminapi/rollout.go
+++ b/internal/controlplane/adminapi/rollout.go
@@ -39,7 +39,7 @@
 
 // rollOut makes of an operator's policy one that is rolled out over zones, on
 // top of the one that stands.
-func (d *Desk) rollOut(w http.ResponseWriter, r *http.Request, mark int64, told written, how asked) {
+func (d *Desk) rollOut(w http.ResponseWriter, r *http.Request, version int64, told written, how asked) {
 	roller, ok := d.form.(configuration.Roller)
 	if !ok {
 		lacks(w, "are in force everywhere at once")
@@ -47,15 +47,15 @@
 	}
 	// What is wrong with it is told by its own paths first.
 	if table, faults, syntax := d.form.Parse(told.body, 0); told.syntax || syntax || len(told.faults)+len(faults) > 0 || table.Rollout != nil {
-		d.change(w, r, mark, told)
+		d.change(w, r, version, told)
 		return
 	}
-	current, table, ok := d.standingPolicy(w, r, mark)
+	current, table, ok := d.standingPolicy(w, r, version)
 	if !ok {
 		return
 	}
 	if table.Rollout != nil && table.Rollout.Halted == "" {
-		d.underWay(w, table.Mark)
+		d.underWay(w, table.Version)
 		return
 	}
 	body, err := roller.Roll(current, told.body, how.zones, how.pauseMs, how.haltPercent)
@@ -64,27 +64,27 @@
 		return
 	}
 	told.body, told.translate = body, func(f configuration.Faults) configuration.Faults { return f }
-	d.change(w, r, table.Mark, told)
+	d.change(w, r, table.Version, told)
 }
 
-func (d *Desk) underWay(w http.ResponseWriter, mark int64) {
-	Say(w, http.StatusConflict, Refusal{Error: "a roll-out is under way: halt it, or set a whole policy", Mark: &mark, Applied: "no"})
+func (d *Desk) underWay(w http.ResponseWriter, version int64) {
+	Say(w, http.StatusConflict, Refusal{Error: "a roll-out is under way: halt it, or set a whole policy", Version: &version, Applied: "no"})
 }
 
-// standingPolicy reads the policy that stands, if it has the mark expected.
-func (d *Desk) standingPolicy(w http.ResponseWriter, r *http.Request, mark int64) ([]byte, *configuration.Table, bool) {
+// standingPolicy reads the policy that stands, if it has the version expected.
+func (d *Desk) standingPolicy(w http.ResponseWriter, r *http.Request, version int64) ([]byte, *configuration.Table, bool) {
 	current, ok := d.read(r)
 	if !ok {
 		unreached(w)
 		return nil, nil, false
 	}
-	if now := current.Value.Mark; mark >= 0 && now != mark {
-		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Mark: &now, Applied: "no"})
+	if now := current.Value.Version; version >= 0 && now != version {
+		Say(w, http.StatusConflict, Refusal{Error: "the policy has another mark", Version: &now, Applied: "no"})
 		return nil, nil, false
 	}
 	table := configuration.Empty()
 	if len(current.Value.Body) > 0 {
-		if stands, _, syntax := d.form.Parse(current.Value.Body, current.Value.Mark); !syntax {
+		if stands, _, syntax := d.form.Parse(current.Value.Body, current.Value.Version); !syntax {
 			table = stands
 		}
 	}
@@ -93,16 +93,16 @@
 
 // halt stops a roll-out: all fronts go by the old policy again.
 func (d *Desk) halt(w http.ResponseWriter, r *http.Request) {
-	mark, ok := expected(w, r)
+	version, ok := expected(w, r)
 	if !ok {
 		return
 	}
-	current, table, ok := d.standingPolicy(w, r, mark)
+	current, table, ok := d.standingPolicy(w, r, version)
 	if !ok {
 		return
 	}
 	if table.Rollout == nil || table.Rollout.Halted != "" {
-		Say(w, http.StatusConflict, Refusal{Error: "no roll-out is under way", Mark: &table.Mark, Applied: "no"})
+		Say(w, http.StatusConflict, Refusal{Error: "no roll-out is under way", Version: &table.Version, Applied: "no"})
 		return
 	}
 	roller, ok := d.form.(configuration.Roller)
@@ -115,5 +115,5 @@
 		Say(w, http.StatusInternalServerError, Refusal{Error: err.Error(), Applied: "no"})
 		return
 	}
-	d.change(w, r, table.Mark, written{body: body, translate: func(f configuration.Faults) configuration.Faults { return f }})
+	d.change(w, r, table.Version, written{body: body, translate: func(f configuration.Faults) configuration.Faults { return f }})
 }
--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -44,7 +44,7 @@
 	wants    map[string]wire.Want
 	wanted   map[string]int64
 	timers   map[string]int64
-	marks    map[string]int64
+	versions map[string]int64
 	now      int64
 	startMs  int64
 	listAt   int64
@@ -58,9 +58,9 @@
 	rosters    []wire.Roster
 	fronts     map[string]*otherFront
 	asking     map[int64]*asking
-	// begun: the first read has ended; fedMark was given on; newest was heard of.
-	begun, beginning bool
-	fedMark, newest  int64
+	// begun: the first read has ended; fedVersion was given on; newest was heard of.
+	begun, beginning   bool
+	fedVersion, newest int64
 	// passing is what the zone's peers are to be told, newsMs when news went last.
 	passing map[string]wire.Topic
 	newsMs  int64
@@ -92,7 +92,7 @@
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: controller.LineageLen}),
 		board:    distribution.NewBoard(), policy: configuration.Empty(),
 		owners: map[int64]wire.Owner{}, workers: map[string]wire.Worker{}, rooms: map[string]wire.WorkerNews{},
-		boxes: map[int64]*box{}, wants: map[string]wire.Want{}, wanted: map[string]int64{}, timers: map[string]int64{}, marks: map[string]int64{},
+		boxes: map[int64]*box{}, wants: map[string]wire.Want{}, wanted: map[string]int64{}, timers: map[string]int64{}, versions: map[string]int64{},
 	}
 	l.board.Put(wire.Topic{Name: zoneTopic, Step: 1, Body: []byte(boot.Zone)})
 	return l
@@ -124,7 +124,7 @@
 		}
 	case *wire.FoundAsk:
 		if core := l.proposer.Core(); core.Epoch > 0 {
-			value := wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+			value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 			out.Send(from, wire.KindFoundTold, &wire.FoundTold{Founded: true, Core: value})
 		}
 	case *wire.Subscribe:
@@ -167,7 +167,7 @@
 		if table, faults, _ := l.boot.Form.Parse(topic.Body, topic.Step); table != nil && len(faults) == 0 {
 			l.policy = table.Placement()
 		}
-		l.marks[controller.PolicyKey] = topic.Step
+		l.versions[controller.PolicyKey] = topic.Step
 		l.members.Set("mark", fmt.Sprint(topic.Step))
 	case topic.Name == controller.DirectoryKey:
 		var list wire.WorkerList
@@ -178,7 +178,7 @@
 				l.workers[worker.Name] = worker
 			}
 		}
-		l.marks[controller.DirectoryKey] = topic.Step
+		l.versions[controller.DirectoryKey] = topic.Step
 	case strings.HasPrefix(topic.Name, "owner/"):
 		var owner wire.Owner
 		if owner.Unmarshal(topic.Body) == nil && owner.Fence > l.owners[owner.Partition].Fence {
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -8,14 +8,14 @@
 	"applequay/internal/transport/wire"
 )
 
-// newestFact tells the others the newest policy mark that this node has heard
+// newestFact tells the others the newest policy version that this node has heard
 // of, be it here or not.
 const newestFact = "newest"
 
 // firstCall is the read with which a front begins; operators' calls are above nought.
 const firstCall = -1
 
-// noteNewest gathers the newest policy mark known to anyone, also to those that
+// noteNewest gathers the newest policy version known to anyone, also to those that
 // went: a front that comes back must not fall behind what it went by before.
 func (l *Line) noteNewest() {
 	if version := l.members.Version(); version == l.newestOf {
@@ -29,7 +29,7 @@
 		}
 	}
 	// What this front goes by itself is told anyway.
-	if l.newest > l.marks[controller.PolicyKey] {
+	if l.newest > l.versions[controller.PolicyKey] {
 		l.members.Set(newestFact, strconv.FormatInt(l.newest, 10))
 	}
 	l.newestOf = l.members.Version()
@@ -39,7 +39,7 @@
 // read at a majority, or, where the core cannot be reached, none older than any
 // that the other fronts have heard of.
 func (l *Line) begin(now int64, out *wire.Outputs) {
-	if l.fedMark == 0 || l.due(now, "newest", l.boot.ProbeMs) {
+	if l.fedVersion == 0 || l.due(now, "newest", l.boot.ProbeMs) {
 		l.noteNewest()
 	}
 	if l.begun || l.proposer.Core().Epoch == 0 || !l.due(now, "first", l.boot.ProbeMs/2) {
@@ -74,7 +74,7 @@
 		}
 		l.begun = true
 		if outcome.Fate == register.FateDone && outcome.Has {
-			l.take(wire.Topic{Name: controller.PolicyKey, Step: outcome.Value.Mark, Body: outcome.Value.Body})
+			l.take(wire.Topic{Name: controller.PolicyKey, Step: outcome.Value.Version, Body: outcome.Value.Body})
 		}
 		l.feed(&out)
 	}
@@ -84,7 +84,7 @@
 // withheld tells whether the proxy is not to get the policy kept here: it
 // might be older than the one that callers here were served by before.
 func (l *Line) withheld(topic wire.Topic) bool {
-	if topic.Name != controller.PolicyKey || l.fedMark > 0 {
+	if topic.Name != controller.PolicyKey || l.fedVersion > 0 {
 		return false
 	}
 	return !l.begun || topic.Step < l.newest
@@ -100,7 +100,7 @@
 			continue
 		}
 		if topic.Name == controller.PolicyKey {
-			l.fedMark = max(l.fedMark, topic.Step)
+			l.fedVersion = max(l.fedVersion, topic.Step)
 		}
 		out = append(out, topic)
 	}
--- a/internal/controlplane/agent/first_test.go
+++ b/internal/controlplane/agent/first_test.go
@@ -16,19 +16,19 @@
 // that it may have gone by before.
 func TestFirstPolicy(t *testing.T) {
 	c := qt.New(t)
-	news := func(mark int64) func(*Line) wire.Outputs {
+	news := func(version int64) func(*Line) wire.Outputs {
 		return func(l *Line) wire.Outputs {
-			return l.Hear(10, "l2~b", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: mark, Body: []byte("{}")}}})
+			return l.Hear(10, "l2~b", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: version, Body: []byte("{}")}}})
 		}
 	}
-	read := func(fate register.Fate, mark int64) func(*Line) wire.Outputs {
+	read := func(fate register.Fate, version int64) func(*Line) wire.Outputs {
 		return func(l *Line) wire.Outputs {
-			return l.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: mark > 0, Value: wire.Value{Mark: mark, Body: []byte("{}")}}}}})
+			return l.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: version > 0, Value: wire.Value{Version: version, Body: []byte("{}")}}}}})
 		}
 	}
-	heard := func(mark int) func(*Line) wire.Outputs {
+	heard := func(version int) func(*Line) wire.Outputs {
 		return func(l *Line) wire.Outputs {
-			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "agent", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(mark)}}}})
+			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "agent", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(version)}}}})
 			return l.Tick(11, 11)
 		}
 	}
@@ -91,10 +91,10 @@
 	c.Check(asked(25, 325) >= 3, qt.IsTrue)
 	c.Check(line.begun, qt.IsFalse)
 	answer := func(fate register.Fate) {
-		line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: fate == register.FateDone, Value: wire.Value{Mark: 5, Body: []byte("{}")}}}}})
+		line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: fate == register.FateDone, Value: wire.Value{Version: 5, Body: []byte("{}")}}}}})
 	}
 	answer(register.FateDone)
 	answer(register.FateNone)
 	c.Check(line.begun, qt.IsTrue)
-	c.Check(line.fedMark, qt.Equals, int64(5))
+	c.Check(line.fedVersion, qt.Equals, int64(5))
 }
--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -18,8 +18,8 @@
 	seenAt  int64 // when it was first seen, by the clocks
 	stoodMs int64 // when it last stood, by this node's own time
 	stoodAt int64 // and by the clocks
-	mark    int64 // of its worker list
-	learnt  int64 // when it learned that mark; nought if it never had another
+	version int64 // of its worker list
+	learnt  int64 // when it learned that version; nought if it never had another
 	bareAt  int64 // when it last sent a key that no other front knew of
 }
 
@@ -38,13 +38,13 @@
 
 // learntList notes when this front's list changed. The first of a life counts
 // as known for ever: this front never went by an older one.
-func (l *Line) learntList(mark int64) {
-	if l.marks[controller.DirectoryKey] == 0 {
+func (l *Line) learntList(version int64) {
+	if l.versions[controller.DirectoryKey] == 0 {
 		l.listAt = 0
 	} else {
 		l.listAt = l.members.Wall(l.now)
 	}
-	l.list = fmt.Sprintf("%d@%d", mark, l.listAt)
+	l.list = fmt.Sprintf("%d@%d", version, l.listAt)
 	l.tellList()
 }
 
@@ -87,9 +87,9 @@
 		l.fronts[member.ID] = kept
 	}
 	kept.stands = wire.Standing(member.Standing) < wire.StandingLeaving
-	var mark, learnt int64
-	if _, err := fmt.Sscanf(member.Fact[listFact], "%d@%d", &mark, &learnt); err == nil && mark >= kept.mark {
-		kept.mark, kept.learnt = mark, learnt
+	var version, learnt int64
+	if _, err := fmt.Sscanf(member.Fact[listFact], "%d@%d", &version, &learnt); err == nil && version >= kept.version {
+		kept.version, kept.learnt = version, learnt
 	}
 	if bare, err := strconv.ParseInt(member.Fact[bareFact], 10, 64); err == nil {
 		kept.bareAt = max(kept.bareAt, bare)
@@ -100,12 +100,12 @@
 // others, is not behind them, and reaches a majority of the core or of the
 // fronts. A front that does not for long sends no keys anywhere.
 func (l *Line) inTouch() bool {
-	if len(l.members.All()) == 1 || l.marks[controller.DirectoryKey] == 0 {
+	if len(l.members.All()) == 1 || l.versions[controller.DirectoryKey] == 0 {
 		return false
 	}
 	names, stand := map[string]bool{l.boot.Name: true}, map[string]bool{l.boot.Name: true}
 	for _, front := range l.fronts {
-		if front.stands && front.mark > l.marks[controller.DirectoryKey] {
+		if front.stands && front.version > l.versions[controller.DirectoryKey] {
 			return false
 		}
 		names[front.name] = true
@@ -116,24 +116,26 @@
 	return l.members.Majority(l.proposer.Core().Seats) || 2*len(stand) > len(names)
 }
 
-// settle raises the mark up to which lists that were replaced do not matter any
+// settle raises the version up to which lists that were replaced do not matter any
 // more: every front has gone by a newer one for longer than a key may be
 // repeated. It never falls.
 func (l *Line) settle(now int64) {
 	wall, keyMs := l.members.Wall(now), l.boot.KeyMs
 	for _, roster := range l.rosters {
-		if roster.UntilMs == 0 || roster.Mark <= l.settled {
+		if roster.UntilMs == 0 || roster.Version <= l.settled {
 			continue
 		}
-		fresh := func(mark, learnt int64) bool { return mark < roster.Mark || (learnt > 0 && wall < learnt+keyMs) }
-		open := wall < roster.UntilMs+keyMs*3/2 || fresh(l.marks[controller.DirectoryKey], l.listAt)
+		fresh := func(version, learnt int64) bool {
+			return version < roster.Version || (learnt > 0 && wall < learnt+keyMs)
+		}
+		open := wall < roster.UntilMs+keyMs*3/2 || fresh(l.versions[controller.DirectoryKey], l.listAt)
 		for _, front := range l.fronts {
-			open = open || fresh(front.mark, front.learnt)
+			open = open || fresh(front.version, front.learnt)
 		}
 		if open {
 			return
 		}
-		l.settled = roster.Mark
+		l.settled = roster.Version
 	}
 }
 
@@ -155,24 +157,24 @@
 	out.Send(l.boot.Proxy, wire.KindContact, &told)
 }
 
-// sortedRosters are those of a list by the marks that replaced them.
+// sortedRosters are those of a list by the versions that replaced them.
 func sortedRosters(list *wire.WorkerList) []wire.Roster {
-	return slices.SortedFunc(slices.Values(list.Rosters), func(a, b wire.Roster) int { return int(a.Mark - b.Mark) })
+	return slices.SortedFunc(slices.Values(list.Rosters), func(a, b wire.Roster) int { return int(a.Version - b.Version) })
 }
 
 const lostAlone = "a front lost keys that it sent while it had lost sight of the others"
 
 // judge works out which fronts lost their memory of keys sent by a list that was
-// in force from a moment on, until the one with a mark: those that went since.
+// in force from a moment on, until the one with a version: those that went since.
 // A reason says that one of them may have sent keys that nobody else knows of.
-func (l *Line) judge(fromMs, mark int64) (lost []string, bad string) {
+func (l *Line) judge(fromMs, version int64) (lost []string, bad string) {
 	for _, id := range slices.Sorted(maps.Keys(l.fronts)) {
 		front := l.fronts[id]
 		last := front.stoodAt + l.boot.LeaseMs
 		if front.stands || last+l.boot.KeyMs/2 < fromMs {
 			continue
 		}
-		if front.mark < mark && !l.cameBack(front) {
+		if front.version < version && !l.cameBack(front) {
 			bad = "a front that may still send keys is out of sight"
 		}
 		if last < fromMs {
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -36,7 +36,7 @@
 		members = append(members, wire.Member{ID: fmt.Sprintf("l%d~b", i+2), Role: "agent", Zone: "z", Addr: fmt.Sprintf("10.0.1.%d:1", i+2), Born: 5})
 	}
 	line.Hear(2, "c1~z", &wire.ProbeAck{Members: members})
-	line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: register.FateDone, Has: true, Value: wire.Value{Mark: 5, Body: []byte("{}")}}}}})
+	line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: register.FateDone, Has: true, Value: wire.Value{Version: 5, Body: []byte("{}")}}}}})
 	for now := int64(50); now <= 5000; now += 50 {
 		line.answerAll(now, line.Tick(now, now))
 	}
@@ -54,8 +54,8 @@
 
 // An agent rests until its next probe, unless something is under way.
 func TestRests(t *testing.T) {
-	homes := func(mark int64) wire.Record {
-		return &wire.News{Topics: []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: mark}}}
+	homes := func(version int64) wire.Record {
+		return &wire.News{Topics: []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: version}}}
 	}
 	cases := []struct {
 		name  string
@@ -168,11 +168,11 @@
 	line := rested(4)
 	told := map[string]bool{}
 	now := int64(5010)
-	for mark := int64(1); mark <= 20; mark++ {
+	for version := int64(1); version <= 20; version++ {
 		now += 100
-		line.Hear(now, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.DirectoryKey, Step: mark, Body: wire.Encode(&wire.WorkerList{})}}})
+		line.Hear(now, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.DirectoryKey, Step: version, Body: wire.Encode(&wire.WorkerList{})}}})
 		line.answerAll(now, line.Tick(now, now))
-		if mark == 1 {
+		if version == 1 {
 			c.Check(line.self().Fact[listFact], qt.Equals, "1@0")
 		}
 		told[line.self().Fact[listFact]] = true
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -62,7 +62,7 @@
 	return l.members.DueMs()
 }
 
-// subscribe asks the zone's home of each service for what is past the marks
+// subscribe asks the zone's home of each service for what is past the versions
 // here, which is little: homes pass on what they are told; a home asks a controller. Once in a while, and while the core is deaf to
 // it, a home asks its zone's peers too, and a front that knows nothing asks all.
 func (l *Line) subscribe(now int64, out *wire.Outputs) {
@@ -171,7 +171,7 @@
 func (l *Line) Learnt(_ int64, key string, value wire.Value) wire.Outputs {
 	var out wire.Outputs
 	value = register.Standing(value)
-	l.take(wire.Topic{Name: key, Step: value.Mark, Body: value.Body})
+	l.take(wire.Topic{Name: key, Step: value.Version, Body: value.Body})
 	l.feed(&out)
 	return out
 }
@@ -203,10 +203,10 @@
 //
 //	page := upstream.Page(now)
 func (l *Line) Page(int64) controller.Page {
-	page := controller.Page{ID: l.boot.ID, Role: "agent", Core: l.proposer.Core(), Policy: l.policy, Marks: map[string]int64{}, Members: l.members.All(),
+	page := controller.Page{ID: l.boot.ID, Role: "agent", Core: l.proposer.Core(), Policy: l.policy, Versions: map[string]int64{}, Members: l.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Rounds: l.proposer.Rounds, Seeds: l.boot.Seeds, Partitions: l.boot.Partitions}
-	for key, mark := range l.marks {
-		page.Marks[key] = mark
+	for key, version := range l.versions {
+		page.Versions[key] = version
 	}
 	for number, owner := range l.owners {
 		page.Owners[number] = owner
--- a/internal/controlplane/agent/tickets.go
+++ b/internal/controlplane/agent/tickets.go
@@ -16,7 +16,7 @@
 	sinceMs int64
 	saidMs  int64
 	fromMs  int64 // since when it may have gone elsewhere
-	mark    int64
+	version int64
 	silent  map[string]bool
 	others  []string
 	lost    map[string]bool
@@ -37,13 +37,13 @@
 	}
 	asked := &asking{wish: wish, sinceMs: now, retryMs: l.boot.KeyMs, silent: map[string]bool{}, lost: map[string]bool{}}
 	for _, roster := range l.rosters {
-		if roster.Mark > l.settled && slices.Contains(wish.Marks, roster.Mark) {
-			if asked.mark = max(asked.mark, roster.Mark); asked.fromMs == 0 || roster.FromMs < asked.fromMs {
+		if roster.Version > l.settled && slices.Contains(wish.Versions, roster.Version) {
+			if asked.version = max(asked.version, roster.Version); asked.fromMs == 0 || roster.FromMs < asked.fromMs {
 				asked.fromMs = roster.FromMs
 			}
 		}
 	}
-	if asked.mark > 0 {
+	if asked.version > 0 {
 		// What was sent longer ago may not be repeated any more.
 		asked.fromMs = max(asked.fromMs, l.members.Wall(now)-l.boot.KeyMs)
 	}
@@ -58,7 +58,7 @@
 	case len(asked.silent) == 0 && len(l.fronts) > 0 && now-lately < l.graceMs():
 		asked.retryMs = l.graceMs() - (now - lately)
 		l.tell(out, asked, "this front has lost sight of the others")
-	case len(asked.silent) == 0 && asked.mark > 0:
+	case len(asked.silent) == 0 && asked.version > 0:
 		l.tell(out, asked, l.verdict(now, asked))
 	case len(asked.silent) == 0:
 		l.noteBare(now, 0)
@@ -94,7 +94,7 @@
 		ids = ids[:min(len(ids), witnesses)]
 	}
 	for _, id := range ids {
-		out.Send(id, wire.KindTicketAsk, &wire.TicketAsk{Op: asked.wish.Op, Asker: l.boot.ID, Key: asked.wish.Key, Server: asked.wish.Server, FromMs: asked.fromMs, Mark: asked.mark})
+		out.Send(id, wire.KindTicketAsk, &wire.TicketAsk{Op: asked.wish.Op, Asker: l.boot.ID, Key: asked.wish.Key, Server: asked.wish.Server, FromMs: asked.fromMs, Version: asked.version})
 	}
 }
 
@@ -105,7 +105,7 @@
 	if told.Asker != l.boot.ID {
 		l.sawBoard(now, from)
 		told.LineMs = now - l.startMs
-		told.Lost, told.Bad = l.judge(told.FromMs, told.Mark)
+		told.Lost, told.Bad = l.judge(told.FromMs, told.Version)
 		if l.boardAt >= told.FromMs {
 			told.Lost = append(told.Lost, l.boot.Name)
 			if l.bareAt >= told.FromMs {
@@ -165,7 +165,7 @@
 // Each key was known to one front more than the one that sent it, so one that
 // lost its memory is made up for by the others.
 func (l *Line) verdict(now int64, asked *asking) string {
-	if asked.mark == 0 {
+	if asked.version == 0 {
 		return ""
 	}
 	needMs := l.need(now, asked.fromMs)
@@ -176,7 +176,7 @@
 		}
 	}
 	if now-l.startMs >= needMs {
-		lost, bad := l.judge(asked.fromMs, asked.mark)
+		lost, bad := l.judge(asked.fromMs, asked.version)
 		asked.judged, asked.bad = true, max(asked.bad, bad)
 		for _, name := range lost {
 			asked.lost[name] = true
--- a/internal/controlplane/agent/tickets_test.go
+++ b/internal/controlplane/agent/tickets_test.go
@@ -15,18 +15,18 @@
 func TestAskingAll(t *testing.T) {
 	c := qt.New(t)
 	const old, young = int64(90000), int64(30000) // the list in question is from 50000, it is 100000 now
-	gone := func(name string, stood, mark, bare int64) *otherFront {
-		return &otherFront{name: name, stoodMs: stood, stoodAt: stood, mark: mark, bareAt: bare}
+	gone := func(name string, stood, version, bare int64) *otherFront {
+		return &otherFront{name: name, stoodMs: stood, stoodAt: stood, version: version, bareAt: bare}
 	}
 	cases := []struct {
-		name  string
-		ageMs int64            // of this front's proxy
-		told  *wire.TicketTold // nothing if the other is silent
-		gone  []*otherFront
-		bare  int64
-		marks []int64
-		ok    bool
-		done  bool
+		name     string
+		ageMs    int64            // of this front's proxy
+		told     *wire.TicketTold // nothing if the other is silent
+		gone     []*otherFront
+		bare     int64
+		versions []int64
+		ok       bool
+		done     bool
 	}{
 		{"all know enough", old, &wire.TicketTold{LineMs: old}, nil, 0, []int64{7}, true, true},
 		{"an old list that does not matter", 10, &wire.TicketTold{}, nil, 0, []int64{3}, true, true},
@@ -49,16 +49,16 @@
 			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000}, rand.New(rand.NewSource(1)))
 			now := int64(100000)
 			line.members.Clock(now, now)
-			line.rosters = []wire.Roster{{Pool: "app", Mark: 3, FromMs: 10, UntilMs: 20}, {Pool: "app", Mark: 7, FromMs: 50000, UntilMs: 90000}}
+			line.rosters = []wire.Roster{{Pool: "app", Version: 3, FromMs: 10, UntilMs: 20}, {Pool: "app", Version: 7, FromMs: 50000, UntilMs: 90000}}
 			line.settled, line.bareAt = 3, one.bare
 			if one.ageMs == young {
 				line.boardAt = 70000
 			}
-			line.fronts["l2~b"] = &otherFront{name: "l2", stands: true, stoodMs: now, stoodAt: now, seenAt: 99100, mark: 7}
+			line.fronts["l2~b"] = &otherFront{name: "l2", stands: true, stoodMs: now, stoodAt: now, seenAt: 99100, version: 7}
 			for at, front := range one.gone {
 				line.fronts[front.name+"~g"+string(rune('a'+at))] = front
 			}
-			out := line.Hear(now, "s1", &wire.TicketWish{Op: 1, Key: "k", Server: "b2@x", Marks: one.marks})
+			out := line.Hear(now, "s1", &wire.TicketWish{Op: 1, Key: "k", Server: "b2@x", Versions: one.versions})
 			if one.told != nil {
 				one.told.Op, one.told.Asker = 1, "l1~a"
 				out.Add(line.Hear(now+5, "l2~b", one.told))
@@ -87,18 +87,18 @@
 	start := func() *Line {
 		line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000}, rand.New(rand.NewSource(1)))
 		line.members.Clock(now, now)
-		line.rosters = []wire.Roster{{Pool: "app", Mark: 7, FromMs: 50000, UntilMs: 90000}}
-		line.fronts["l2~b"] = &otherFront{name: "l2", stands: true, stoodMs: now, stoodAt: now, seenAt: 99100, mark: 7}
+		line.rosters = []wire.Roster{{Pool: "app", Version: 7, FromMs: 50000, UntilMs: 90000}}
+		line.fronts["l2~b"] = &otherFront{name: "l2", stands: true, stoodMs: now, stoodAt: now, seenAt: 99100, version: 7}
 		line.Hear(now, "s1~old", &wire.Report{})
 		return line
 	}
 	for _, board := range []string{"s1~old", "s1~new"} {
 		lost := board == "s1~new"
-		told := start().Hear(now+10, board, &wire.TicketTold{Op: 1, Asker: "l2~b", FromMs: 50000, Mark: 7}).Sends
+		told := start().Hear(now+10, board, &wire.TicketTold{Op: 1, Asker: "l2~b", FromMs: 50000, Version: 7}).Sends
 		c.Assert(told, qt.HasLen, 1)
 		c.Check(len(told[0].Body.(*wire.TicketTold).Lost) == 1, qt.Equals, lost)
 		line := start()
-		line.Hear(now+10, board, &wire.TicketWish{Op: 2, Key: "k", Server: "b2@x", Marks: []int64{7}})
+		line.Hear(now+10, board, &wire.TicketWish{Op: 2, Key: "k", Server: "b2@x", Versions: []int64{7}})
 		// The other front lost its memory too: together nobody knows.
 		done := line.Hear(now+20, "l2~b", &wire.TicketTold{Op: 2, Asker: "l1~a", LineMs: 90000, Lost: []string{"l2"}}).Sends
 		c.Assert(done, qt.HasLen, 1)
@@ -112,10 +112,10 @@
 	c := qt.New(t)
 	const now = int64(500000)
 	cases := []struct {
-		name                string
-		until, mark, learnt int64
-		stood               int64
-		settled             bool
+		name                   string
+		until, version, learnt int64
+		stood                  int64
+		settled                bool
 	}{
 		{"long ago, and all go by the new one", now - 200000, 7, 0, now, true},
 		{"replaced only now", now - 30000, 7, 0, now, false},
@@ -129,9 +129,9 @@
 		c.Run(one.name, func(c *qt.C) {
 			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000}, rand.New(rand.NewSource(1)))
 			line.members.Clock(now, now)
-			line.marks[controller.DirectoryKey] = 7
-			line.rosters = []wire.Roster{{Pool: "app", Mark: 7, FromMs: 1, UntilMs: one.until}}
-			line.fronts["l2~b"] = &otherFront{name: "l2", stoodMs: one.stood, stoodAt: one.stood, mark: one.mark, learnt: one.learnt}
+			line.versions[controller.DirectoryKey] = 7
+			line.rosters = []wire.Roster{{Pool: "app", Version: 7, FromMs: 1, UntilMs: one.until}}
+			line.fronts["l2~b"] = &otherFront{name: "l2", stoodMs: one.stood, stoodAt: one.stood, version: one.version, learnt: one.learnt}
 			line.watchFronts(now)
 			line.settle(now)
 			c.Check(line.settled == 7, qt.Equals, one.settled)
--- a/internal/controlplane/controller/confirm_test.go
+++ b/internal/controlplane/controller/confirm_test.go
@@ -9,9 +9,9 @@
 	"applequay/internal/transport/wire"
 )
 
-// policiesTold are the marks of the policy that some outputs tell a node.
+// policiesTold are the versions of the policy that some outputs tell a node.
 func policiesTold(out wire.Outputs, to string) []int64 {
-	var marks []int64
+	var versions []int64
 	for _, send := range append(out.Sends, out.Then...) {
 		told, is := send.Body.(*wire.News)
 		if !is || send.To != to {
@@ -19,11 +19,11 @@
 		}
 		for _, topic := range told.Topics {
 			if topic.Name == PolicyKey {
-				marks = append(marks, topic.Step)
+				versions = append(versions, topic.Step)
 			}
 		}
 	}
-	return marks
+	return versions
 }
 
 // A subscriber gets the policy that stands at a majority once it has asked, and
@@ -34,7 +34,7 @@
 	a.run(4000)
 	a.do(a.f.Change(a.now, 1, register.Write{Key: PolicyKey, Expected: -1, Next: 7, Body: []byte("{}")}))
 	a.run(200)
-	c.Assert(a.f.marks[PolicyKey], qt.Equals, int64(7))
+	c.Assert(a.f.versions[PolicyKey], qt.Equals, int64(7))
 	asks := func(cut bool) []int64 {
 		a.do(a.f.Hear(a.now, "l1~1", &wire.Subscribe{}))
 		var told []int64
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -52,41 +52,41 @@
 	acceptor *register.Acceptor
 	proposer *register.Proposer
 	// core is the newest core set that this machine took up.
-	core       wire.CoreSet
-	granter    *lease.Granter
-	holder     *lease.Holder
-	members    *membership.Members
-	board      *distribution.Board
-	view       *partition.View
-	kept       map[int64]*wire.PartitionState
-	owned      map[int64]*partition.Partition
-	marks      map[string]int64
-	calls      map[int64]func(now int64, outcome register.Outcome) wire.Outputs
-	nextCall   int64
-	founding   founding
-	steward    steward
-	confirming confirming
-	timers     map[string]int64
-	unheld     map[int64]int64
-	took       map[int64]bool
-	handed     map[int64]*wire.PartitionState
-	moving     map[int64]*handing
-	promised   map[int64]promise
-	recalled   recalled
-	Moves      int64
-	listed     wire.WorkerList
-	listCalls  int64 // calls of the last whole read of the worker list
-	unbelieved string
-	rolling    *rolling
-	leavers    map[string]bool
-	leaving    bool
-	outSince   int64 // the first set in which this node has no seat any more
-	stalled    bool
-	events     int64
-	StartedMs  int64
-	coreMark   int64
-	swept      int
-	Recoveries int64
+	core        wire.CoreSet
+	granter     *lease.Granter
+	holder      *lease.Holder
+	members     *membership.Members
+	board       *distribution.Board
+	view        *partition.View
+	kept        map[int64]*wire.PartitionState
+	owned       map[int64]*partition.Partition
+	versions    map[string]int64
+	calls       map[int64]func(now int64, outcome register.Outcome) wire.Outputs
+	nextCall    int64
+	founding    founding
+	steward     steward
+	confirming  confirming
+	timers      map[string]int64
+	unheld      map[int64]int64
+	took        map[int64]bool
+	handed      map[int64]*wire.PartitionState
+	moving      map[int64]*handing
+	promised    map[int64]promise
+	recalled    recalled
+	Moves       int64
+	listed      wire.WorkerList
+	listCalls   int64 // calls of the last whole read of the worker list
+	unbelieved  string
+	rolling     *rolling
+	leavers     map[string]bool
+	leaving     bool
+	outSince    int64 // the first set in which this node has no seat any more
+	stalled     bool
+	events      int64
+	StartedMs   int64
+	coreVersion int64
+	swept       int
+	Recoveries  int64
 }
 
 // New makes the control state from what the journal held.
@@ -113,7 +113,7 @@
 		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		board:    distribution.NewBoard(),
 		view:     &partition.View{Policy: configuration.Empty(), Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Owners: map[int64]wire.Owner{}, Count: boot.Partitions},
-		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, marks: map[string]int64{},
+		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, versions: map[string]int64{},
 		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
 		handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
 		founding: newFounding(), steward: steward{failed: map[string]int64{}, heard: map[string]int64{}},
--- a/internal/controlplane/controller/epochs_test.go
+++ b/internal/controlplane/controller/epochs_test.go
@@ -26,13 +26,13 @@
 	for _, id := range seats {
 		first.Seats = append(first.Seats, wire.Seat{ID: id, Name: id, Addr: id + ":1"})
 	}
-	value := wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&first)})
+	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&first)})
 	for _, id := range seats {
 		boot := Boot{ID: id, Name: id, Addr: id + ":1", Partitions: 1, LeaseMs: 3200, PollMs: 500, ProbeMs: 200, CallMs: 1600, Born: 1}
 		founding := wire.Ballot{N: 1, By: "founding"}
 		snapshot := &wire.Snapshot{Registers: []wire.AcceptorRecord{{Key: "#core", Value: value}, {Key: "#epoch", Promised: wire.Ballot{N: 1}}, {Key: register.CoreKey, Promised: founding, Accepted: founding, Value: value}}}
 		f := New(1, boot, rand.New(rand.NewSource(int64(len(id)))), snapshot, nil)
-		f.coreMark = 1
+		f.coreVersion = 1
 		t.nodes[id] = f
 	}
 	return t
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -96,7 +96,7 @@
 	if !ok {
 		return nil
 	}
-	return wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	return wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 }
 
 // found proposes the first core set, once all answered; the machine with the
@@ -118,7 +118,7 @@
 		}
 		core.Seats = append(core.Seats, told.Seat)
 	}
-	value := wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 	f.adopt(now, out, core, value)
 	for _, seat := range core.Seats {
 		if seat.ID != f.boot.ID {
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -24,27 +24,27 @@
 	}
 }
 
-// learn takes a chosen value; marks only rise.
+// learn takes a chosen value; versions only rise.
 func (f *Frame) learn(now int64, out *wire.Outputs, key string, value wire.Value) {
 	value = register.Standing(value)
 	if key == register.CoreKey {
-		f.coreMark = max(f.coreMark, value.Mark)
+		f.coreVersion = max(f.coreVersion, value.Version)
 		var core wire.CoreSet
 		if core.Unmarshal(value.Body) == nil {
 			f.learnCore(now, out, core)
 		}
 	}
-	if value.Mark <= f.marks[key] {
+	if value.Version <= f.versions[key] {
 		return
 	}
-	f.marks[key] = value.Mark
+	f.versions[key] = value.Version
 	switch {
 	case key == PolicyKey:
-		if table, faults, _ := f.boot.Form.Parse(value.Body, value.Mark); table != nil && len(faults) == 0 {
+		if table, faults, _ := f.boot.Form.Parse(value.Body, value.Version); table != nil && len(faults) == 0 {
 			f.view.Policy = table.Placement()
 		}
-		f.members.Set("mark", strconv.FormatInt(value.Mark, 10))
-		topic := wire.Topic{Name: PolicyKey, Step: value.Mark, Body: value.Body}
+		f.members.Set("mark", strconv.FormatInt(value.Version, 10))
+		topic := wire.Topic{Name: PolicyKey, Step: value.Version, Body: value.Body}
 		f.board.Put(topic)
 		f.push(out, topic, false)
 	case key == DirectoryKey:
@@ -53,7 +53,7 @@
 			f.listed = list
 			f.viewWorkers()
 		}
-		topic := wire.Topic{Name: DirectoryKey, Step: value.Mark, Body: value.Body}
+		topic := wire.Topic{Name: DirectoryKey, Step: value.Version, Body: value.Body}
 		f.board.Put(topic)
 		f.push(out, topic, false)
 	case strings.HasPrefix(key, ownerPrefix):
--- a/internal/controlplane/controller/listing.go
+++ b/internal/controlplane/controller/listing.go
@@ -47,6 +47,6 @@
 		}
 	}
 	if f.due(now, "platform", every) {
-		out.Send("platform", wire.KindOrder, &wire.Order{Op: "list", Seq: f.marks[DirectoryKey]})
+		out.Send("platform", wire.KindOrder, &wire.Order{Op: "list", Seq: f.versions[DirectoryKey]})
 	}
 }
--- a/internal/controlplane/controller/notice_test.go
+++ b/internal/controlplane/controller/notice_test.go
@@ -30,7 +30,7 @@
 	}
 	c.Assert(query, qt.IsNotNil)
 	next := wire.CoreSet{Epoch: 2, Size: 3, Seats: append(core.Seats, seat("c1"))}
-	f.Hear(now, "c2", &wire.Promise{Op: query.Op, Key: PolicyKey, Query: true, Epoch: 2, Core: wire.Encode(&wire.Value{Mark: 2, Body: wire.Encode(&next)})})
+	f.Hear(now, "c2", &wire.Promise{Op: query.Op, Key: PolicyKey, Query: true, Epoch: 2, Core: wire.Encode(&wire.Value{Version: 2, Body: wire.Encode(&next)})})
 	c.Assert(f.seated(), qt.IsTrue)
 	asked := &wire.GrantAsk{Op: 1, Claim: true, Epoch: 2, Holds: []wire.Hold{{Partition: 0, Fence: 1}}}
 	for _, send := range f.Hear(now+10, "c2", asked).Sends {
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -174,7 +174,7 @@
 			f.holder.Settled(number, next.Fence)
 			return done
 		})
-		out.Add(f.proposer.Change(now, write, key, read.Value.Mark, 0, wire.Encode(&next), fmt.Sprintf("%s#%d.%x", f.boot.ID, next.Fence, f.random.Int63())))
+		out.Add(f.proposer.Change(now, write, key, read.Value.Version, 0, wire.Encode(&next), fmt.Sprintf("%s#%d.%x", f.boot.ID, next.Fence, f.random.Int63())))
 		return out
 	})
 	out.Add(f.proposer.Read(now, call, key, wire.Ballot{}, nil))
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -14,7 +14,7 @@
 	ID, Role  string
 	Core      wire.CoreSet
 	Policy    *configuration.Table
-	Marks     map[string]int64
+	Versions  map[string]int64
 	Members   []wire.Member
 	Owners    map[int64]wire.Owner
 	Workers   map[string]wire.Worker
@@ -38,7 +38,7 @@
 //
 //	page := core.Page(now)
 func (f *Frame) Page(now int64) Page {
-	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Marks: map[string]int64{}, Members: f.members.All(),
+	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Versions: map[string]int64{}, Members: f.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
 		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
 	page.Events, page.Moving, page.Moves = f.events, len(f.moving), f.Moves
@@ -46,8 +46,8 @@
 	for _, owned := range f.owned {
 		page.Events += owned.Steps
 	}
-	for key, mark := range f.marks {
-		page.Marks[key] = mark
+	for key, version := range f.versions {
+		page.Versions[key] = version
 	}
 	for number, owner := range f.view.Owners {
 		page.Owners[number] = owner
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -38,7 +38,7 @@
 	return first == f.boot.ID
 }
 
-// tellSubscriber answers with what is past the subscriber's marks, of the service
+// tellSubscriber answers with what is past the subscriber's versions, of the service
 // it names or of all; with the policy only once that is known to stand.
 func (f *Frame) tellSubscriber(out *wire.Outputs, from string, asked *wire.Subscribe) {
 	kind, body := f.board.Answers(asked)
--- a/internal/controlplane/controller/recall.go
+++ b/internal/controlplane/controller/recall.go
@@ -43,7 +43,7 @@
 // have no owners yet. What an owner says later, under this fence or a higher
 // one, takes its place; a worker that has something no more says so itself.
 func (f *Frame) recallTick(now int64, out *wire.Outputs) {
-	if f.recalled.told || !f.founded() || f.marks[DirectoryKey] == 0 {
+	if f.recalled.told || !f.founded() || f.versions[DirectoryKey] == 0 {
 		return
 	}
 	f.recalled.told = true
--- a/internal/controlplane/controller/recall_test.go
+++ b/internal/controlplane/controller/recall_test.go
@@ -32,8 +32,8 @@
 			}}
 			core := wire.CoreSet{Epoch: 1, Swept: true, Seats: []wire.Seat{{ID: "c1~a", Addr: "10.0.0.1:1"}}}
 			snapshot := &wire.Snapshot{Partitions: []wire.PartitionState{state}, Registers: []wire.AcceptorRecord{
-				{Key: register.CoreKey, Promised: wire.Ballot{N: 1, By: "x"}, Accepted: wire.Ballot{N: 1, By: "x"}, Value: wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})},
-				{Key: "owner/0", Promised: wire.Ballot{N: 1, By: "x"}, Accepted: wire.Ballot{N: 1, By: "x"}, Value: wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&one.owner)})},
+				{Key: register.CoreKey, Promised: wire.Ballot{N: 1, By: "x"}, Accepted: wire.Ballot{N: 1, By: "x"}, Value: wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})},
+				{Key: "owner/0", Promised: wire.Ballot{N: 1, By: "x"}, Accepted: wire.Ballot{N: 1, By: "x"}, Value: wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&one.owner)})},
 			}}
 			f := New(1, Boot{ID: "c1~a", Name: "c1", Addr: "10.0.0.1:1", Partitions: 1, LeaseMs: 3200, PollMs: 500, ProbeMs: 200, CallMs: 1600}, rand.New(rand.NewSource(1)), snapshot, nil)
 			f.proposer.Learn(core)
@@ -46,7 +46,7 @@
 			var out wire.Outputs
 			f.recallTick(50, &out)
 			c.Check(f.board.Names(), qt.HasLen, 0, qt.Commentf("told before the worker list is known"))
-			f.learn(60, &out, DirectoryKey, wire.Value{Mark: 3, Body: wire.Encode(&wire.WorkerList{Workers: []wire.Worker{{Name: "w1", Addr: "10.0.3.1:1", Pool: "llm"}}})})
+			f.learn(60, &out, DirectoryKey, wire.Value{Version: 3, Body: wire.Encode(&wire.WorkerList{Workers: []wire.Worker{{Name: "w1", Addr: "10.0.3.1:1", Pool: "llm"}}})})
 			f.recallTick(70, &out)
 			topic, told := f.board.Get("homes/llm/w1")
 			c.Check(told, qt.Equals, one.told)
--- a/internal/controlplane/controller/rollout.go
+++ b/internal/controlplane/controller/rollout.go
@@ -22,9 +22,9 @@
 
 // rolling is what the driver of a roll-out remembers of one step.
 type rolling struct {
-	mark, sinceMs int64
-	begun         map[string]tally
-	asked         bool
+	version, sinceMs int64
+	begun            map[string]tally
+	asked            bool
 	// usual is what is bad, and all, where the old policy stands, as of this step
 	// or one before.
 	usual tally
@@ -42,12 +42,12 @@
 		f.rolling = nil
 		return
 	}
-	if f.rolling == nil || f.rolling.mark != table.Mark {
+	if f.rolling == nil || f.rolling.version != table.Version {
 		var usual tally
 		if f.rolling != nil {
 			usual = f.rolling.usual
 		}
-		f.rolling = &rolling{mark: table.Mark, sinceMs: now, begun: f.callsTold(), usual: usual}
+		f.rolling = &rolling{version: table.Version, sinceMs: now, begun: f.callsTold(), usual: usual}
 	}
 	step := f.rolling
 	if step.asked {
@@ -61,11 +61,11 @@
 	}
 }
 
-// writeStep writes what a step makes of the policy, if it still has the mark
+// writeStep writes what a step makes of the policy, if it still has the version
 // that the step began with.
 func (f *Frame) writeStep(now int64, out *wire.Outputs, kept wire.Topic, step func([]byte) ([]byte, error)) {
 	body, err := step(kept.Body)
-	if err != nil || kept.Step != f.rolling.mark {
+	if err != nil || kept.Step != f.rolling.version {
 		return
 	}
 	f.rolling.asked = true
--- a/internal/controlplane/controller/rosters.go
+++ b/internal/controlplane/controller/rosters.go
@@ -19,8 +19,8 @@
 
 // withRosters adds to a list what the servers of each pool were before: a key
 // that went to one of them must not go to another now. The list in the making
-// gets the mark after the one kept.
-func withRosters(list, kept *wire.WorkerList, mark, wallMs int64) {
+// gets the version after the one kept.
+func withRosters(list, kept *wire.WorkerList, version, wallMs int64) {
 	open := map[string][]string{}
 	for _, worker := range list.Workers {
 		if !worker.Leaving {
@@ -33,7 +33,7 @@
 		if now && slices.Equal(servers, roster.Servers) {
 			delete(open, roster.Pool)
 		} else if now {
-			roster.UntilMs, roster.Mark = max(wallMs, roster.FromMs+1), mark+1
+			roster.UntilMs, roster.Version = max(wallMs, roster.FromMs+1), version+1
 		}
 		if counts[roster.Pool]++; counts[roster.Pool] <= mostRosters && (now || len(roster.Servers) > 0) {
 			list.Rosters = append(list.Rosters, roster)
--- a/internal/controlplane/controller/rosters_test.go
+++ b/internal/controlplane/controller/rosters_test.go
@@ -9,7 +9,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// A list carries what the servers of each pool were before it, with the mark
+// A list carries what the servers of each pool were before it, with the version
 // that replaced them.
 func TestRosters(t *testing.T) {
 	c := qt.New(t)
@@ -36,7 +36,7 @@
 		withRosters(one.list, kept, int64(at), int64(1000*at))
 		says := ""
 		for _, roster := range one.list.Rosters {
-			says += fmt.Sprintf(" %d:%v", roster.Mark, roster.Servers)
+			says += fmt.Sprintf(" %d:%v", roster.Version, roster.Servers)
 		}
 		c.Check(says[1:], qt.Equals, one.says)
 		kept = one.list
--- a/internal/controlplane/controller/steward.go
+++ b/internal/controlplane/controller/steward.go
@@ -80,7 +80,7 @@
 		return out
 	})
 	name := fmt.Sprintf("%s#%d.%x", f.boot.ID, next.Epoch, f.random.Int63())
-	out.Add(f.proposer.Change(now, call, register.CoreKey, f.coreMark, 0, wire.Encode(&next), name))
+	out.Add(f.proposer.Change(now, call, register.CoreKey, f.coreVersion, 0, wire.Encode(&next), name))
 }
 
 // begin starts a piece of work on the set; one that was under way is given up.
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -54,19 +54,19 @@
 }
 
 // Platform takes the platform's worker list, read when the list kept had the
-// mark given; a change since then makes the write stale.
+// version given; a change since then makes the write stale.
 //
 //	out := core.Platform(now, 4, list)
-func (f *Frame) Platform(now, mark int64, list *wire.WorkerList) wire.Outputs {
+func (f *Frame) Platform(now, version int64, list *wire.WorkerList) wire.Outputs {
 	var out wire.Outputs
 	if !f.believed(list) {
 		return out
 	}
 	f.heed(list)
-	if mark != f.marks[DirectoryKey] || sameWorkers(list, &f.listed) {
+	if version != f.versions[DirectoryKey] || sameWorkers(list, &f.listed) {
 		return out
 	}
-	withRosters(list, &f.listed, mark, f.members.Wall(now))
+	withRosters(list, &f.listed, version, f.members.Wall(now))
 	body := wire.Encode(list)
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var done wire.Outputs
@@ -75,7 +75,7 @@
 		}
 		return done
 	})
-	out.Add(f.proposer.Change(now, call, DirectoryKey, mark, 0, body, f.writeName()))
+	out.Add(f.proposer.Change(now, call, DirectoryKey, version, 0, body, f.writeName()))
 	return f.settle(now, out)
 }
 
--- a/internal/controlplane/distribution/distribution.go
+++ b/internal/controlplane/distribution/distribution.go
@@ -1,4 +1,4 @@
-// Package distribution keeps topics whose marks only rise, and decides who in a zone
+// Package distribution keeps topics whose versions only rise, and decides who in a zone
 // is the home of a topic.
 package distribution
 
@@ -18,7 +18,7 @@
 	sums   map[string]uint64
 }
 
-// kept is a topic with the service that tells of it and the hash of its mark.
+// kept is a topic with the service that tells of it and the hash of its version.
 type kept struct {
 	wire.Topic
 	service string
@@ -32,14 +32,14 @@
 	return &Board{topics: map[string]kept{}, fresh: map[string]bool{}, sums: map[string]uint64{}}
 }
 
-// Newer tells whether a topic's mark is past another's.
+// Newer tells whether a topic's version is past another's.
 //
 //	if distribution.Newer(told, kept) { ... }
 func Newer(told, kept wire.Topic) bool {
 	return told.Term > kept.Term || (told.Term == kept.Term && told.Step > kept.Step)
 }
 
-// Put takes a topic if its mark is past the one kept.
+// Put takes a topic if its version is past the one kept.
 //
 //	if board.Put(topic) { ... }
 func (b *Board) Put(topic wire.Topic) bool {
@@ -101,7 +101,7 @@
 //	board.Renew("policy")
 func (b *Board) Renew(name string) { b.fresh[name] = true }
 
-// have lists the marks kept of a service, without bodies; of all if none is named.
+// have lists the versions kept of a service, without bodies; of all if none is named.
 func (b *Board) have(service string) []wire.Topic {
 	var out []wire.Topic
 	for _, name := range b.names {
--- a/internal/controlplane/distribution/distribution_test.go
+++ b/internal/controlplane/distribution/distribution_test.go
@@ -8,7 +8,7 @@
 	"applequay/internal/transport/wire"
 )
 
-func TestMarksOnlyRise(t *testing.T) {
+func TestVersionsOnlyRise(t *testing.T) {
 	c := qt.New(t)
 	cases := []struct {
 		name       string
--- a/internal/controlplane/distribution/subscribe.go
+++ b/internal/controlplane/distribution/subscribe.go
@@ -7,7 +7,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// A subscriber asks with a sum of the marks that it has. Who holds the same says
+// A subscriber asks with a sum of the versions that it has. Who holds the same says
 // nothing; who does not asks for the list of them, and answers that with all
 // that is past it. So what nothing happens to costs one short message.
 
@@ -61,7 +61,7 @@
 	return wire.KindNone, nil
 }
 
-// sum tells the marks of a service, or of all, in one number; nought if there
+// sum tells the versions of a service, or of all, in one number; nought if there
 // are none.
 func (b *Board) sum(service string) int64 {
 	if service != "" {
--- a/internal/controlplane/health/health.go
+++ b/internal/controlplane/health/health.go
@@ -53,7 +53,7 @@
 
 // Gauge shows a number that rises and falls.
 //
-//	gauges.Gauge("policy_mark", "mark of the policy known here", func() float64 { return mark })
+//	gauges.Gauge("policy_mark", "version of the policy known here", func() float64 { return version })
 func (g *Gauges) Gauge(name, help string, read func() float64) {
 	g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "applequay", Name: name, Help: help, ConstLabels: g.labels}, read))
 }
@@ -110,7 +110,7 @@
 			return read()
 		}
 	}
-	g.Gauge("policy_mark", "mark of the policy known here", number(func() float64 { return float64(pages.Load().Marks["policy"]) }))
+	g.Gauge("policy_mark", "mark of the policy known here", number(func() float64 { return float64(pages.Load().Versions["policy"]) }))
 	g.Gauge("core_epoch", "epoch of the core set known here", number(func() float64 { return float64(pages.Load().Core.Epoch) }))
 	g.Gauge("partitions_owned", "partitions owned here", number(func() float64 { return float64(len(pages.Load().Owned)) }))
 	g.Gauge("members", "members known here", number(func() float64 { return float64(len(pages.Load().Members)) }))
--- a/internal/controlplane/idempotency/book.go
+++ b/internal/controlplane/idempotency/book.go
@@ -21,10 +21,10 @@
 	Open func(server string) bool
 }
 
-// Past is the choice by a list that the one with the mark replaced.
+// Past is the choice by a list that the one with the version replaced.
 type Past struct {
-	Mark   int64
-	Server string
+	Version int64
+	Server  string
 }
 
 // Decision is where a call goes; with no server it is refused, since it may
@@ -46,12 +46,12 @@
 const own = ""
 
 type wish struct {
-	call   Call
-	marks  []int64 // of the lists by which the key may have gone elsewhere
-	calls  []int64
-	sentMs int64
-	toldMs int64
-	round  int // nought while only a witness is asked for
+	call     Call
+	versions []int64 // of the lists by which the key may have gone elsewhere
+	calls    []int64
+	sentMs   int64
+	toldMs   int64
+	round    int // nought while only a witness is asked for
 }
 
 // Book is one proxy's memory of keys, with its part of the asking.
@@ -105,8 +105,8 @@
 		b.wishes[op].calls = append(b.wishes[op].calls, id)
 		return out
 	}
-	marks := b.elsewhere(call)
-	doubts := len(marks) > 0
+	versions := b.elsewhere(call)
+	doubts := len(versions) > 0
 	for _, server := range b.claimed(call.Key, own) {
 		doubts = doubts || server != call.Choice
 	}
@@ -126,9 +126,9 @@
 		b.refuse(&out, "this front has lost sight of the others", max(b.graceMs-quiet, b.answerMs), id)
 	case doubts:
 		b.Asked++
-		b.ask(now, &out, &wish{call: call, marks: marks, calls: []int64{id}, round: 1})
+		b.ask(now, &out, &wish{call: call, versions: versions, calls: []int64{id}, round: 1})
 	default:
-		b.ask(now, &out, &wish{call: call, marks: marks, calls: []int64{id}})
+		b.ask(now, &out, &wish{call: call, versions: versions, calls: []int64{id}})
 	}
 	return out
 }
@@ -195,18 +195,18 @@
 }
 
 func (b *Book) say(out *wire.Outputs, op int64, asked *wish) {
-	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Marks: asked.marks, Few: asked.round == 0}
+	told := &wire.TicketWish{Op: op, Key: asked.call.Key, Server: asked.call.Choice, Versions: asked.versions, Few: asked.round == 0}
 	out.Send(b.agent, wire.KindTicketWish, told)
 }
 
-// elsewhere lists the marks that replaced lists which still matter and by which
+// elsewhere lists the versions that replaced lists which still matter and by which
 // a key has another server than by the one in force.
 func (b *Book) elsewhere(call Call) []int64 {
-	var marks []int64
+	var versions []int64
 	for _, past := range call.Past {
-		if past.Mark > b.settled && past.Server != call.Choice {
-			marks = append(marks, past.Mark)
+		if past.Version > b.settled && past.Server != call.Choice {
+			versions = append(versions, past.Version)
 		}
 	}
-	return marks
+	return versions
 }
--- a/internal/controlplane/idempotency/book_test.go
+++ b/internal/controlplane/idempotency/book_test.go
@@ -78,7 +78,7 @@
 		return false
 	}}
 	if past != "" {
-		made.Past = []Past{{Mark: 5, Server: past}}
+		made.Past = []Past{{Version: 5, Server: past}}
 	}
 	return made
 }
--- a/internal/controlplane/idempotency/hear.go
+++ b/internal/controlplane/idempotency/hear.go
@@ -17,7 +17,7 @@
 		b.contactMs, b.keyMs, b.answerMs, b.graceMs = now, told.KeyMs, told.AnswerMs, told.GraceMs
 		b.settled = max(b.settled, told.Settled)
 	case *wire.TicketAsk:
-		out.Send(b.agent, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), FromMs: told.FromMs, Mark: told.Mark})
+		out.Send(b.agent, wire.KindTicketTold, &wire.TicketTold{Op: told.Op, Asker: told.Asker, Others: b.tell(told), FromMs: told.FromMs, Version: told.Version})
 	case *wire.TicketDone:
 		b.done(now, &out, told)
 	}
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -82,7 +82,7 @@
 
 // Set notes a fact about this node that the others hear with its next probes.
 //
-//	picture.Set("mark", "7")
+//	picture.Set("version", "7")
 func (m *Members) Set(name, fact string) {
 	if m.self.Fact[name] != fact {
 		facts := map[string]string{name: fact}
--- a/internal/controlplane/orders/native.go
+++ b/internal/controlplane/orders/native.go
@@ -152,7 +152,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	var listed struct {
 		Workers *[]Listed `json:"workers"`
-		Mark    int64     `json:"mark"`
+		Version int64     `json:"mark"`
 	}
 	if err := read(answer, &listed); err != nil {
 		return Listing{}, err
@@ -160,7 +160,7 @@
 	if listed.Workers == nil {
 		return Listing{}, oops.Errorf("there are no workers in it")
 	}
-	list, names := &wire.WorkerList{Platform: listed.Mark}, map[string]bool{}
+	list, names := &wire.WorkerList{Platform: listed.Version}, map[string]bool{}
 	for _, one := range *listed.Workers {
 		if err := CheckListed(one.Name, one.Addr); err != nil {
 			return Listing{}, err
--- a/internal/controlplane/orders/orders.go
+++ b/internal/controlplane/orders/orders.go
@@ -33,7 +33,7 @@
 	lines map[string]chan Job
 	// Saw takes what workers showed, List what the platform listed.
 	Saw  func(seen *wire.Seen)
-	List func(mark int64, list Listing)
+	List func(version int64, list Listing)
 	// Failed hears why the platform's list could not be read.
 	Failed func(err error)
 }
--- a/internal/controlplane/partition/single_test.go
+++ b/internal/controlplane/partition/single_test.go
@@ -62,7 +62,7 @@
 
 func newPool(c *qt.C, seed int64, models, workers int, fence int64) *pool {
 	table := configuration.Empty()
-	table.Mark = 1
+	table.Version = 1
 	table.Store = configuration.Store{MbPerS: 1000, Turns: 3, LoadsPer1000S: 2000}
 	table.Pools = map[string]configuration.Pool{"llm": {Name: "llm", Slots: 16, RoomMb: testRoomMb, AdapterSlots: testSlots}}
 	for i := range models {
--- a/internal/controlplane/partition/store.go
+++ b/internal/controlplane/partition/store.go
@@ -81,7 +81,7 @@
 }
 
 func (p *Partition) giveTurns(now int64, e *effects, store *wire.StoreState) {
-	if p.view.Policy.Mark == 0 {
+	if p.view.Policy.Version == 0 {
 		return
 	}
 	slices.SortStableFunc(store.Queue, func(a, b wire.PermitAsk) int { return cmp.Compare(b.Weight, a.Weight) })
--- a/internal/controlplane/register/coreset.go
+++ b/internal/controlplane/register/coreset.go
@@ -29,7 +29,7 @@
 	if known, ok := a.Core(); ok && (core.Epoch < known.Epoch || (core.Epoch == known.Epoch && (known.Swept || !core.Swept))) {
 		return out
 	}
-	a.chosen = wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	a.chosen = wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 	out.Write(wire.KindAcceptorRecord, &wire.AcceptorRecord{Key: chosenKey, Value: a.chosen})
 	return out
 }
--- a/internal/controlplane/register/epochs_test.go
+++ b/internal/controlplane/register/epochs_test.go
@@ -18,7 +18,7 @@
 }
 
 // Promises heard under one core set do not make a majority of the next: of two
-// writes on one mark, at either side of a change of the set, one is acknowledged.
+// writes on one version, at either side of a change of the set, one is acknowledged.
 func TestPromisesOfTwoCoreSets(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, "q", "zp")
@@ -26,10 +26,10 @@
 	b.acceptors["w"] = NewAcceptor()
 	p, q := b.proposers["zp"], b.proposers["q"]
 	p.core = before
-	for mark := range int64(4) {
-		b.change("zp", mark+1, mark, fmt.Sprint("one", mark))
+	for version := range int64(4) {
+		b.change("zp", version+1, version, fmt.Sprint("one", version))
 	}
-	c.Assert(b.outcomes["zp/4"].Value.Mark, qt.Equals, int64(4))
+	c.Assert(b.outcomes["zp/4"].Value.Version, qt.Equals, int64(4))
 	// The next round of p reaches x, whose answer is late, and w, which goes.
 	var late wire.Record
 	b.pass = func(from, to string, body wire.Record) bool {
--- a/internal/controlplane/register/lineage.go
+++ b/internal/controlplane/register/lineage.go
@@ -10,9 +10,9 @@
 
 // A value's lineage remembers its newest writes, so that a write that is sent
 // again is known at every node for as long as the value is. Each entry is a
-// digest of the write's name and, as a varint, how far the mark rose with it.
-// Forgot is the mark of the newest write that was dropped. Marks only rise: a
-// write that is not remembered and that expected a mark of Forgot or above was
+// digest of the write's name and, as a varint, how far the version rose with it.
+// Forgot is the version of the newest write that was dropped. Versions only rise: a
+// write that is not remembered and that expected a version of Forgot or above was
 // never made; of one that expected less nobody can tell.
 
 const (
@@ -28,28 +28,28 @@
 )
 
 // entries goes through what a lineage holds, oldest first, until told to stop.
-func entries(value wire.Value, each func(digest []byte, mark int64, rest []byte) bool) {
-	mark := value.Forgot
+func entries(value wire.Value, each func(digest []byte, version int64, rest []byte) bool) {
+	version := value.Forgot
 	for rest := value.Lineage; len(rest) > digestBytes; {
 		rose, size := binary.Uvarint(rest[digestBytes:])
 		if size <= 0 {
 			return
 		}
 		digest := rest[:digestBytes]
-		mark, rest = mark+int64(rose), rest[digestBytes+size:]
-		if !each(digest, mark, rest) {
+		version, rest = version+int64(rose), rest[digestBytes+size:]
+		if !each(digest, version, rest) {
 			return
 		}
 	}
 }
 
 // Remembered goes through the writes that a value remembers, oldest first: a digest
-// of each write's name, and the mark that it got.
+// of each write's name, and the version that it got.
 //
-//	register.Remembered(value, func(digest string, mark int64) { ... })
-func Remembered(value wire.Value, each func(digest string, mark int64)) {
-	entries(value, func(digest []byte, mark int64, _ []byte) bool {
-		each(string(digest), mark)
+//	register.Remembered(value, func(digest string, version int64) { ... })
+func Remembered(value wire.Value, each func(digest string, version int64)) {
+	entries(value, func(digest []byte, version int64, _ []byte) bool {
+		each(string(digest), version)
 		return true
 	})
 }
@@ -64,34 +64,34 @@
 	return sum[:digestBytes]
 }
 
-// Written finds the mark that a write got, by its name, while the value
+// Written finds the version that a write got, by its name, while the value
 // remembers it.
 //
-//	mark, ok := register.Written(outcome.Value, "l2~9c#44")
+//	version, ok := register.Written(outcome.Value, "l2~9c#44")
 func Written(value wire.Value, name string) (written int64, ok bool) {
 	asked := digestOf(name)
-	entries(value, func(digest []byte, mark int64, _ []byte) bool {
+	entries(value, func(digest []byte, version int64, _ []byte) bool {
 		if bytes.Equal(digest, asked) {
-			written, ok = mark, true
+			written, ok = version, true
 		}
 		return !ok
 	})
 	return written, ok
 }
 
-// Forgotten tells whether a write that expected a mark, -1 for any, may have
+// Forgotten tells whether a write that expected a version, -1 for any, may have
 // been made although the value does not remember it.
 //
 //	if !ok && register.Forgotten(outcome.Value, 5) { ... }
 func Forgotten(value wire.Value, expected int64) bool { return expected < value.Forgot }
 
-// Standing is a value under its own mark, where an outcome told that of an
+// Standing is a value under its own version, where an outcome told that of an
 // earlier write.
 //
 //	value := register.Standing(outcome.Value)
 func Standing(value wire.Value) wire.Value {
-	entries(value, func(_ []byte, mark int64, _ []byte) bool {
-		value.Mark = max(value.Mark, mark)
+	entries(value, func(_ []byte, version int64, _ []byte) bool {
+		value.Version = max(value.Version, version)
 		return true
 	})
 	return value
@@ -99,23 +99,23 @@
 
 // remember is the value after a write, with the write in its lineage and as many
 // before it as there is room for.
-func remember(before wire.Value, body []byte, name string, mark int64, least int) wire.Value {
+func remember(before wire.Value, body []byte, name string, version int64, least int) wire.Value {
 	if len(before.Lineage) == 0 {
-		before.Forgot = before.Mark
+		before.Forgot = before.Version
 	}
 	lineage := make([]byte, 0, len(before.Lineage)+digestBytes+binary.MaxVarintLen64)
 	lineage = append(append(lineage, before.Lineage...), digestOf(name)...)
-	lineage = binary.AppendUvarint(lineage, uint64(mark-before.Mark))
-	value := wire.Value{Mark: mark, Body: body, Lineage: lineage, Forgot: before.Forgot}
+	lineage = binary.AppendUvarint(lineage, uint64(version-before.Version))
+	value := wire.Value{Version: version, Body: body, Lineage: lineage, Forgot: before.Forgot}
 	most := min(max(least, len(body)/(lineageShare*entryBytes)), lineageTimes*least)
 	over := -most
 	entries(value, func([]byte, int64, []byte) bool { over++; return true })
 	if over <= 0 {
 		return value
 	}
-	entries(value, func(_ []byte, mark int64, rest []byte) bool {
+	entries(value, func(_ []byte, version int64, rest []byte) bool {
 		over--
-		value.Forgot, value.Lineage = mark, rest
+		value.Forgot, value.Lineage = version, rest
 		return over > 0
 	})
 	return value
--- a/internal/controlplane/register/lineage_test.go
+++ b/internal/controlplane/register/lineage_test.go
@@ -11,8 +11,8 @@
 )
 
 // written is a value after one more write; it remembers four at least.
-func written(before wire.Value, name string, mark int64) wire.Value {
-	return remember(before, before.Body, name, mark, 4)
+func written(before wire.Value, name string, version int64) wire.Value {
+	return remember(before, before.Body, name, version, 4)
 }
 
 // Whatever the number of later writes: a write that was made is found, or cannot
@@ -23,8 +23,8 @@
 		value := wire.Value{Body: bytes.Repeat([]byte("b"), size)}
 		var bases []int64
 		for at := range 200 {
-			bases = append(bases, value.Mark)
-			value = written(value, fmt.Sprint("w", at), value.Mark+1+int64(at%7)*300)
+			bases = append(bases, value.Version)
+			value = written(value, fmt.Sprint("w", at), value.Version+1+int64(at%7)*300)
 			for old, base := range bases {
 				_, ok := Written(value, fmt.Sprint("w", old))
 				c.Assert(ok || Forgotten(value, base), qt.IsTrue, qt.Commentf("%d of %d", old, at))
@@ -32,8 +32,8 @@
 			}
 			_, ok := Written(value, fmt.Sprint("x", at))
 			c.Assert(ok, qt.IsFalse)
-			c.Assert(Forgotten(value, value.Mark), qt.IsFalse)
-			c.Assert(Standing(value).Mark, qt.Equals, value.Mark)
+			c.Assert(Forgotten(value, value.Version), qt.IsFalse)
+			c.Assert(Standing(value).Version, qt.Equals, value.Version)
 		}
 		kept := 0
 		entries(value, func([]byte, int64, []byte) bool { kept++; return true })
@@ -46,15 +46,15 @@
 // one that remembers all.
 func TestLineageOfNamelessValues(t *testing.T) {
 	c := qt.New(t)
-	value := written(wire.Value{Mark: 3}, "a", 9)
-	mark, ok := Written(value, "a")
+	value := written(wire.Value{Version: 3}, "a", 9)
+	version, ok := Written(value, "a")
 	c.Check(ok, qt.IsTrue)
-	c.Check(mark, qt.Equals, int64(9))
+	c.Check(version, qt.Equals, int64(9))
 	c.Check(Forgotten(value, 2), qt.IsTrue)
 	c.Check(Forgotten(value, 3), qt.IsFalse)
 	// Bytes that are no lineage tell of nothing.
 	for cut := range len(value.Lineage) {
-		broken := wire.Value{Mark: 9, Lineage: value.Lineage[:cut]}
+		broken := wire.Value{Version: 9, Lineage: value.Lineage[:cut]}
 		_, ok = Written(broken, "a")
 		c.Check(ok, qt.IsFalse)
 	}
@@ -71,7 +71,7 @@
 		made := 0
 		for _, changes := range []int{10, 100, 1000, 5000} {
 			for ; made < changes; made++ {
-				value = remember(value, value.Body, fmt.Sprint("w", made), value.Mark+1+int64(made%9), least)
+				value = remember(value, value.Body, fmt.Sprint("w", made), value.Version+1+int64(made%9), least)
 			}
 			kept := 0
 			entries(value, func([]byte, int64, []byte) bool { kept++; return true })
--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -68,11 +68,11 @@
 		o.phaseEnds = min(o.phaseEnds, now+p.random.Int63n(max(p.limits.PhaseMs/8, 1)))
 		o.writes = slices.DeleteFunc(o.writes, func(asked *write) bool {
 			outcome := Outcome{Key: key, Has: true, Value: value}
-			mark, known := Written(value, asked.Name)
+			version, known := Written(value, asked.Name)
 			switch {
 			case known:
-				outcome.Value.Mark = mark
-			case asked.sentMark == 0 && asked.overtaken(value):
+				outcome.Value.Version = version
+			case asked.sentVersion == 0 && asked.overtaken(value):
 				outcome.Fate = asked.missed(value)
 			default:
 				return false
@@ -89,7 +89,7 @@
 
 // overtaken tells whether a write can never come about any more.
 func (w Write) overtaken(value wire.Value) bool {
-	return (w.Expected >= 0 && value.Mark > w.Expected) || (w.Next > 0 && value.Mark >= w.Next)
+	return (w.Expected >= 0 && value.Version > w.Expected) || (w.Next > 0 && value.Version >= w.Next)
 }
 
 // pace is how long a round takes here.
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -18,7 +18,7 @@
 )
 
 // Outcome answers a call on a register. Of a write that is done, the value's
-// mark is the one that this write got, whatever came after it.
+// version is the one that this write got, whatever came after it.
 type Outcome struct {
 	Key   string
 	Fate  Fate
--- a/internal/controlplane/register/register_test.go
+++ b/internal/controlplane/register/register_test.go
@@ -83,12 +83,12 @@
 	b := newBench(c, "p", "q")
 	b.change("p", 1, 0, "one")
 	c.Check(b.outcomes["p/1"].Fate, qt.Equals, FateDone)
-	c.Check(b.outcomes["p/1"].Value.Mark, qt.Equals, int64(1))
+	c.Check(b.outcomes["p/1"].Value.Version, qt.Equals, int64(1))
 	b.change("q", 1, 0, "two")
 	c.Check(b.outcomes["q/1"].Fate, qt.Equals, FateStale)
-	c.Check(b.outcomes["q/1"].Value.Mark, qt.Equals, int64(1))
+	c.Check(b.outcomes["q/1"].Value.Version, qt.Equals, int64(1))
 	b.change("q", 2, 1, "two")
-	c.Check(b.outcomes["q/2"].Value.Mark, qt.Equals, int64(2))
+	c.Check(b.outcomes["q/2"].Value.Version, qt.Equals, int64(2))
 	found := b.read("p", 2)
 	c.Check(string(found.Value.Body), qt.Equals, "two")
 }
@@ -106,12 +106,12 @@
 	c.Check(b.outcomes, qt.HasLen, 0)
 	b.pass = func(string, string, wire.Record) bool { return true }
 	b.change("q", 1, 1, "two")
-	c.Check(b.outcomes["q/1"].Value.Mark, qt.Equals, int64(2))
+	c.Check(b.outcomes["q/1"].Value.Version, qt.Equals, int64(2))
 	for now := int64(400); now <= 1600; now += 40 {
 		b.tick("p", now)
 	}
 	c.Check(b.outcomes["p/1"].Fate, qt.Equals, FateDone)
-	c.Check(b.outcomes["p/1"].Value.Mark, qt.Equals, int64(1), qt.Commentf("its own mark, not the newest"))
+	c.Check(b.outcomes["p/1"].Value.Version, qt.Equals, int64(1), qt.Commentf("its own mark, not the newest"))
 }
 
 // Without a majority a change ends, saying whether it may have happened.
@@ -146,7 +146,7 @@
 	b.change("p", 1, 0, "one")
 	b.pass = func(_, to string, body wire.Record) bool { return !isAccept(body) || to == "x" }
 	b.change("p", 2, 1, "two")
-	c.Check(b.outcomes["p/2"].Fate == FateDone && b.outcomes["p/2"].Value.Mark == 2, qt.IsFalse)
+	c.Check(b.outcomes["p/2"].Fate == FateDone && b.outcomes["p/2"].Value.Version == 2, qt.IsFalse)
 	// y and z agree on one: two was not chosen, and x's copy does not matter.
 	b.pass = func(from, to string, _ wire.Record) bool { return from != "x" && to != "x" }
 	c.Check(string(b.read("q", 1).Value.Body), qt.Equals, "one")
--- a/internal/controlplane/register/writes.go
+++ b/internal/controlplane/register/writes.go
@@ -6,8 +6,8 @@
 	"applequay/internal/transport/wire"
 )
 
-// Write is one compare-and-set as callers ask for it. Expected is the mark that
-// must stand, -1 for any; Next is the mark it shall get, 0 for the one after.
+// Write is one compare-and-set as callers ask for it. Expected is the version that
+// must stand, -1 for any; Next is the version it shall get, 0 for the one after.
 // Name tells it from all others: a write with a name that the value remembers is
 // acknowledged again. Again says that it may have been sent before, here or at
 // other nodes; it then fares as all its sendings do together.
@@ -24,17 +24,17 @@
 type write struct {
 	Write
 	call, ends int64
-	// decided: this round says how it fares. sentMark is the mark under which it
+	// decided: this round says how it fares. sentVersion is the version under which it
 	// was offered to the copies, if it ever was.
-	decided  bool
-	fate     Fate
-	sentMark int64
+	decided     bool
+	fate        Fate
+	sentVersion int64
 	// given is who was last asked to take it along.
 	given string
 }
 
-// Change asks for a new body where the register's mark is the expected one;
-// -1 expects any. It gets the next mark, which must be above the one that stands;
+// Change asks for a new body where the register's version is the expected one;
+// -1 expects any. It gets the next version, which must be above the one that stands;
 // 0 takes the one after. The name tells this write from all others.
 //
 //	out := proposer.Change(now, call, "policy", 7, 0, body, "l2~9c#44")
@@ -76,20 +76,20 @@
 	o.hasChosen = len(o.bestValue) > 0 && current.Unmarshal(o.bestValue) == nil
 	for _, asked := range o.writes {
 		asked.decided = true
-		if mark, known := Written(current, asked.Name); known {
-			asked.fate, asked.sentMark = FateDone, mark
+		if version, known := Written(current, asked.Name); known {
+			asked.fate, asked.sentVersion = FateDone, version
 			continue
 		}
 		next := asked.Next
 		if next == 0 {
-			next = current.Mark + 1
+			next = current.Version + 1
 		}
-		if (asked.Expected >= 0 && current.Mark != asked.Expected) || next <= current.Mark {
+		if (asked.Expected >= 0 && current.Version != asked.Expected) || next <= current.Version {
 			asked.fate = asked.missed(current)
 			continue
 		}
 		current = remember(current, asked.Body, asked.Name, next, p.limits.LineageLen)
-		asked.fate, asked.sentMark, o.hasChosen = FateDone, next, true
+		asked.fate, asked.sentVersion, o.hasChosen = FateDone, next, true
 	}
 	o.chosen = current
 }
@@ -116,7 +116,7 @@
 	if w.Again || w.given != "" {
 		return Fared(value, w.Write)
 	}
-	if w.sentMark > 0 && w.sentMark <= value.Forgot {
+	if w.sentVersion > 0 && w.sentVersion <= value.Forgot {
 		return FateUnknown
 	}
 	return FateStale
@@ -137,7 +137,7 @@
 		}
 		outcome := Outcome{Key: o.key, Fate: asked.fate, Has: o.hasChosen, Value: o.chosen}
 		if asked.fate == FateDone {
-			outcome.Value.Mark = asked.sentMark
+			outcome.Value.Version = asked.sentVersion
 		}
 		out.Answers = append(out.Answers, wire.Answer{Call: asked.call, Body: outcome})
 	}
@@ -160,7 +160,7 @@
 			return false
 		}
 		fate := FateNone
-		if asked.sentMark > 0 || asked.given != "" {
+		if asked.sentVersion > 0 || asked.given != "" {
 			fate = FateUnknown
 		}
 		out.Answers = append(out.Answers, wire.Answer{Call: asked.call, Body: Outcome{Key: o.key, Fate: fate}})
--- a/internal/controlplane/register/writes_test.go
+++ b/internal/controlplane/register/writes_test.go
@@ -9,16 +9,16 @@
 	"applequay/internal/transport/wire"
 )
 
-// Marks rise as writers say; a write that is sent again under its name is
+// Versions rise as writers say; a write that is sent again under its name is
 // acknowledged again, whatever came after it and whatever it expects.
-func TestUnevenMarks(t *testing.T) {
+func TestUnevenVersions(t *testing.T) {
 	c := qt.New(t)
 	cases := []struct {
 		name           string
 		expected, next int64
 		write          string
 		fate           Fate
-		mark           int64
+		version        int64
 	}{
 		{"the first", 0, 5, "a", FateDone, 5},
 		{"not above what stands", -1, 5, "b", FateStale, 5},
@@ -42,21 +42,21 @@
 		}
 		outcome := b.outcomes[fmt.Sprintf("%s/%d", node, call)]
 		c.Check(outcome.Fate, qt.Equals, one.fate, qt.Commentf("%s", one.name))
-		c.Check(outcome.Value.Mark, qt.Equals, one.mark, qt.Commentf("%s", one.name))
+		c.Check(outcome.Value.Version, qt.Equals, one.version, qt.Commentf("%s", one.name))
 		if one.fate == FateDone {
-			mark, ok := Written(outcome.Value, one.write)
+			version, ok := Written(outcome.Value, one.write)
 			c.Check(ok, qt.IsTrue)
-			c.Check(mark, qt.Equals, one.mark)
+			c.Check(version, qt.Equals, one.version)
 		}
 	}
-	_, ok := Written(wire.Value{Mark: 3}, "a")
+	_, ok := Written(wire.Value{Version: 3}, "a")
 	c.Check(ok, qt.IsFalse)
 	late := written(written(wire.Value{}, "a", 5), "d", 6)
-	late.Mark = 5
-	c.Check(Standing(late).Mark, qt.Equals, int64(6))
+	late.Version = 5
+	c.Check(Standing(late).Version, qt.Equals, int64(6))
 }
 
-// Writes of one node go in one round, each as if alone; of several on one mark
+// Writes of one node go in one round, each as if alone; of several on one version
 // one wins.
 func TestWritesShareARound(t *testing.T) {
 	c := qt.New(t)
@@ -89,7 +89,7 @@
 		{"taken along", written(written(wire.Value{}, "x#1", 1), "p#1", 2), 1, FateDone},
 		{"overtaken", written(wire.Value{}, "x#1", 1), 1, FateStale},
 		{"overtaken, and perhaps taken along long ago", written(written(written(written(written(written(wire.Value{}, "p#1", 1), "b", 2), "c", 3), "d", 4), "e", 5), "f", 6), 1, FateUnknown},
-		{"nothing yet", wire.Value{Mark: 0}, 0, FateDone},
+		{"nothing yet", wire.Value{Version: 0}, 0, FateDone},
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
--- a/internal/routing/next.go
+++ b/internal/routing/next.go
@@ -14,7 +14,7 @@
 func (t *Table) After(told News) *Table {
 	next := Empty()
 	next.Waits, next.WaitsTo = told.Waits, told.WaitsTo
-	next.Policy, next.Known, next.Refused = told.Policy, told.Policy.Mark > 0, told.Refused
+	next.Policy, next.Known, next.Refused = told.Policy, told.Policy.Version > 0, told.Refused
 	next.rosters, next.pasts = t.rosters, t.pasts
 	if !slices.EqualFunc(t.rosters, told.Rosters, sameRoster) {
 		next.rosters, next.pasts = slices.Clone(told.Rosters), pastsOf(told.Rosters)
@@ -36,7 +36,7 @@
 }
 
 func sameRoster(a, b wire.Roster) bool {
-	return a.Pool == b.Pool && a.Mark == b.Mark && a.FromMs == b.FromMs && a.UntilMs == b.UntilMs && slices.Equal(a.Servers, b.Servers)
+	return a.Pool == b.Pool && a.Version == b.Version && a.FromMs == b.FromMs && a.UntilMs == b.UntilMs && slices.Equal(a.Servers, b.Servers)
 }
 
 // is tells whether a server is a worker's, at the same place.
--- a/internal/routing/next_test.go
+++ b/internal/routing/next_test.go
@@ -16,7 +16,7 @@
 // models and an adapter of each.
 func fleetNews(workers, models, each int) News {
 	policy := configuration.Empty()
-	policy.Mark = 1
+	policy.Version = 1
 	for i := range models {
 		name := fmt.Sprintf("m%d", i)
 		policy.Items[name], policy.Items[name+"/a"] = configuration.Item{Pool: "llm"}, configuration.Item{Pool: "llm", Base: name}
@@ -116,12 +116,12 @@
 // BenchmarkNextTable makes the next table of a large fleet when one worker changed.
 func BenchmarkNextTable(b *testing.B) {
 	news := fleetNews(143, 747, 3)
-	table, mark := Empty().After(news), int64(0)
+	table, version := Empty().After(news), int64(0)
 	b.ReportAllocs()
 	for b.Loop() {
-		mark++
+		version++
 		room := news.Rooms["worker-7"]
-		room.Loaded = []wire.Loaded{{Item: "m1", Ready: mark%2 == 0}}
+		room.Loaded = []wire.Loaded{{Item: "m1", Ready: version%2 == 0}}
 		news.Rooms["worker-7"] = room
 		table = table.After(news)
 	}
--- a/internal/routing/route_test.go
+++ b/internal/routing/route_test.go
@@ -12,7 +12,7 @@
 
 func large(count int) *Table {
 	told := configuration.Empty()
-	told.Mark = 1
+	told.Version = 1
 	for at := range count {
 		told.Routes = append(told.Routes, configuration.Route{Method: "POST", Path: fmt.Sprintf("/v1/shops/%d/bookings", at), Service: "app"})
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,4 +1,4 @@
-// Package routing is what a proxy routes by: one mark of policy, worker
+// Package routing is what a proxy routes by: one version of policy, worker
 // list and homes together. A table is never changed once made; only the
 // counters that servers keep live on from one to the next.
 package routing
--- a/internal/routing/ticket.go
+++ b/internal/routing/ticket.go
@@ -7,9 +7,9 @@
 	"applequay/internal/transport/wire"
 )
 
-// past is a pool's servers by a list that the one with the mark replaced.
+// past is a pool's servers by a list that the one with the version replaced.
 type past struct {
-	mark    int64
+	version int64
 	servers []*Server
 }
 
@@ -20,7 +20,7 @@
 		if roster.UntilMs == 0 {
 			continue
 		}
-		one := past{mark: roster.Mark}
+		one := past{version: roster.Version}
 		for _, named := range roster.Servers {
 			name, addr, _ := strings.Cut(named, "@")
 			one.servers = append(one.servers, &Server{Name: name, Addr: addr})
@@ -37,7 +37,7 @@
 func (t *Table) Call(pool, key string) idempotency.Call {
 	call := idempotency.Call{Key: key, Choice: first(t.Open(pool), key)}
 	for _, past := range t.pasts[pool] {
-		call.Past = append(call.Past, idempotency.Past{Mark: past.mark, Server: first(past.servers, key)})
+		call.Past = append(call.Past, idempotency.Past{Version: past.version, Server: first(past.servers, key)})
 	}
 	call.Open = func(server string) bool { return t.Named(server) != nil }
 	return call
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -8,13 +8,13 @@
 
 // CheckRegister checks that the operators' calls are those of one compare-and-set
 // register, taken one after the other. Every value has its own name, so it is
-// enough that each mark has one writer, that what is read was written, that no
-// call sees a mark older than one known before it began, and that a write that
+// enough that each version has one writer, that what is read was written, that no
+// call sees a version older than one known before it began, and that a write that
 // was refused is never seen.
 //
 //	breaches := simulation.CheckRegister(ops)
 func CheckRegister(ops []*Op) []string {
-	check := &registerCheck{byMark: map[int64]string{}, writes: map[string][]*Op{}}
+	check := &registerCheck{byVersion: map[int64]string{}, writes: map[string][]*Op{}}
 	for _, op := range ops {
 		if op.Kind == "set" {
 			check.writes[op.Name] = append(check.writes[op.Name], op)
@@ -34,12 +34,12 @@
 	return check.breaches
 }
 
-// registerCheck is what CheckRegister gathers: the writer of each mark, the
+// registerCheck is what CheckRegister gathers: the writer of each version, the
 // sendings of each write, and what was breached.
 type registerCheck struct {
-	byMark   map[int64]string
-	writes   map[string][]*Op
-	breaches []string
+	byVersion map[int64]string
+	writes    map[string][]*Op
+	breaches  []string
 }
 
 func (check *registerCheck) breach(format string, args ...any) {
@@ -50,44 +50,44 @@
 func (check *registerCheck) answer(op *Op) {
 	switch {
 	case op.Kind == "set" && op.Fate == register.FateDone:
-		check.see(op, op.Mark, op.Name)
-	case op.Kind == "set" && op.Expected == op.Mark:
-		check.breach("%s was called stale at the mark %d that it expected", op.Name, op.Mark)
+		check.see(op, op.Version, op.Name)
+	case op.Kind == "set" && op.Expected == op.Version:
+		check.breach("%s was called stale at the mark %d that it expected", op.Name, op.Version)
 	default:
-		check.see(op, op.Mark, op.Found)
+		check.see(op, op.Version, op.Found)
 	}
 }
 
-// see checks that a mark that was seen is the one write's that it can be.
-func (check *registerCheck) see(op *Op, mark int64, name string) {
-	if mark == 0 || name == "" {
+// see checks that a version that was seen is the one write's that it can be.
+func (check *registerCheck) see(op *Op, version int64, name string) {
+	if version == 0 || name == "" {
 		return
 	}
-	if old, ok := check.byMark[mark]; ok && old != name {
-		check.breach("mark %d was seen as %s and as %s", mark, old, name)
+	if old, ok := check.byVersion[version]; ok && old != name {
+		check.breach("mark %d was seen as %s and as %s", version, old, name)
 	}
-	check.byMark[mark] = name
+	check.byVersion[version] = name
 	sent := check.writes[name]
 	if len(sent) == 0 {
-		check.breach("mark %d: nobody wrote %s", mark, name)
+		check.breach("mark %d: nobody wrote %s", version, name)
 		return
 	}
 	write, done := sent[0], false
 	for _, one := range sent {
 		done = done || !one.Answered || one.Fate != register.FateNone
 		if one.Answered && one.Fate == register.FateStale {
-			check.breach("mark %d: %s was refused and is there all the same", mark, name)
+			check.breach("mark %d: %s was refused and is there all the same", version, name)
 		}
 	}
 	switch {
 	case write.Began > op.Ended:
-		check.breach("mark %d: %s was seen before it was written", mark, name)
+		check.breach("mark %d: %s was seen before it was written", version, name)
 	case !done:
-		check.breach("mark %d: %s came to nothing and is there all the same", mark, name)
-	case write.Next == 0 && write.Expected >= 0 && write.Expected != mark-1:
-		check.breach("mark %d: %s expected %d", mark, name, write.Expected)
-	case write.Next > 0 && write.Next != mark:
-		check.breach("mark %d: %s was to be %d", mark, name, write.Next)
+		check.breach("mark %d: %s came to nothing and is there all the same", version, name)
+	case write.Next == 0 && write.Expected >= 0 && write.Expected != version-1:
+		check.breach("mark %d: %s expected %d", version, name, write.Expected)
+	case write.Next > 0 && write.Next != version:
+		check.breach("mark %d: %s was to be %d", version, name, write.Next)
 	}
 }
 
@@ -95,16 +95,16 @@
 func (check *registerCheck) notBefore(op *Op, ops []*Op) {
 	for _, before := range ops {
 		known := before.Answered && (before.Fate == register.FateDone || before.Fate == register.FateStale)
-		if known && before.Ended < op.Began && op.Mark < before.Mark {
-			check.breach("a call that began at %d saw mark %d, after mark %d was known at %d", op.Began, op.Mark, before.Mark, before.Ended)
+		if known && before.Ended < op.Began && op.Version < before.Version {
+			check.breach("a call that began at %d saw mark %d, after mark %d was known at %d", op.Began, op.Version, before.Version, before.Ended)
 		}
-		if known && before != op && before.Ended < op.Began && op.Kind == "set" && op.Fate == register.FateDone && op.Mark <= before.Mark {
-			check.breach("%s got mark %d, after mark %d was known", op.Name, op.Mark, before.Mark)
+		if known && before != op && before.Ended < op.Began && op.Kind == "set" && op.Fate == register.FateDone && op.Version <= before.Version {
+			check.breach("%s got mark %d, after mark %d was known", op.Name, op.Version, before.Version)
 		}
 	}
 }
 
-// CheckForce checks that no front's mark falls, over its restarts too, and an acknowledged policy
+// CheckForce checks that no front's version falls, over its restarts too, and an acknowledged policy
 // is in effect at every connected front within the time allowed. Calm says
 // whether nothing hindered a front from a moment on.
 //
@@ -113,8 +113,8 @@
 	var breaches []string
 	last := map[string]InForce{}
 	for _, one := range force {
-		if old, ok := last[one.Front]; ok && (one.Mark < old.Mark || (old.Life == one.Life && one.Mark == old.Mark)) {
-			breaches = append(breaches, fmt.Sprintf("%d: %s went from mark %d to %d", one.At, one.Front, old.Mark, one.Mark))
+		if old, ok := last[one.Front]; ok && (one.Version < old.Version || (old.Life == one.Life && one.Version == old.Version)) {
+			breaches = append(breaches, fmt.Sprintf("%d: %s went from mark %d to %d", one.At, one.Front, old.Version, one.Version))
 		}
 		last[one.Front] = one
 	}
@@ -128,10 +128,10 @@
 			}
 			taken := false
 			for _, one := range force {
-				taken = taken || (one.Front == front && one.Mark >= op.Mark && one.At <= op.Ended+withinMs)
+				taken = taken || (one.Front == front && one.Version >= op.Version && one.At <= op.Ended+withinMs)
 			}
 			if !taken {
-				breaches = append(breaches, fmt.Sprintf("%d: mark %d is not in effect at %s %d ms after it was acknowledged", op.Ended, op.Mark, front, withinMs))
+				breaches = append(breaches, fmt.Sprintf("%d: mark %d is not in effect at %s %d ms after it was acknowledged", op.Ended, op.Version, front, withinMs))
 			}
 		}
 	}
--- a/internal/simulation/checks_test.go
+++ b/internal/simulation/checks_test.go
@@ -16,14 +16,14 @@
 	order := func(at int64, owner string, fence int64) Ordered {
 		return Ordered{At: at, Worker: "w1", Life: "a", Owner: owner, Fence: fence, Op: "load"}
 	}
-	set := func(name string, expected, began, ended int64, fate register.Fate, mark int64) *Op {
-		return &Op{Kind: "set", Name: name, Expected: expected, Began: began, Ended: ended, Answered: true, Fate: fate, Mark: mark}
+	set := func(name string, expected, began, ended int64, fate register.Fate, version int64) *Op {
+		return &Op{Kind: "set", Name: name, Expected: expected, Began: began, Ended: ended, Answered: true, Fate: fate, Version: version}
 	}
-	get := func(began, ended, mark int64, found string) *Op {
-		return &Op{Kind: "get", Began: began, Ended: ended, Answered: true, Fate: register.FateDone, Mark: mark, Found: found}
+	get := func(began, ended, version int64, found string) *Op {
+		return &Op{Kind: "get", Began: began, Ended: ended, Answered: true, Fate: register.FateDone, Version: version, Found: found}
 	}
 	always := func(string, int64, int64) bool { return true }
-	force := func(at, mark int64) InForce { return InForce{At: at, Front: "l1", Life: 1, Mark: mark} }
+	force := func(at, version int64) InForce { return InForce{At: at, Front: "l1", Life: 1, Version: version} }
 	done, stale, unknown := register.FateDone, register.FateStale, register.FateUnknown
 	cases := []struct {
 		name   string
--- a/internal/simulation/cut.go
+++ b/internal/simulation/cut.go
@@ -89,9 +89,9 @@
 	for at := int64(6000); at < cutEnds; at += 700 {
 		w.At(at, func() {
 			far.only = t.nodes(false)
-			far.Get(func(mark int64) {
-				newest = mark
-				far.Set(mark)
+			far.Get(func(version int64) {
+				newest = version
+				far.Set(version)
 			})
 		})
 	}
--- a/internal/simulation/cutchecks.go
+++ b/internal/simulation/cutchecks.go
@@ -42,8 +42,8 @@
 	for _, one := range w.facts.force {
 		for _, op := range w.facts.ops {
 			acked := op.Kind == "set" && op.Answered && op.Fate == register.FateDone
-			if acked && one.At >= cutFronts && one.At < cutTo && op.Ended < cutFronts && one.Mark < op.Mark && (one.Front == "l1" || one.Front == "l99") {
-				breach("%d: %s took up mark %d after its start, though %d was acknowledged at %d", one.At, one.Front, one.Mark, op.Mark, op.Ended)
+			if acked && one.At >= cutFronts && one.At < cutTo && op.Ended < cutFronts && one.Version < op.Version && (one.Front == "l1" || one.Front == "l99") {
+				breach("%d: %s took up mark %d after its start, though %d was acknowledged at %d", one.At, one.Front, one.Version, op.Version, op.Ended)
 			}
 		}
 	}
--- a/internal/simulation/explorer/disk.go
+++ b/internal/simulation/explorer/disk.go
@@ -94,7 +94,7 @@
 	for _, m := range w.machines[:w.model.Seated] {
 		core.Seats = append(core.Seats, wire.Seat{ID: m.id, Name: m.name, Addr: m.addr})
 	}
-	value := wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 	first := wire.Ballot{N: 1, By: "founding"}
 	for _, m := range w.machines[:w.model.Seated] {
 		acceptor := register.NewAcceptor()
--- a/internal/simulation/explorer/facts.go
+++ b/internal/simulation/explorer/facts.go
@@ -18,7 +18,7 @@
 	Began, Ended int
 	Answered     bool
 	Fate         register.Fate
-	Mark         int64
+	Version      int64
 	Found        string
 }
 
@@ -70,8 +70,8 @@
 
 func (f *facts) answered(_ *World, op *Op, outcome register.Outcome) {
 	f.turns++
-	op.Answered, op.Ended, op.Fate, op.Mark = true, f.turns, outcome.Fate, outcome.Value.Mark
-	f.note("%s %s %s: fate %d version %d", op.Node, op.Kind, op.Name, op.Fate, op.Mark)
+	op.Answered, op.Ended, op.Fate, op.Version = true, f.turns, outcome.Fate, outcome.Value.Version
+	f.note("%s %s %s: fate %d version %d", op.Node, op.Kind, op.Name, op.Fate, op.Version)
 	if !op.known() || !outcome.Has {
 		return
 	}
@@ -79,13 +79,13 @@
 	op.Found = string(value.Body)
 	f.chosen(controller.PolicyKey, value)
 	if op.Fate == register.FateDone {
-		f.acked[controller.PolicyKey] = max(f.acked[controller.PolicyKey], op.Mark)
+		f.acked[controller.PolicyKey] = max(f.acked[controller.PolicyKey], op.Version)
 	}
 }
 
 // chosen notes a value that some machine told to be chosen.
 func (f *facts) chosen(key string, value wire.Value) {
-	at := fmt.Sprintf("%s@%d", key, value.Mark)
+	at := fmt.Sprintf("%s@%d", key, value.Version)
 	if key == register.CoreKey {
 		return // a set may be told with and without its sweep
 	}
@@ -93,12 +93,12 @@
 		f.clash = fmt.Sprintf("%s was %q and %q", at, old, value.Body)
 	}
 	f.bodies[at] = string(value.Body)
-	register.Remembered(value, func(digest string, mark int64) {
+	register.Remembered(value, func(digest string, version int64) {
 		name := key + "/" + digest
-		if old, ok := f.names[name]; ok && old != mark && f.clash == "" {
-			f.clash = fmt.Sprintf("%x of %s took effect as %d and as %d", digest, key, old, mark)
+		if old, ok := f.names[name]; ok && old != version && f.clash == "" {
+			f.clash = fmt.Sprintf("%x of %s took effect as %d and as %d", digest, key, old, version)
 		}
-		f.names[name] = mark
+		f.names[name] = version
 	})
 }
 
@@ -149,8 +149,8 @@
 	}
 	for _, seat := range core.Joining {
 		f.due[seat.ID] = map[string]int64{}
-		for key, mark := range f.acked {
-			f.due[seat.ID][key] = mark
+		for key, version := range f.acked {
+			f.due[seat.ID][key] = version
 		}
 	}
 	for _, seat := range core.Seats {
@@ -158,9 +158,9 @@
 		if before := f.newest.Epoch; before == 0 || seated(f.newest.Seats, seat.ID) || m == nil {
 			continue
 		}
-		for key, mark := range f.due[seat.ID] {
-			if m.disk.copies[key].value.Mark < mark && f.bare == "" {
-				f.bare = fmt.Sprintf("%s got a seat in epoch %d with version %d of %s, %d was acknowledged before it joined", seat.ID, core.Epoch, m.disk.copies[key].value.Mark, key, mark)
+		for key, version := range f.due[seat.ID] {
+			if m.disk.copies[key].value.Version < version && f.bare == "" {
+				f.bare = fmt.Sprintf("%s got a seat in epoch %d with version %d of %s, %d was acknowledged before it joined", seat.ID, core.Epoch, m.disk.copies[key].value.Version, key, version)
 			}
 		}
 	}
--- a/internal/simulation/explorer/invariants.go
+++ b/internal/simulation/explorer/invariants.go
@@ -46,8 +46,8 @@
 			if !before.known() || before.Ended >= op.Began || before.Name == op.Name && op.Name != "" {
 				continue
 			}
-			if op.Mark < before.Mark && !w.facts.repeated(op) {
-				return fmt.Sprintf("%s %s at %s saw version %d after %d was known", op.Kind, op.Name, op.Node, op.Mark, before.Mark)
+			if op.Version < before.Version && !w.facts.repeated(op) {
+				return fmt.Sprintf("%s %s at %s saw version %d after %d was known", op.Kind, op.Name, op.Node, op.Version, before.Version)
 			}
 		}
 	}
@@ -69,8 +69,8 @@
 // as overtaken.
 func noOrderTakenIsRefused(w *World) string {
 	for _, op := range w.facts.ops {
-		if mark, taken := w.facts.names[controller.PolicyKey+"/"+register.Digest(op.Name)]; op.Kind == "write" && op.Answered && op.Fate == register.FateStale && taken {
-			return fmt.Sprintf("%s was refused at %s and took effect as version %d", op.Name, op.Node, mark)
+		if version, taken := w.facts.names[controller.PolicyKey+"/"+register.Digest(op.Name)]; op.Kind == "write" && op.Answered && op.Fate == register.FateStale && taken {
+			return fmt.Sprintf("%s was refused at %s and took effect as version %d", op.Name, op.Node, version)
 		}
 	}
 	return ""
@@ -85,8 +85,8 @@
 		open[op.Name] = open[op.Name] || !refused
 	}
 	for _, op := range w.facts.ops {
-		if mark, taken := w.facts.names[controller.PolicyKey+"/"+register.Digest(op.Name)]; op.Kind == "write" && !open[op.Name] && taken {
-			return fmt.Sprintf("%s was answered as not done at %s and took effect as version %d", op.Name, op.Node, mark)
+		if version, taken := w.facts.names[controller.PolicyKey+"/"+register.Digest(op.Name)]; op.Kind == "write" && !open[op.Name] && taken {
+			return fmt.Sprintf("%s was answered as not done at %s and took effect as version %d", op.Name, op.Node, version)
 		}
 	}
 	return ""
@@ -103,8 +103,8 @@
 		if other, ok := byBase[op.Expected]; ok && other != op.Name {
 			return fmt.Sprintf("%s and %s were both acknowledged on version %d", other, op.Name, op.Expected)
 		}
-		if op.Mark != op.Expected+1 {
-			return fmt.Sprintf("%s expected version %d and was acknowledged as %d", op.Name, op.Expected, op.Mark)
+		if op.Version != op.Expected+1 {
+			return fmt.Sprintf("%s expected version %d and was acknowledged as %d", op.Name, op.Expected, op.Version)
 		}
 		byBase[op.Expected] = op.Name
 	}
@@ -115,15 +115,15 @@
 // acknowledged version, or have lost it, are less than a majority.
 func acknowledgedVersionsAreHeld(w *World) string {
 	seats := w.facts.newest.Seats
-	for key, mark := range w.facts.acked {
+	for key, version := range w.facts.acked {
 		lack := 0
 		for _, seat := range seats {
-			if m := w.byID(seat.ID); m != nil && m.disk.copies[key].value.Mark < mark {
+			if m := w.byID(seat.ID); m != nil && m.disk.copies[key].value.Version < version {
 				lack++
 			}
 		}
 		if lack > len(seats)/2 {
-			return fmt.Sprintf("version %d of %s was acknowledged, and %d of %d seats lack it", mark, key, lack, len(seats))
+			return fmt.Sprintf("version %d of %s was acknowledged, and %d of %d seats lack it", version, key, lack, len(seats))
 		}
 	}
 	return ""
--- a/internal/simulation/explorer/invariants_test.go
+++ b/internal/simulation/explorer/invariants_test.go
@@ -18,8 +18,8 @@
 	return out
 }
 
-func write(name string, expected int64, began, ended int, fate register.Fate, mark int64) *Op {
-	return &Op{Kind: "write", Name: name, Expected: expected, Began: began, Ended: ended, Answered: true, Fate: fate, Mark: mark}
+func write(name string, expected int64, began, ended int, fate register.Fate, version int64) *Op {
+	return &Op{Kind: "write", Name: name, Expected: expected, Began: began, Ended: ended, Answered: true, Fate: fate, Version: version}
 }
 
 // Each invariant is seen to fail on facts that break it, and on none that the
@@ -33,8 +33,8 @@
 		spoil func(w *World)
 	}{
 		{"one value per version", func(w *World) {
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a")})
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("b")})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("a")})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("b")})
 		}},
 		{"one value per version", func(w *World) {
 			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0", "c2~0")})
@@ -45,11 +45,11 @@
 		}},
 		{"no order taken is refused", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateStale, 1)}
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
 		}},
 		{"refused orders have no effect", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateNone, 0)}
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
 		}},
 		{"one of two orders on one base", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 3, register.FateDone, 1), write("b", 0, 2, 4, register.FateDone, 1)}
--- a/internal/simulation/facts.go
+++ b/internal/simulation/facts.go
@@ -42,17 +42,17 @@
 	First, Last    int64 // Began and Ended in the order of all
 	Answered       bool
 	Fate           register.Fate
-	Mark           int64
+	Version        int64
 	Found          string
 	Client         string
 }
 
-// InForce says that a front took up a mark.
+// InForce says that a front took up a version.
 type InForce struct {
-	At    int64
-	Front string
-	Life  int64
-	Mark  int64
+	At      int64
+	Front   string
+	Life    int64
+	Version int64
 }
 
 type left struct {
@@ -85,11 +85,11 @@
 func (f *facts) end(now int64, op *Op, outcome register.Outcome, found string) {
 	f.turns++
 	op.Last = f.turns
-	op.Answered, op.Ended, op.Fate, op.Mark, op.Found = true, now, outcome.Fate, outcome.Value.Mark, found
+	op.Answered, op.Ended, op.Fate, op.Version, op.Found = true, now, outcome.Fate, outcome.Value.Version, found
 }
 
-func (f *facts) inForce(now int64, at *front, mark int64) {
-	f.force = append(f.force, InForce{At: now, Front: at.Name, Life: at.board.Life, Mark: mark})
+func (f *facts) inForce(now int64, at *front, version int64) {
+	f.force = append(f.force, InForce{At: now, Front: at.Name, Life: at.board.Life, Version: version})
 }
 
 func (f *facts) leaves(now int64, name string, leaving bool) {
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -26,7 +26,7 @@
 	answers map[int64]func(register.Outcome)
 	nextAsk int64
 	heard   *distribution.Board
-	mark    int64
+	version int64
 	rooms   map[string]wire.WorkerNews
 	items   map[string]configuration.Item
 	book    *idempotency.Book
@@ -65,7 +65,7 @@
 	f.board.Up = true
 	f.ID = fmt.Sprintf("%s~%x", f.Name, w.Random.Int63()&0xffffff)
 	f.OffsetMs = w.Random.Int63n(100000) - w.NowMs
-	f.answers, f.heard, f.mark = map[int64]func(register.Outcome){}, distribution.NewBoard(), 0
+	f.answers, f.heard, f.version = map[int64]func(register.Outcome){}, distribution.NewBoard(), 0
 	f.rooms, f.items = map[string]wire.WorkerNews{}, map[string]configuration.Item{}
 	f.waiting, f.served = map[string]int64{}, map[string]int64{}
 	f.book, f.list = idempotency.New(f.Clock(), f.Addr, int64(f.Life)<<32), wire.WorkerList{}
@@ -119,7 +119,7 @@
 		switch {
 		case topic.Name == "policy":
 			table, _, _ := configuration.Parse(topic.Body, topic.Step)
-			f.items, f.mark = table.Placement().Items, topic.Step
+			f.items, f.version = table.Placement().Items, topic.Step
 			_, f.next = table.For(f.zone).Kinds[w.rolledBy]
 			w.facts.inForce(w.NowMs, f, topic.Step)
 		case topic.Name == "directory":
@@ -196,7 +196,7 @@
 //	world.Ask(0, "m7")
 func (w *World) Ask(front int, item string) {
 	f := w.fronts[front]
-	if !f.Up || f.mark == 0 {
+	if !f.Up || f.version == 0 {
 		return
 	}
 	if _, waits := f.waiting[item]; waits || f.holds(item) {
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// Set writes a policy where the mark is the expected one; -1 takes any.
+// Set writes a policy where the version is the expected one; -1 takes any.
 //
 //	ann.Set(3)
 func (o *Operator) Set(expected int64) {
@@ -133,14 +133,14 @@
 	op.Client = o.name
 	node.change(register.Write{Key: controller.PolicyKey, Expected: expected, Body: w.Body(name)}, func(outcome register.Outcome) {
 		w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
-		w.Note("%s set %s expecting %d: fate %d mark %d", o.name, name, expected, outcome.Fate, outcome.Value.Mark)
+		w.Note("%s set %s expecting %d: fate %d mark %d", o.name, name, expected, outcome.Fate, outcome.Value.Version)
 	})
 }
 
-// Get reads the policy, and then does something with its mark.
+// Get reads the policy, and then does something with its version.
 //
-//	ann.Get(func(mark int64) { ann.Set(mark) })
-func (o *Operator) Get(then func(mark int64)) {
+//	ann.Get(func(version int64) { ann.Set(version) })
+func (o *Operator) Get(then func(version int64)) {
 	node := o.at()
 	if node == nil {
 		return
@@ -151,7 +151,7 @@
 	node.read(controller.PolicyKey, func(outcome register.Outcome) {
 		w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
 		if outcome.Fate == register.FateDone && then != nil {
-			then(outcome.Value.Mark)
+			then(outcome.Value.Version)
 		}
 	})
 }
--- a/internal/simulation/orders.go
+++ b/internal/simulation/orders.go
@@ -68,7 +68,7 @@
 			return
 		}
 		over = true
-		w.Note("%s sends %s on %d a %dth time: fate %d mark %d", o.name, one.name, one.base, turn, outcome.Fate, outcome.Value.Mark)
+		w.Note("%s sends %s on %d a %dth time: fate %d mark %d", o.name, one.name, one.base, turn, outcome.Fate, outcome.Value.Version)
 		if w.Random.Intn(100) < lost {
 			again()
 			return
@@ -106,7 +106,7 @@
 				register.FateDone: history.Acknowledged, register.FateStale: history.Refused,
 				register.FateNone: history.Nothing, register.FateUnknown: history.Unclear,
 			}[op.Fate]
-			call.Version = op.Mark
+			call.Version = op.Version
 		}
 		if call.Read || call.Answer == history.Refused {
 			call.Found = op.Found
--- a/internal/simulation/orders_test.go
+++ b/internal/simulation/orders_test.go
@@ -46,16 +46,16 @@
 	w := New(bySeeds(Brilleverk(), 3, 3), 5)
 	w.Run(9000)
 	ann, ben := w.NewOperator("ann"), w.NewOperator("ben")
-	mark := int64(0)
+	version := int64(0)
 	for range changes {
 		made := int64(0)
-		ann.Order(mark, mark+3, 8, 10, func(register.Fate) { made = mark + 3 })
-		ben.Order(mark, mark+3, 1, 100, nil)
+		ann.Order(version, version+3, 8, 10, func(register.Fate) { made = version + 3 })
+		ben.Order(version, version+3, 1, 100, nil)
 		for until := w.NowMs + 8000; made == 0 && w.NowMs < until; {
 			w.Run(w.NowMs + 20)
 		}
-		c.Assert(made > 0, qt.IsTrue, qt.Commentf("after version %d", mark))
-		mark = made
+		c.Assert(made > 0, qt.IsTrue, qt.Commentf("after version %d", version))
+		version = made
 	}
 	w.Run(w.NowMs + 4000)
 	fates := w.RemindAll(60)
--- a/internal/simulation/ordersplan.go
+++ b/internal/simulation/ordersplan.go
@@ -16,9 +16,9 @@
 	}
 	for _, name := range []string{"ann", "ben", "cat", "dan", "eve", "fay", "gus", "hal"} {
 		one := w.NewOperator(name)
-		var next func(mark int64)
-		next = func(mark int64) {
-			one.Order(mark, mark+1+w.Random.Int63n(3), times, lost, func(fate register.Fate) {
+		var next func(version int64)
+		next = func(version int64) {
+			one.Order(version, version+1+w.Random.Int63n(3), times, lost, func(fate register.Fate) {
 				// Who was acknowledged builds on what it made, now and then.
 				if made := one.orders[len(one.orders)-1]; fate == register.FateDone && w.Random.Intn(2) == 0 && w.NowMs < last {
 					next(made.next)
@@ -30,7 +30,7 @@
 			w.At(at+w.Random.Int63n(2000), func() { one.Remind(lost) })
 			// Some build on what is not there yet.
 			if w.Random.Intn(10) == 0 {
-				w.At(at, func() { one.Get(func(mark int64) { next(mark + 1 + w.Random.Int63n(3)) }) })
+				w.At(at, func() { one.Get(func(version int64) { next(version + 1 + w.Random.Int63n(3)) }) })
 			}
 		}
 	}
--- a/internal/simulation/plan.go
+++ b/internal/simulation/plan.go
@@ -38,7 +38,7 @@
 				if w.Random.Intn(4) == 0 {
 					one.Set(-1)
 				} else {
-					one.Get(func(mark int64) { one.Set(mark) })
+					one.Get(func(version int64) { one.Set(version) })
 				}
 			})
 		}
--- a/internal/simulation/races.go
+++ b/internal/simulation/races.go
@@ -29,8 +29,8 @@
 		kay := w.NewOperator("kay")
 		for at := range int64(5) {
 			w.After(at*2500, func() {
-				kay.Get(func(mark int64) {
-					kay.Order(mark, mark+1, 8, 0, func(register.Fate) { w.powerOfAll(true, 400) })
+				kay.Get(func(version int64) {
+					kay.Order(version, version+1, 8, 0, func(register.Fate) { w.powerOfAll(true, 400) })
 				})
 			})
 		}
@@ -82,11 +82,11 @@
 	}
 	for at := from; at < until; at += everyMs {
 		w.At(at, func() {
-			racers[0].Get(func(mark int64) {
+			racers[0].Get(func(version int64) {
 				for at, one := range racers {
-					one.Order(mark, mark+2, 8, lost, nil)
+					one.Order(version, version+2, 8, lost, nil)
 					if at%3 == 0 {
-						one.Order(mark+2, mark+4, 8, lost, nil)
+						one.Order(version+2, version+4, 8, lost, nil)
 					}
 				}
 			})
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -122,7 +122,7 @@
 		c.Check(core.Swept, qt.IsTrue)
 		joined := w.AddFront("l99", "10.0.1.99:1", "z0", fresh)
 		w.Run(w.NowMs + 4000)
-		c.Check(joined.mark > 0, qt.IsTrue, qt.Commentf("the front has no policy"))
+		c.Check(joined.version > 0, qt.IsTrue, qt.Commentf("the front has no policy"))
 		w.Ask(len(w.fronts)-1, "m1")
 		w.Run(w.NowMs + 12000)
 		c.Check(joined.holds("m1"), qt.IsTrue)
@@ -169,7 +169,7 @@
 	})
 }
 
-// The core is split in two, then cut off from all fronts: marks stay, nothing
+// The core is split in two, then cut off from all fronts: versions stay, nothing
 // is lost, and what was acknowledged on either side holds.
 func TestSplitCore(t *testing.T) {
 	t.Parallel()
@@ -197,7 +197,7 @@
 		}
 		w.CrashFront(0, 500)
 		w.Run(30000)
-		c.Check(w.fronts[0].mark > 0, qt.IsTrue, qt.Commentf("a restarted front learns from its peers"))
+		c.Check(w.fronts[0].version > 0, qt.IsTrue, qt.Commentf("a restarted front learns from its peers"))
 		w.Heal()
 		w.Run(45000)
 		calm(c, w)
@@ -211,20 +211,20 @@
 	each(qt.New(t), func(c *qt.C, shape Shape) {
 		w := steady(shape, 16, 12000)
 		e := w.cores[0]
-		var mark int64
+		var version int64
 		for turn := range 6 {
 			name := fmt.Sprintf("kay-%d", turn)
 			op := w.facts.begin(w.NowMs, "set", name, -1)
 			e.nextAsk++
 			e.answers[e.nextAsk] = func(outcome register.Outcome) {
 				w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
-				mark = outcome.Value.Mark
+				version = outcome.Value.Version
 				w.Crash(0, true)
 			}
 			e.perform(e.core.Change(e.Clock(), e.nextAsk, register.Write{Key: "policy", Expected: -1, Body: w.Body(name)}))
 			w.Run(w.NowMs + 8000)
 			for _, f := range w.fronts {
-				c.Check(f.mark >= mark, qt.IsTrue, qt.Commentf("%s has %d of %d", f.Name, f.mark, mark))
+				c.Check(f.version >= version, qt.IsTrue, qt.Commentf("%s has %d of %d", f.Name, f.version, version))
 			}
 			w.Restart(0, false)
 			w.Run(w.NowMs + 2000)
--- a/internal/simulation/single.go
+++ b/internal/simulation/single.go
@@ -83,7 +83,7 @@
 }
 
 // list reads the platform's list, as the daemon does over HTTP.
-func (e *controllerNode) list(mark int64) {
+func (e *controllerNode) list(version int64) {
 	w := e.world
 	if w.Cuts[[2]string{e.Addr, "platform"}] {
 		return
@@ -94,7 +94,7 @@
 		slices.SortFunc(list.Workers, func(a, b wire.Worker) int { return strings.Compare(a.Name, b.Name) })
 		w.After(1+w.Random.Int63n(5), func() {
 			if e.Up && e.Life == life {
-				e.On(func() { e.perform(e.core.Platform(e.Clock(), mark, list)) })
+				e.On(func() { e.perform(e.core.Platform(e.Clock(), version, list)) })
 			}
 		})
 	})
--- a/internal/simulation/wiped_test.go
+++ b/internal/simulation/wiped_test.go
@@ -21,7 +21,7 @@
 			e.nextAsk++
 			e.answers[e.nextAsk] = func(outcome register.Outcome) {
 				w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
-				acked = outcome.Value.Mark
+				acked = outcome.Value.Version
 				w.Crash(0, true)
 				w.Restart(0, true)
 			}
@@ -44,7 +44,7 @@
 			}
 			w.Run(back + 12000)
 			for _, f := range w.fronts {
-				c.Check(f.mark >= acked, qt.IsTrue, qt.Commentf("after %d ms %s has %d of %d", pauseMs, f.Name, f.mark, acked))
+				c.Check(f.version >= acked, qt.IsTrue, qt.Commentf("after %d ms %s has %d of %d", pauseMs, f.Name, f.version, acked))
 			}
 			taken, waiting, _ := w.Waits(back)
 			c.Check(len(taken) > waiting, qt.IsTrue, qt.Commentf("after %d ms %d served, %d wait", pauseMs, len(taken), waiting))
--- a/internal/testbed/fleet/breakdowns.go
+++ b/internal/testbed/fleet/breakdowns.go
@@ -24,7 +24,7 @@
 	if err := w.Start("l1", "s1"); err != nil {
 		return err
 	}
-	if !w.Until(5*time.Second, func() bool { return w.Mark("s1") >= 1 }) {
+	if !w.Until(5*time.Second, func() bool { return w.Version("s1") >= 1 }) {
 		return oops.Errorf("a front restarted without the core learns nothing from its peers")
 	}
 	w.Pass(2 * time.Second)
@@ -79,15 +79,15 @@
 }
 
 func policies(w *World) error {
-	var mark int64
+	var version int64
 	for turn := range 20 {
 		next, status, err := w.Write(fmt.Sprintf("l%d", turn%w.Shape.Fronts+1), nil, -1)
 		if err != nil || status != 200 {
 			return oops.Wrapf(err, "the policy was answered with %d", status)
 		}
-		mark = next
+		version = next
 	}
-	if err := w.inForce(mark); err != nil {
+	if err := w.inForce(version); err != nil {
 		return err
 	}
 	routes := []object{{"path": w.Shape.App, "service": "app", "kind": "app", "deadline_ms": 5000}}
@@ -97,11 +97,11 @@
 	for i := range 5000 {
 		routes = append(routes, object{"path": fmt.Sprintf("/v1/shops/%d/bookings", i), "service": "app", "kind": "app"})
 	}
-	mark, status, err := w.Write("l1", object{"routes": routes}, -1)
+	version, status, err := w.Write("l1", object{"routes": routes}, -1)
 	if err != nil || status != 200 {
 		return oops.Wrapf(err, "the large policy was answered with %d", status)
 	}
-	return w.inForce(mark)
+	return w.inForce(version)
 }
 
 // rolling restarts core machines and fronts in turn; the next goes only when
@@ -126,7 +126,7 @@
 		if err := w.Start(names...); err != nil {
 			return err
 		}
-		if !w.Until(5*time.Second, func() bool { return w.Mark(names[0]) > 0 }) {
+		if !w.Until(5*time.Second, func() bool { return w.Version(names[0]) > 0 }) {
 			return oops.Errorf("%s has no policy after its restart", names[0])
 		}
 	}
--- a/internal/testbed/fleet/checks.go
+++ b/internal/testbed/fleet/checks.go
@@ -119,7 +119,7 @@
 		for _, note := range seen.Notes {
 			if note.Event == "leaving" && note.Name == one.Worker && note.TimeMs <= one.TimeMs {
 				since = -1
-				if note.Mark == 1 {
+				if note.Version == 1 {
 					since = note.TimeMs
 				}
 			}
--- a/internal/testbed/fleet/checks_test.go
+++ b/internal/testbed/fleet/checks_test.go
@@ -21,7 +21,7 @@
 	cut := func(worker string) Served {
 		return Served{TimeMs: 1, Event: "load", Worker: worker, Item: "m", Born: "1", SizeMb: shape.StoreMbPerS, MbPerS: shape.StoreMbPerS}
 	}
-	back, acked := []Note{{TimeMs: 1, Event: "back"}}, []Note{{TimeMs: 100, Event: "acknowledged", Mark: 1}}
+	back, acked := []Note{{TimeMs: 1, Event: "back"}}, []Note{{TimeMs: 100, Event: "acknowledged", Version: 1}}
 	cases := []struct {
 		name string
 		rule string
@@ -36,8 +36,8 @@
 		{"a caller found a piece skipped", "whole", Records{Called: []Called{{Bad: "piece 3 was due"}}}, true},
 		{"routed", "policy", Records{Served: []Served{{Event: "came", Worker: "b1", Path: shape.App}, {Event: "came", Worker: "w1", Path: shape.Streams[0].Path}}}, false},
 		{"a model call at an application", "policy", Records{Served: []Served{{Event: "came", Worker: "b1", Path: shape.Streams[0].Path}}}, true},
-		{"leaving, in time", "leaving", Records{Notes: []Note{{TimeMs: 5, Event: "leaving", Name: "w1", Mark: 1}}, Served: []Served{{TimeMs: 3005, Event: "came", Worker: "w1"}}}, false},
-		{"leaving, too late", "leaving", Records{Notes: []Note{{TimeMs: 5, Event: "leaving", Name: "w1", Mark: 1}}, Served: []Served{{TimeMs: 3006, Event: "came", Worker: "w1"}}}, true},
+		{"leaving, in time", "leaving", Records{Notes: []Note{{TimeMs: 5, Event: "leaving", Name: "w1", Version: 1}}, Served: []Served{{TimeMs: 3005, Event: "came", Worker: "w1"}}}, false},
+		{"leaving, too late", "leaving", Records{Notes: []Note{{TimeMs: 5, Event: "leaving", Name: "w1", Version: 1}}, Served: []Served{{TimeMs: 3006, Event: "came", Worker: "w1"}}}, true},
 		{"turns under one fence", "turns", Records{Served: []Served{{TimeMs: 1, Event: "load", Worker: "w1", Fence: 1}, {TimeMs: 2, Event: "load", Worker: "w1", Fence: 1}}}, false},
 		{"turns under two fences too close", "turns", Records{Served: []Served{{TimeMs: 1, Event: "load", Worker: "w1", Fence: 1}, {TimeMs: 2999, Event: "load", Worker: "w1", Fence: 2}}}, true},
 		{"room", "room", Records{Served: []Served{{Event: "refused", Why: "fence"}}}, false},
@@ -51,7 +51,7 @@
 		{"retries within", "retries", Records{Served: many(2, Served{Event: "came", Path: "/x", Tag: "t"})}, false},
 		{"serving again", "serves", Records{Notes: back, Called: []Called{{TimeMs: 12500, Event: "book", Whole: true}, {TimeMs: 12501, Event: "book"}, {TimeMs: 12502, Event: "stream", Whole: true}}}, false},
 		{"serving bookings only", "serves", Records{Notes: back, Called: []Called{{TimeMs: 12500, Event: "book", Whole: true}, {TimeMs: 12501, Event: "stream"}, {TimeMs: 12502, Event: "stream"}, {TimeMs: 12503, Event: "stream", Whole: true}}}, true},
-		{"resume at a leaving worker, too late", "leaving", Records{Notes: []Note{{TimeMs: 5, Event: "leaving", Name: "w1", Mark: 1}}, Served: []Served{{TimeMs: 3006, Event: "resume", Worker: "w1"}}}, true},
+		{"resume at a leaving worker, too late", "leaving", Records{Notes: []Note{{TimeMs: 5, Event: "leaving", Name: "w1", Version: 1}}, Served: []Served{{TimeMs: 3006, Event: "resume", Worker: "w1"}}}, true},
 		{"a try that came once", "once", Records{Served: []Served{{Event: "came", Path: shape.App, Tag: "k#1", Worker: "b1"}, {Event: "came", Path: shape.App, Tag: "k#2", Worker: "b1"}}}, false},
 		{"a try that came twice", "once", Records{Served: []Served{{Event: "came", Path: shape.App, Tag: "k#1", Worker: "b1"}, {Event: "came", Path: shape.App, Tag: "k#1", Worker: "b1"}}}, true},
 		{"a policy in force in time", "force", Records{Notes: acked, Watched: []Watched{{1900, "f.1:1", 1, false}, {1950, "f.1:1", 1, true}}}, false},
@@ -61,8 +61,8 @@
 		{"a policy late at a front while another's agent is frozen", "force", Records{Notes: append(acked, Note{TimeMs: 1000, Event: "freeze", Name: "l2"}), Watched: []Watched{{9102, "f.1:1", 1, false}}}, true},
 		{"a policy late while links are cut", "force", Records{Notes: append(acked, Note{TimeMs: 1000, Event: "cut"}), Watched: []Watched{{9102, "f.1:1", 1, false}}}, false},
 		{"a policy that slips back over a restart", "force", Records{Notes: append(acked, Note{TimeMs: 2000, Event: "start", Name: "l1"}), Watched: []Watched{{1900, "f.1:1", 1, true}, {2102, "f.1:1", 1, false}}}, true},
-		{"a race with one history", "race", Records{Notes: []Note{{Event: "raced", Mark: 5}}}, false},
-		{"a race with two", "race", Records{Notes: []Note{{Event: "raced", Mark: 5, Why: "mark 3 was seen as two"}}}, true},
+		{"a race with one history", "race", Records{Notes: []Note{{Event: "raced", Version: 5}}}, false},
+		{"a race with two", "race", Records{Notes: []Note{{Event: "raced", Version: 5, Why: "mark 3 was seen as two"}}}, true},
 	}
 	checks := map[string]int{"booked": 0, "promised": 1, "whole": 2, "policy": 3, "leaving": 4, "turns": 5, "room": 6, "rate": 7, "retries": 8, "serves": 9, "once": 10, "force": 11, "race": 12}
 	used := map[string]bool{}
--- a/internal/testbed/fleet/control.go
+++ b/internal/testbed/fleet/control.go
@@ -17,7 +17,7 @@
 
 // Until waits until something holds, looking often; false if it never did.
 //
-//	ok := world.Until(10*time.Second, func() bool { return world.Marks() >= 1 })
+//	ok := world.Until(10*time.Second, func() bool { return world.Versions() >= 1 })
 func (w *World) Until(wait time.Duration, holds func() bool) bool {
 	ends := time.NewTimer(wait)
 	defer ends.Stop()
@@ -153,9 +153,9 @@
 	return ""
 }
 
-// SetPolicy writes a policy at a node; expected -1 takes any mark.
+// SetPolicy writes a policy at a node; expected -1 takes any version.
 //
-//	mark, status, err := world.SetPolicy("l1", body, -1)
+//	version, status, err := world.SetPolicy("l1", body, -1)
 func (w *World) SetPolicy(name string, body []byte, expected int64) (int64, int, error) {
 	url := "http://" + w.Node(name) + "/v1/policy"
 	if expected >= 0 {
@@ -173,10 +173,10 @@
 	return done.Mark, status, nil
 }
 
-// Mark returns the mark of the policy in force at a proxy, or -1.
+// Version returns the version of the policy in force at a proxy, or -1.
 //
-//	mark := world.Mark("s1")
-func (w *World) Mark(name string) int64 { return int64(w.Metric(name, "applequay_policy_mark")) }
+//	version := world.Version("s1")
+func (w *World) Version(name string) int64 { return int64(w.Metric(name, "applequay_policy_mark")) }
 
 // Metric reads one number of a node's /metrics, or -1.
 //
@@ -211,15 +211,15 @@
 	return json.Unmarshal(told, into)
 }
 
-// InForce waits until every proxy named has a mark in force, and returns
+// InForce waits until every proxy named has a version in force, and returns
 // how long each took.
 //
 //	took, ok := world.InForce(3, 2*time.Second, "s1", "s2")
-func (w *World) InForce(mark int64, wait time.Duration, names ...string) (map[string]time.Duration, bool) {
+func (w *World) InForce(version int64, wait time.Duration, names ...string) (map[string]time.Duration, bool) {
 	began, took := time.Now(), map[string]time.Duration{}
 	ok := w.Until(wait, func() bool {
 		for _, name := range names {
-			if _, done := took[name]; !done && w.Mark(name) >= mark {
+			if _, done := took[name]; !done && w.Version(name) >= version {
 				took[name] = time.Since(began)
 			}
 		}
--- a/internal/testbed/fleet/corefaults.go
+++ b/internal/testbed/fleet/corefaults.go
@@ -8,36 +8,36 @@
 )
 
 func (w *World) acknowledged(at string) (int64, error) {
-	mark, status, err := w.Write(at, nil, -1)
+	version, status, err := w.Write(at, nil, -1)
 	if err != nil || status != 200 {
 		return 0, oops.Wrapf(err, "the policy was answered with %d", status)
 	}
-	return mark, nil
+	return version, nil
 }
 
-// inForce checks that an acknowledged mark is in force everywhere in time.
-func (w *World) inForce(mark int64) error {
-	took, ok := w.InForce(mark, 2*time.Second, w.Proxies()...)
+// inForce checks that an acknowledged version is in force everywhere in time.
+func (w *World) inForce(version int64) error {
+	took, ok := w.InForce(version, 2*time.Second, w.Proxies()...)
 	if !ok {
-		return oops.Errorf("mark %d is in force within 2 s only at %v", mark, took)
+		return oops.Errorf("mark %d is in force within 2 s only at %v", version, took)
 	}
 	return nil
 }
 
 func killCore(w *World) error {
-	mark, err := w.acknowledged("c1")
+	version, err := w.acknowledged("c1")
 	if err != nil {
 		return err
 	}
 	w.Kill("c1")
-	if err = w.inForce(mark); err != nil {
+	if err = w.inForce(version); err != nil {
 		return err
 	}
 	w.Pass(6 * time.Second)
-	if mark, err = w.acknowledged("l2"); err != nil {
+	if version, err = w.acknowledged("l2"); err != nil {
 		return err
 	}
-	if err := w.inForce(mark); err != nil {
+	if err := w.inForce(version); err != nil {
 		return err
 	}
 	return w.Start("c1")
@@ -80,11 +80,11 @@
 	// The new one must carry weight: without another, it makes the majority.
 	w.Kill("c1")
 	w.Pass(time.Second)
-	mark, err := w.acknowledged("l1")
+	version, err := w.acknowledged("l1")
 	if err != nil {
 		return err
 	}
-	if err := w.inForce(mark); err != nil {
+	if err := w.inForce(version); err != nil {
 		return err
 	}
 	return w.Start("c1")
@@ -103,15 +103,15 @@
 		_ = w.Ask("c2", "/v1/core", &core)
 		return oops.Errorf("the new core machine is not seated: %+v", core)
 	}
-	mark, err := w.acknowledged("l1")
+	version, err := w.acknowledged("l1")
 	if err != nil {
 		return err
 	}
-	return w.inForce(mark)
+	return w.inForce(version)
 }
 
 func power(w *World) error {
-	mark, err := w.acknowledged("l1")
+	version, err := w.acknowledged("l1")
 	if err != nil {
 		return err
 	}
@@ -121,13 +121,13 @@
 			names = append(names, name)
 		}
 	}
-	return w.outage(mark, names...)
+	return w.outage(version, names...)
 }
 
 // powerAll takes the applications and the directory too; the platform's list
 // is there again with them.
 func powerAll(w *World) error {
-	mark, err := w.acknowledged("l1")
+	version, err := w.acknowledged("l1")
 	if err != nil {
 		return err
 	}
@@ -137,11 +137,11 @@
 			names = append(names, name)
 		}
 	}
-	return w.outage(mark, names...)
+	return w.outage(version, names...)
 }
 
 // outage takes processes down together and brings them back a second later.
-func (w *World) outage(mark int64, names ...string) error {
+func (w *World) outage(version int64, names ...string) error {
 	w.Kill(names...)
 	w.Pass(time.Second)
 	if err := w.Start(names...); err != nil {
@@ -151,8 +151,8 @@
 	if !w.Until(5*time.Second, func() bool { return w.List() == nil }) {
 		return oops.Errorf("the directory does not answer")
 	}
-	if _, ok := w.InForce(mark, 10*time.Second, w.Proxies()...); !ok {
-		return oops.Errorf("mark %d is not back", mark)
+	if _, ok := w.InForce(version, 10*time.Second, w.Proxies()...); !ok {
+		return oops.Errorf("mark %d is not back", version)
 	}
 	return nil
 }
--- a/internal/testbed/fleet/fleet_test.go
+++ b/internal/testbed/fleet/fleet_test.go
@@ -36,13 +36,13 @@
 	c.Assert(err, qt.IsNil)
 	defer w.Close()
 	seen, err := w.Play(Scenario{Name: "several", Seconds: 14, Run: func(w *World) error {
-		mark, failed := w.acknowledged("c1")
+		version, failed := w.acknowledged("c1")
 		if failed != nil {
 			return failed
 		}
 		w.Kill("c1")
-		if _, ok := w.InForce(mark, 20*time.Second, w.Proxies()...); !ok {
-			c.Errorf("mark %d is not in force everywhere", mark)
+		if _, ok := w.InForce(version, 20*time.Second, w.Proxies()...); !ok {
+			c.Errorf("mark %d is not in force everywhere", version)
 		}
 		if failed = w.Leave("w1", true); failed != nil {
 			return failed
--- a/internal/testbed/fleet/machinefaults.go
+++ b/internal/testbed/fleet/machinefaults.go
@@ -41,15 +41,15 @@
 
 // settles writes a policy somewhere and waits until it is in force.
 func (w *World) settles() error {
-	var mark int64
+	var version int64
 	if !w.Until(8*time.Second, func() bool {
 		next, status, err := w.Write("l2", nil, -1)
-		mark = next
+		version = next
 		return err == nil && status == 200
 	}) {
 		return oops.Errorf("no policy is taken")
 	}
-	return w.inForce(mark)
+	return w.inForce(version)
 }
 
 // lossy has links lose and delay, then cuts one core machine off one way and
@@ -159,7 +159,7 @@
 	if err := w.Start(line, board); err != nil {
 		return err
 	}
-	if !w.Until(8*time.Second, func() bool { return w.Mark(board) > 0 }) {
+	if !w.Until(8*time.Second, func() bool { return w.Version(board) > 0 }) {
 		return oops.Errorf("a front that knows the new seeds only learns nothing")
 	}
 	return nil
--- a/internal/testbed/fleet/race.go
+++ b/internal/testbed/fleet/race.go
@@ -18,7 +18,7 @@
 	err error
 }
 
-// race has two operators write with the marks they expect, each at nodes of its
+// race has two operators write with the versions they expect, each at nodes of its
 // own, while core machines are killed; their histories are one register's.
 func race(w *World) error {
 	begin, _ := w.readPolicy("l1")
@@ -58,18 +58,18 @@
 	return nil
 }
 
-// operate reads and writes in turn, always with the mark read before.
+// operate reads and writes in turn, always with the version read before.
 func (w *World) operate(operator int, ends time.Time) raced {
 	var out raced
 	for turn := 0; time.Now().Before(ends); turn++ {
 		node := fmt.Sprintf("l%d", 1+(2*turn+operator)%w.Shape.Fronts)
-		read, mark := w.readPolicy(node)
+		read, version := w.readPolicy(node)
 		if read == nil {
 			w.Pass(100 * time.Millisecond)
 			continue
 		}
 		out.ops = append(out.ops, read)
-		w.raceWrite(&out, node, mark)
+		w.raceWrite(&out, node, version)
 	}
 	return out
 }
@@ -84,7 +84,7 @@
 	if w.Ask(node, "/v1/policy", &found) != nil {
 		return nil, 0
 	}
-	read.Answered, read.Ended, read.Fate, read.Mark = true, time.Now().UnixMilli(), register.FateDone, found.Mark
+	read.Answered, read.Ended, read.Fate, read.Version = true, time.Now().UnixMilli(), register.FateDone, found.Mark
 	for _, route := range found.Policy.Routes {
 		if name, since := strings.CutPrefix(route.Path, "/v1/since/"); since {
 			read.Found = "turn " + name
@@ -97,15 +97,15 @@
 	turn := w.turns.Add(1)
 	write := &simulation.Op{Kind: "set", Name: fmt.Sprintf("turn %d", turn), Expected: expected, Began: time.Now().UnixMilli()}
 	out.ops = append(out.ops, write)
-	mark, status, err := w.SetPolicy(node, w.Shape.Policy(w.withTurns(nil, turn)), expected)
+	version, status, err := w.SetPolicy(node, w.Shape.Policy(w.withTurns(nil, turn)), expected)
 	if err != nil {
 		return
 	}
-	write.Answered, write.Ended, write.Mark = true, time.Now().UnixMilli(), mark
+	write.Answered, write.Ended, write.Version = true, time.Now().UnixMilli(), version
 	switch status {
 	case http.StatusOK:
 		write.Fate, write.Found = register.FateDone, write.Name
-		w.note("acknowledged", node, turn, fmt.Sprint(mark))
+		w.note("acknowledged", node, turn, fmt.Sprint(version))
 		raise(&w.acked, turn)
 	case http.StatusConflict:
 		write.Fate = register.FateStale
--- a/internal/testbed/fleet/rates.go
+++ b/internal/testbed/fleet/rates.go
@@ -178,7 +178,7 @@
 		if note.Event == "raced" && note.Why != "" {
 			breaches = append(breaches, note.Why)
 		}
-		if note.Event == "raced" && note.Mark == 0 {
+		if note.Event == "raced" && note.Version == 0 {
 			breaches = append(breaches, "no write of a racing operator was acknowledged")
 		}
 	}
--- a/internal/testbed/fleet/scenarios.go
+++ b/internal/testbed/fleet/scenarios.go
@@ -71,16 +71,16 @@
 	if !w.Until(5*time.Second, func() bool { return w.List() == nil }) {
 		return oops.Errorf("the directory does not answer")
 	}
-	var mark int64
+	var version int64
 	if !w.Until(10*time.Second, func() bool {
 		var status int
 		var err error
-		mark, status, err = w.Write("l1", nil, -1)
+		version, status, err = w.Write("l1", nil, -1)
 		return err == nil && status == 200
 	}) {
 		return oops.Errorf("no policy is taken: %s", w.ReadLog("l1"))
 	}
-	if took, ok := w.InForce(mark, 5*time.Second, w.Proxies()...); !ok {
+	if took, ok := w.InForce(version, 5*time.Second, w.Proxies()...); !ok {
 		return oops.Errorf("the policy is in force only at %v", took)
 	}
 	return nil
--- a/internal/testbed/fleet/watch.go
+++ b/internal/testbed/fleet/watch.go
@@ -25,15 +25,15 @@
 // Write writes the shape's policy at a node, with more merged in at the top; it
 // has a route of its own that no policy before it has.
 //
-//	mark, status, err := world.Write("l1", nil, -1)
+//	version, status, err := world.Write("l1", nil, -1)
 func (w *World) Write(name string, more map[string]any, expected int64) (int64, int, error) {
 	turn := w.turns.Add(1)
-	mark, status, err := w.SetPolicy(name, w.Shape.Policy(w.withTurns(more, turn)), expected)
+	version, status, err := w.SetPolicy(name, w.Shape.Policy(w.withTurns(more, turn)), expected)
 	if err == nil && status == http.StatusOK {
-		w.note("acknowledged", name, turn, fmt.Sprint(mark))
+		w.note("acknowledged", name, turn, fmt.Sprint(version))
 		raise(&w.acked, turn)
 	}
-	return mark, status, err
+	return version, status, err
 }
 
 // withTurns adds the routes of all turns up to one; they lead to a pool that
@@ -127,7 +127,7 @@
 			continue
 		}
 		for _, note := range seen.Notes {
-			if note.Event == "acknowledged" && note.Mark == one.Turn && one.TimeMs > max(note.TimeMs, hindered(seen, one))+withinMs {
+			if note.Event == "acknowledged" && note.Version == one.Turn && one.TimeMs > max(note.TimeMs, hindered(seen, one))+withinMs {
 				breaches = append(breaches, fmt.Sprintf("%s does not have turn %d %d ms after it was acknowledged", one.Front, one.Turn, one.TimeMs-note.TimeMs))
 			}
 		}
@@ -182,7 +182,7 @@
 		}
 		there := map[string]bool{}
 		for _, one := range seen.Watched {
-			if one.TimeMs >= note.TimeMs && one.Turn == note.Mark && one.There && !there[one.Front] {
+			if one.TimeMs >= note.TimeMs && one.Turn == note.Version && one.There && !there[one.Front] {
 				there[one.Front] = true
 				if hindered(seen, one) < note.TimeMs {
 					out = append(out, one.TimeMs-note.TimeMs)
--- a/internal/testbed/fleet/world.go
+++ b/internal/testbed/fleet/world.go
@@ -45,15 +45,15 @@
 
 // Note is something the desk did or saw, for the checkers.
 type Note struct {
-	TimeMs int64  `json:"t"`
-	Event  string `json:"event"`
-	Name   string `json:"name,omitempty"`
-	Mark   int64  `json:"mark,omitempty"`
-	Why    string `json:"why,omitempty"`
+	TimeMs  int64  `json:"t"`
+	Event   string `json:"event"`
+	Name    string `json:"name,omitempty"`
+	Version int64  `json:"mark,omitempty"`
+	Why     string `json:"why,omitempty"`
 }
 
-func (w *World) note(event, name string, mark int64, why string) {
-	w.notes <- Note{TimeMs: time.Now().UnixMilli(), Event: event, Name: name, Mark: mark, Why: why}
+func (w *World) note(event, name string, version int64, why string) {
+	w.notes <- Note{TimeMs: time.Now().UnixMilli(), Event: event, Name: name, Version: version, Why: why}
 }
 
 // keepNotes owns the notes: several may note at once.
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -31,15 +31,15 @@
 
 // Value is a generated struct.
 type Value struct {
-	Mark int64  `avro:"mark"`
-	Body []byte `avro:"body"`
-	// The newest writes, oldest first: a digest of each name and how far its mark rose.
+	Version int64  `avro:"version"`
+	Body    []byte `avro:"body"`
+	// The newest writes, oldest first: a digest of each name and how far its version rose.
 	Lineage []byte `avro:"lineage"`
-	// The newest mark whose write the lineage no longer holds; 0 if it holds all.
+	// The newest version whose write the lineage no longer holds; 0 if it holds all.
 	Forgot int64 `avro:"forgot"`
 }
 
-var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"mark","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":"bytes"},{"name":"forgot","type":"long"}]}`)
+var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"version","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":"bytes"},{"name":"forgot","type":"long"}]}`)
 
 // Schema returns the schema for Value.
 func (o *Value) Schema() avro.Schema {
@@ -813,13 +813,13 @@
 // Roster is a generated struct.
 type Roster struct {
 	Pool    string   `avro:"pool"`
-	Mark    int64    `avro:"mark"`
+	Version int64    `avro:"version"`
 	FromMs  int64    `avro:"fromMs"`
 	UntilMs int64    `avro:"untilMs"`
 	Servers []string `avro:"servers"`
 }
 
-var schemaRoster = schemaOf(`{"name":"Roster","type":"record","fields":[{"name":"pool","type":"string"},{"name":"mark","type":"long"},{"name":"fromMs","type":"long"},{"name":"untilMs","type":"long"},{"name":"servers","type":{"type":"array","items":"string"}}]}`)
+var schemaRoster = schemaOf(`{"name":"Roster","type":"record","fields":[{"name":"pool","type":"string"},{"name":"version","type":"long"},{"name":"fromMs","type":"long"},{"name":"untilMs","type":"long"},{"name":"servers","type":{"type":"array","items":"string"}}]}`)
 
 // Schema returns the schema for Roster.
 func (o *Roster) Schema() avro.Schema {
@@ -1908,14 +1908,14 @@
 
 // TicketWish is a generated struct.
 type TicketWish struct {
-	Op     int64   `avro:"op"`
-	Key    string  `avro:"key"`
-	Server string  `avro:"server"`
-	Few    bool    `avro:"few"`
-	Marks  []int64 `avro:"marks"`
+	Op       int64   `avro:"op"`
+	Key      string  `avro:"key"`
+	Server   string  `avro:"server"`
+	Few      bool    `avro:"few"`
+	Versions []int64 `avro:"versions"`
 }
 
-var schemaTicketWish = schemaOf(`{"name":"TicketWish","type":"record","fields":[{"name":"op","type":"long"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"few","type":"boolean"},{"name":"marks","type":{"type":"array","items":"long"}}]}`)
+var schemaTicketWish = schemaOf(`{"name":"TicketWish","type":"record","fields":[{"name":"op","type":"long"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"few","type":"boolean"},{"name":"versions","type":{"type":"array","items":"long"}}]}`)
 
 // Schema returns the schema for TicketWish.
 func (o *TicketWish) Schema() avro.Schema {
@@ -1960,15 +1960,15 @@
 
 // TicketAsk is a generated struct.
 type TicketAsk struct {
-	Op     int64  `avro:"op"`
-	Asker  string `avro:"asker"`
-	Key    string `avro:"key"`
-	Server string `avro:"server"`
-	FromMs int64  `avro:"fromMs"`
-	Mark   int64  `avro:"mark"`
+	Op      int64  `avro:"op"`
+	Asker   string `avro:"asker"`
+	Key     string `avro:"key"`
+	Server  string `avro:"server"`
+	FromMs  int64  `avro:"fromMs"`
+	Version int64  `avro:"version"`
 }
 
-var schemaTicketAsk = schemaOf(`{"name":"TicketAsk","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"fromMs","type":"long"},{"name":"mark","type":"long"}]}`)
+var schemaTicketAsk = schemaOf(`{"name":"TicketAsk","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"fromMs","type":"long"},{"name":"version","type":"long"}]}`)
 
 // Schema returns the schema for TicketAsk.
 func (o *TicketAsk) Schema() avro.Schema {
@@ -1987,17 +1987,17 @@
 
 // TicketTold is a generated struct.
 type TicketTold struct {
-	Op     int64    `avro:"op"`
-	Asker  string   `avro:"asker"`
-	Others []string `avro:"others"`
-	FromMs int64    `avro:"fromMs"`
-	Mark   int64    `avro:"mark"`
-	LineMs int64    `avro:"lineMs"`
-	Lost   []string `avro:"lost"`
-	Bad    string   `avro:"bad"`
+	Op      int64    `avro:"op"`
+	Asker   string   `avro:"asker"`
+	Others  []string `avro:"others"`
+	FromMs  int64    `avro:"fromMs"`
+	Version int64    `avro:"version"`
+	LineMs  int64    `avro:"lineMs"`
+	Lost    []string `avro:"lost"`
+	Bad     string   `avro:"bad"`
 }
 
-var schemaTicketTold = schemaOf(`{"name":"TicketTold","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"others","type":{"type":"array","items":"string"}},{"name":"fromMs","type":"long"},{"name":"mark","type":"long"},{"name":"lineMs","type":"long"},{"name":"lost","type":{"type":"array","items":"string"}},{"name":"bad","type":"string"}]}`)
+var schemaTicketTold = schemaOf(`{"name":"TicketTold","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"others","type":{"type":"array","items":"string"}},{"name":"fromMs","type":"long"},{"name":"version","type":"long"},{"name":"lineMs","type":"long"},{"name":"lost","type":{"type":"array","items":"string"}},{"name":"bad","type":"string"}]}`)
 
 // Schema returns the schema for TicketTold.
 func (o *TicketTold) Schema() avro.Schema {
