--- a/coordination/lease/example_test.go
+++ b/coordination/lease/example_test.go
@@ -9,17 +9,17 @@
 // A holder claims duty 7, learns its fence, holds it, and stops in time.
 func Example() {
 	limits := lease.LimitsFor(3200)
-	seats := []lease.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	voters := []lease.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	granters := map[string]*lease.Granter{}
-	for _, seat := range seats {
-		granters[seat.ID] = lease.NewGranter(limits, -limits.LeaseMs)
+	for _, voter := range voters {
+		granters[voter.ID] = lease.NewGranter(limits, -limits.LeaseMs)
 	}
 	holder := lease.NewHolder(limits)
 	round := func(now int64) {
-		moves, out := holder.Tick(now, seats, "")
+		moves, out := holder.Tick(now, voters, "")
 		for _, send := range out.Sends {
 			told := granters[send.To].Ask(now, "me", send.Body.(*lease.Ask))
-			moves = append(moves, holder.Told(now, send.To, told, seats)...)
+			moves = append(moves, holder.Told(now, send.To, told, voters)...)
 		}
 		for _, move := range moves {
 			fmt.Printf("%d: change %d of %d\n", now, move.Change, move.Partition)
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -31,8 +31,8 @@
 	Back = wire.GrantBack
 	// Hold is a duty with its fence.
 	Hold = wire.Hold
-	// Seat is a granter by its id.
-	Seat = wire.Seat
+	// Voter is a granter by its id.
+	Voter = wire.Voter
 )
 
 // What may change: a majority keeps a duty free for this node, turns may be
--- a/coordination/register/example_test.go
+++ b/coordination/register/example_test.go
@@ -23,10 +23,10 @@
 // Three copies, two writes that expect the same version, and a read.
 func Example() {
 	acceptors := map[string]*register.Acceptor{}
-	core := register.CoreSet{Epoch: 1, Swept: true}
+	core := register.CoreSet{Epoch: 1, Rereplicated: true}
 	for _, id := range []string{"a", "b", "c"} {
 		acceptors[id] = register.NewAcceptor()
-		core.Seats = append(core.Seats, register.Seat{ID: id})
+		core.Voters = append(core.Voters, register.Voter{ID: id})
 	}
 	limits := register.Limits{CallMs: 1600, PhaseMs: 400, LineageLen: 16}
 	proposer := register.NewProposer("me/1", rand.New(rand.NewSource(1)), limits, core)
--- a/coordination/register/register.go
+++ b/coordination/register/register.go
@@ -30,8 +30,8 @@
 	Fate = register.Fate
 	// CoreSet is who keeps the registers.
 	CoreSet = wire.CoreSet
-	// Seat is one node of a core set.
-	Seat = wire.Seat
+	// Voter is one node of a core set.
+	Voter = wire.Voter
 	// Ballot orders attempts.
 	Ballot = wire.Ballot
 	// Outputs is what one step wants done.
--- a/internal/controlplane/adminapi/capacity.go
+++ b/internal/controlplane/adminapi/capacity.go
@@ -10,24 +10,24 @@
 
 // Bounds of what the doctor takes for a passing state.
 const (
-	// settleMs is how long a new controller may be without a seat.
+	// settleMs is how long a new controller may be without a vote.
 	settleMs = 30000
-	// fullSeats is how many seats a core set may have.
-	fullSeats = 9
-	// leastSeats is how many seats bear the loss of one.
-	leastSeats = 3
+	// fullVoters is how many voters a core set may have.
+	fullVoters = 9
+	// leastVoters is how many voters bear the loss of one.
+	leastVoters = 3
 	// store waits longer than this are told.
 	longWaitMs = 10000
 )
 
-// size looks at how many seats the core set has, and at controllers that have none.
+// size looks at how many voters the core set has, and at controllers that have none.
 func (d *doctor) size() {
 	core := d.page.Core
 	if core.Epoch == 0 {
 		return
 	}
-	seated := func(id string) bool {
-		return slices.ContainsFunc(append(slices.Clone(core.Seats), core.Joining...), func(s wire.Seat) bool { return s.ID == id })
+	admitted := func(id string) bool {
+		return slices.ContainsFunc(append(slices.Clone(core.Voters), core.Joining...), func(s wire.Voter) bool { return s.ID == id })
 	}
 	names := map[string]bool{}
 	for _, member := range d.page.Members {
@@ -35,12 +35,12 @@
 			continue
 		}
 		names[member.Name] = true
-		if stands(member) && !seated(member.ID) && len(core.Seats) < fullSeats && d.wallMs-member.Born > settleMs {
-			d.find("a controller has no seat", member.Name, "look at its log and its links to the others: a newcomer is seated within seconds", "it stands, and the core set of epoch %d with %d seats does not name it", core.Epoch, len(core.Seats))
+		if stands(member) && !admitted(member.ID) && len(core.Voters) < fullVoters && d.wallMs-member.Born > settleMs {
+			d.find("a controller has no seat", member.Name, "look at its log and its links to the others: a newcomer is seated within seconds", "it stands, and the core set of epoch %d with %d seats does not name it", core.Epoch, len(core.Voters))
 		}
 	}
-	if len(core.Seats) < leastSeats && len(names) > 1 {
-		d.find("the core bears no loss", "core", "start controllers until there are three: the set takes them in by itself", "it has %d seats, and more than half of them must stand", len(core.Seats))
+	if len(core.Voters) < leastVoters && len(names) > 1 {
+		d.find("the core bears no loss", "core", "start controllers until there are three: the set takes them in by itself", "it has %d seats, and more than half of them must stand", len(core.Voters))
 	}
 }
 
--- a/internal/controlplane/adminapi/doctor.go
+++ b/internal/controlplane/adminapi/doctor.go
@@ -41,7 +41,7 @@
 func Findings(page *controller.Page, wallMs int64) []Finding {
 	d := &doctor{page: page, wallMs: wallMs, findings: []Finding{}}
 	d.seeds()
-	d.seats()
+	d.voters()
 	d.machines()
 	d.versions()
 	d.owners()
@@ -78,23 +78,23 @@
 	}
 }
 
-func (d *doctor) seats() {
+func (d *doctor) voters() {
 	core, standing := d.page.Core, 0
 	if core.Epoch == 0 {
 		d.find("there is no core set", d.page.ID, "check that every controller named in -core runs: the first set is founded only when all answer", "no controller told this node of a core set")
 		return
 	}
-	for _, seat := range core.Seats {
-		if _, ok := d.member(func(m wire.Member) bool { return m.ID == seat.ID && stands(m) }); ok {
+	for _, voter := range core.Voters {
+		if _, ok := d.member(func(m wire.Member) bool { return m.ID == voter.ID && stands(m) }); ok {
 			standing++
 			continue
 		}
-		d.find("a core set member is absent", seat.Name+" ("+seat.ID+")", "start it, or start an empty controller in its place: it is seated after a while", "the core set of epoch %d names it and it does not answer", core.Epoch)
+		d.find("a core set member is absent", voter.Name+" ("+voter.ID+")", "start it, or start an empty controller in its place: it is seated after a while", "the core set of epoch %d names it and it does not answer", core.Epoch)
 	}
-	if standing < len(core.Seats)/2+1 {
-		d.find("the core has no majority", "core", "start absent controllers; fronts serve on from their last marks meanwhile", "%d of %d members stand", standing, len(core.Seats))
+	if standing < len(core.Voters)/2+1 {
+		d.find("the core has no majority", "core", "start absent controllers; fronts serve on from their last marks meanwhile", "%d of %d members stand", standing, len(core.Voters))
 	}
-	if !core.Swept || len(core.Joining) > 0 {
+	if !core.Rereplicated || len(core.Joining) > 0 {
 		d.find("a change of the core set is under way", "core", "nothing, unless it lasts for minutes: then look for slow disks", "epoch %d is not swept", core.Epoch)
 	}
 }
--- a/internal/controlplane/adminapi/doctor_test.go
+++ b/internal/controlplane/adminapi/doctor_test.go
@@ -20,7 +20,7 @@
 		"openings":[{"name":"o","at":"2027-01-15T08:01:00Z","models":["m1"],"lead_ms":30000}]}`), 3)
 	c.Assert(faults, qt.HasLen, 0)
 	page := &controller.Page{ID: "l1~1", Policy: table, Partitions: 2, Seeds: []string{"a:1"},
-		Core:    wire.CoreSet{Epoch: 2, Swept: true, Seats: []wire.Seat{{ID: "c1~1", Name: "c1"}, {ID: "c2~1", Name: "c2"}, {ID: "c3~1", Name: "c3"}}},
+		Core:    wire.CoreSet{Epoch: 2, Rereplicated: true, Voters: []wire.Voter{{ID: "c1~1", Name: "c1"}, {ID: "c2~1", Name: "c2"}, {ID: "c3~1", Name: "c3"}}},
 		Workers: map[string]wire.Worker{"w1": {Name: "w1", Pool: "llm", RoomMb: 1000}}, Rooms: map[string]wire.WorkerNews{"w1": {Worker: "w1"}}}
 	for _, name := range []string{"c1", "c2", "c3"} {
 		page.Members = append(page.Members, wire.Member{ID: name + "~1", Name: name, Role: "controller", Addr: map[string]string{"c1": "a:1"}[name],
@@ -46,9 +46,9 @@
 		{"there is no core set", "l1~1", func(p *controller.Page) { p.Core = wire.CoreSet{} }},
 		{"a core set member is absent", "c3 (c3~1)", func(p *controller.Page) { p.Members[2].Standing = removed }},
 		{"the core has no majority", "core", func(p *controller.Page) {
-			p.Core.Seats = append(p.Core.Seats, wire.Seat{ID: "x"}, wire.Seat{ID: "y"}, wire.Seat{ID: "z"})
+			p.Core.Voters = append(p.Core.Voters, wire.Voter{ID: "x"}, wire.Voter{ID: "y"}, wire.Voter{ID: "z"})
 		}},
-		{"a change of the core set is under way", "core", func(p *controller.Page) { p.Core.Swept = false }},
+		{"a change of the core set is under way", "core", func(p *controller.Page) { p.Core.Rereplicated = false }},
 		{"a disk is slow", "c2", fact(1, "sync_ms", "300")},
 		{"a disk is nearly full", "c2", fact(1, "disk_free_pct", "4")},
 		{"a clock jumped", "l1", fact(3, "clock_jump_ms", "-3600000")},
@@ -62,7 +62,7 @@
 			p.Members = append(p.Members, wire.Member{ID: "c4~1", Name: "c4", Role: "controller", Born: wall - 60000})
 		}},
 		{"the core bears no loss", "core", func(p *controller.Page) {
-			p.Core.Seats = p.Core.Seats[:2]
+			p.Core.Voters = p.Core.Voters[:2]
 			p.Members[2].Born = wall - 1000
 		}},
 		{"workers are listed and not looked at", "llm", func(p *controller.Page) {
--- a/internal/controlplane/adminapi/pages.go
+++ b/internal/controlplane/adminapi/pages.go
@@ -133,24 +133,24 @@
 
 // Core is the core set and who owns which partition.
 type Core struct {
-	Epoch   int64   `json:"epoch"`
-	Swept   bool    `json:"swept"`
-	Seats   []Seat  `json:"seats"`
-	Joining []Seat  `json:"joining"`
-	Owners  []Owner `json:"owners"`
+	Epoch        int64   `json:"epoch"`
+	Rereplicated bool    `json:"swept"`
+	Voters       []Voter `json:"seats"`
+	Joining      []Voter `json:"joining"`
+	Owners       []Owner `json:"owners"`
 }
 
-// Seat is a member of the core set, by its identity.
-type Seat struct {
+// Voter is a member of the core set, by its identity.
+type Voter struct {
 	ID   string `json:"id"`
 	Name string `json:"name"`
 	Addr string `json:"addr"`
 }
 
-func seatsOf(seats []wire.Seat) []Seat {
-	out := []Seat{}
-	for _, seat := range seats {
-		out = append(out, Seat{ID: seat.ID, Name: seat.Name, Addr: seat.Addr})
+func votersOf(voters []wire.Voter) []Voter {
+	out := []Voter{}
+	for _, voter := range voters {
+		out = append(out, Voter{ID: voter.ID, Name: voter.Name, Addr: voter.Addr})
 	}
 	return out
 }
@@ -167,7 +167,7 @@
 	if page == nil {
 		return
 	}
-	out := Core{Epoch: page.Core.Epoch, Swept: page.Core.Swept, Seats: seatsOf(page.Core.Seats), Joining: seatsOf(page.Core.Joining), Owners: []Owner{}}
+	out := Core{Epoch: page.Core.Epoch, Rereplicated: page.Core.Rereplicated, Voters: votersOf(page.Core.Voters), Joining: votersOf(page.Core.Joining), Owners: []Owner{}}
 	for _, owner := range page.Owners {
 		out.Owners = append(out.Owners, Owner{Partition: owner.Partition, ID: owner.ID, Fence: owner.Fence})
 	}
@@ -180,7 +180,7 @@
 	if page == nil {
 		return
 	}
-	Say(w, http.StatusOK, map[string]any{"id": page.ID, "role": page.Role, "marks": page.Versions, "owned": len(page.Owned), "recovered": page.Recovered, "swept": page.Swept, "epoch": page.Core.Epoch, "members": len(page.Members)})
+	Say(w, http.StatusOK, map[string]any{"id": page.ID, "role": page.Role, "marks": page.Versions, "owned": len(page.Owned), "recovered": page.Recovered, "swept": page.Rereplicated, "epoch": page.Core.Epoch, "members": len(page.Members)})
 }
 
 func (d *Desk) drained(w http.ResponseWriter, _ *http.Request) {
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -47,7 +47,7 @@
 	}
 	// The core may have just started too: it is asked again soon, and the first
 	// answer counts. That there is none is known when the first question ends.
-	standing := l.members.Majority(l.proposer.Core().Seats)
+	standing := l.members.Majority(l.proposer.Core().Voters)
 	if l.beginning && !standing {
 		return
 	}
--- a/internal/controlplane/agent/first_test.go
+++ b/internal/controlplane/agent/first_test.go
@@ -52,7 +52,7 @@
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
-			line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+			line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 			var fed []int64
 			for _, step := range one.steps {
 				for _, send := range step(line).Sends {
@@ -77,7 +77,7 @@
 func TestFirstPolicyIsAskedForAgain(t *testing.T) {
 	c := qt.New(t)
 	line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
-	line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+	line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 	asked := func(from, to int64) (queries int) {
 		for now := from; now < to; now += 25 {
 			for _, send := range line.Tick(now, now).Sends {
--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -113,7 +113,7 @@
 			stand[front.name] = true
 		}
 	}
-	return l.members.Majority(l.proposer.Core().Seats) || 2*len(stand) > len(names)
+	return l.members.Majority(l.proposer.Core().Voters) || 2*len(stand) > len(names)
 }
 
 // settle raises the version up to which lists that were replaced do not matter any
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -30,7 +30,7 @@
 		}
 	}
 	line := New(1, Boot{ID: self, Name: "l1", Addr: "10.0.1.1:1", Zone: "z", Proxy: proxyAddr, LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
-	line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+	line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 	members := []wire.Member{{ID: "c1~z", Role: "controller", Addr: "10.0.0.1:1", Born: 5}}
 	for i := range fronts - 1 {
 		members = append(members, wire.Member{ID: fmt.Sprintf("l%d~b", i+2), Role: "agent", Zone: "z", Addr: fmt.Sprintf("10.0.1.%d:1", i+2), Born: 5})
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -22,7 +22,7 @@
 	l.begin(now, &out)
 	if l.proposer.Core().Epoch == 0 && l.due(now, "found", l.boot.ProbeMs) {
 		for _, seed := range l.boot.Seeds {
-			out.Send(seed, wire.KindFoundAsk, &wire.FoundAsk{Seat: wire.Seat{ID: l.boot.ID, Addr: l.boot.Addr}})
+			out.Send(seed, wire.KindFoundAsk, &wire.FoundAsk{Voter: wire.Voter{ID: l.boot.ID, Addr: l.boot.Addr}})
 		}
 	}
 	l.subscribe(now, &out)
@@ -67,10 +67,10 @@
 // it, a home asks its zone's peers too, and a front that knows nothing asks all.
 func (l *Line) subscribe(now int64, out *wire.Outputs) {
 	if l.young(now) {
-		if seats := l.proposer.Core().Seats; len(seats) > 0 && l.due(now, "young", l.boot.ProbeMs/2) {
+		if voters := l.proposer.Core().Voters; len(voters) > 0 && l.due(now, "young", l.boot.ProbeMs/2) {
 			// One after the other: each is asked for what those before lacked.
 			l.youngAsked++
-			out.Send(seats[l.youngAsked%len(seats)].ID, wire.KindSubscribe, l.board.Asks(""))
+			out.Send(voters[l.youngAsked%len(voters)].ID, wire.KindSubscribe, l.board.Asks(""))
 		}
 	}
 	l.askController(now, out)
@@ -112,16 +112,16 @@
 
 // askAnyController asks one of the controllers that stand, or any if none does.
 func (l *Line) askAnyController(out *wire.Outputs, service string) {
-	seats := slices.Clone(l.proposer.Core().Seats)
-	well := slices.DeleteFunc(slices.Clone(seats), func(seat wire.Seat) bool {
-		standing, _ := l.members.Standing(seat.ID)
+	voters := slices.Clone(l.proposer.Core().Voters)
+	well := slices.DeleteFunc(slices.Clone(voters), func(voter wire.Voter) bool {
+		standing, _ := l.members.Standing(voter.ID)
 		return standing != wire.StandingWell
 	})
 	if len(well) > 0 {
-		seats = well
+		voters = well
 	}
-	if len(seats) > 0 {
-		out.Send(seats[l.random.Intn(len(seats))].ID, wire.KindSubscribe, l.board.Asks(service))
+	if len(voters) > 0 {
+		out.Send(voters[l.random.Intn(len(voters))].ID, wire.KindSubscribe, l.board.Asks(service))
 	}
 }
 
@@ -146,7 +146,7 @@
 //
 //	out := upstream.Change(now, call, register.Write{Key: controller.PolicyKey, Expected: 7, Body: body})
 func (l *Line) Change(now, call int64, asked register.Write) wire.Outputs {
-	if !l.members.Majority(l.proposer.Core().Seats) {
+	if !l.members.Majority(l.proposer.Core().Voters) {
 		return register.Hopeless(call, asked.Key)
 	}
 	if asked.Name == "" {
@@ -159,7 +159,7 @@
 //
 //	out := upstream.Read(now, call, controller.PolicyKey)
 func (l *Line) Read(now, call int64, key string) wire.Outputs {
-	if !l.members.Majority(l.proposer.Core().Seats) {
+	if !l.members.Majority(l.proposer.Core().Voters) {
 		return register.Hopeless(call, key)
 	}
 	return l.proposer.Read(now, call, key, wire.Ballot{}, nil)
@@ -191,9 +191,9 @@
 	if addr, ok := l.members.Addr(id); ok {
 		return addr, true
 	}
-	for _, seat := range l.proposer.Core().Seats {
-		if seat.ID == id {
-			return seat.Addr, true
+	for _, voter := range l.proposer.Core().Voters {
+		if voter.ID == id {
+			return voter.Addr, true
 		}
 	}
 	return "", false
--- a/internal/controlplane/controller/confirm.go
+++ b/internal/controlplane/controller/confirm.go
@@ -23,7 +23,7 @@
 	}
 	waits := f.confirming.waits
 	f.confirming.waits = nil
-	if !f.members.Majority(f.proposer.Core().Seats) {
+	if !f.members.Majority(f.proposer.Core().Voters) {
 		return
 	}
 	slices.Sort(waits)
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -52,41 +52,41 @@
 	acceptor *register.Acceptor
 	proposer *register.Proposer
 	// core is the newest core set that this machine took up.
-	core        wire.CoreSet
-	granter     *lease.Granter
-	holder      *lease.Holder
-	members     *membership.Members
-	board       *distribution.Board
-	view        *partition.View
-	kept        map[int64]*wire.PartitionState
-	owned       map[int64]*partition.Partition
-	versions    map[string]int64
-	calls       map[int64]func(now int64, outcome register.Outcome) wire.Outputs
-	nextCall    int64
-	founding    founding
-	steward     steward
-	confirming  confirming
-	timers      map[string]int64
-	unheld      map[int64]int64
-	took        map[int64]bool
-	handed      map[int64]*wire.PartitionState
-	moving      map[int64]*handing
-	promised    map[int64]promise
-	recalled    recalled
-	Moves       int64
-	listed      wire.WorkerList
-	listCalls   int64 // calls of the last whole read of the worker list
-	unbelieved  string
-	rolling     *rolling
-	leavers     map[string]bool
-	leaving     bool
-	outSince    int64 // the first set in which this node has no seat any more
-	stalled     bool
-	events      int64
-	StartedMs   int64
-	coreVersion int64
-	swept       int
-	Recoveries  int64
+	core         wire.CoreSet
+	granter      *lease.Granter
+	holder       *lease.Holder
+	members      *membership.Members
+	board        *distribution.Board
+	view         *partition.View
+	kept         map[int64]*wire.PartitionState
+	owned        map[int64]*partition.Partition
+	versions     map[string]int64
+	calls        map[int64]func(now int64, outcome register.Outcome) wire.Outputs
+	nextCall     int64
+	founding     founding
+	coordinator  coordinator
+	confirming   confirming
+	timers       map[string]int64
+	unheld       map[int64]int64
+	took         map[int64]bool
+	handed       map[int64]*wire.PartitionState
+	moving       map[int64]*handing
+	promised     map[int64]promise
+	recalled     recalled
+	Moves        int64
+	listed       wire.WorkerList
+	listCalls    int64 // calls of the last whole read of the worker list
+	unbelieved   string
+	rolling      *rolling
+	leavers      map[string]bool
+	leaving      bool
+	outSince     int64 // the first set in which this node has no vote any more
+	stalled      bool
+	events       int64
+	StartedMs    int64
+	coreVersion  int64
+	rereplicated int
+	Recoveries   int64
 }
 
 // New makes the control state from what the journal held.
@@ -116,7 +116,7 @@
 		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, versions: map[string]int64{},
 		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
 		handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
-		founding: newFounding(), steward: steward{failed: map[string]int64{}, heard: map[string]int64{}},
+		founding: newFounding(), coordinator: coordinator{failed: map[string]int64{}, heard: map[string]int64{}},
 	}
 	f.holder.NumberFrom(random.Int63n(numbers))
 	f.replay(snapshot, writes)
@@ -139,15 +139,15 @@
 //	out := core.Hear(now, "c2~51", body)
 func (f *Frame) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
-	if seatOf(f.proposer.Core().Seats, from) {
-		f.steward.heard[from] = now
+	if voterOf(f.proposer.Core().Voters, from) {
+		f.coordinator.heard[from] = now
 	}
 	switch told := body.(type) {
 	case *wire.Prepare, *wire.Accept, *wire.Query, *wire.KeysAsk:
 		switch {
 		case epochOf(body) > f.proposer.Core().Epoch:
 			f.askSet(&out, from)
-		case f.seated():
+		case f.admitted():
 			out = f.acceptor.Hear(from, body)
 		}
 		// A round that is turned away, perhaps of one who hears nobody, holds nobody up.
@@ -158,7 +158,7 @@
 		out = f.proposer.Hear(now, from, body)
 		f.noticeCore(now, &out)
 	case *wire.WriteAsk:
-		if f.seated() && !f.proposer.Knows(told.Key, told.Name) {
+		if f.admitted() && !f.proposer.Knows(told.Key, told.Name) {
 			asked := f.then(func(int64, register.Outcome) wire.Outputs { return wire.Outputs{} })
 			out = f.proposer.Change(now, asked, told.Key, told.Expected, told.Next, told.Body, told.Name)
 		}
@@ -171,7 +171,7 @@
 	case *wire.GrantAsk:
 		out = f.grantAsked(now, from, told)
 	case *wire.GrantTold:
-		f.moves(now, &out, f.holder.Told(now, from, told, f.proposer.Core().Seats))
+		f.moves(now, &out, f.holder.Told(now, from, told, f.proposer.Core().Voters))
 	case *wire.GrantBack:
 		f.granter.Back(now, from, told)
 	case *wire.Post:
--- a/internal/controlplane/controller/controller_test.go
+++ b/internal/controlplane/controller/controller_test.go
@@ -116,15 +116,15 @@
 }
 
 // A node that is let into the core set, long after it began, votes for no owner
-// for a lease: the one whose seat it has may have.
-func TestNewSeatIsQuiet(t *testing.T) {
+// for a lease: the one whose vote it has may have.
+func TestNewVoterIsQuiet(t *testing.T) {
 	c := qt.New(t)
 	boot := Boot{ID: "d~1", Name: "d", Addr: "d:1", Partitions: 1, LeaseMs: 3200, PollMs: 500, ProbeMs: 200, CallMs: 1600, Born: 1}
 	f := New(1, boot, rand.New(rand.NewSource(1)), &wire.Snapshot{}, nil)
-	seats := []wire.Seat{{ID: "a~1"}, {ID: "b~1"}}
+	voters := []wire.Voter{{ID: "a~1"}, {ID: "b~1"}}
 	var out wire.Outputs
-	f.learnCore(20000, &out, wire.CoreSet{Epoch: 4, Seats: seats, Swept: true})
-	f.learnCore(20000, &out, wire.CoreSet{Epoch: 5, Seats: append(seats, wire.Seat{ID: "d~1"})})
+	f.learnCore(20000, &out, wire.CoreSet{Epoch: 4, Voters: voters, Rereplicated: true})
+	f.learnCore(20000, &out, wire.CoreSet{Epoch: 5, Voters: append(voters, wire.Voter{ID: "d~1"})})
 	granted := func(now int64) int {
 		told := f.Hear(now, "b~1", &wire.GrantAsk{Op: 1, Epoch: 5, Holds: []wire.Hold{{Partition: 0, Fence: 1}}})
 		return len(told.Sends[0].Body.(*wire.GrantTold).Granted)
--- a/internal/controlplane/controller/steward.go
+++ b/internal/controlplane/controller/coordinator.go
@@ -8,34 +8,34 @@
 	"applequay/internal/transport/wire"
 )
 
-// steward changes the core set, one member at a time. Any seated controller may
+// coordinator changes the core set, one member at a time. Any admitted controller may
 // do it; the lowest one that stands does, and the others in turn where nothing
 // comes of it. The register settles races.
-type steward struct {
-	busy  bool
-	turn  int64 // tells the work under way from what was given up
-	since int64 // since when the set needs a change and got none
-	epoch int64
-	swept bool
+type coordinator struct {
+	busy         bool
+	turn         int64 // tells the work under way from what was given up
+	since        int64 // since when the set needs a change and got none
+	epoch        int64
+	rereplicated bool
 	// gaveUp is the epoch whose newcomer was given up, failed is when a newcomer
 	// could not be given its copies.
 	gaveUp int64
 	failed map[string]int64
 	// aloneAt is when this node last saw no majority of the set stand.
 	aloneAt int64
-	// heard is when this node itself last heard from each seat.
+	// heard is when this node itself last heard from each voter.
 	heard map[string]int64
-	// sizes are how many seats there were lately.
+	// sizes are how many voters there were lately.
 	sizes []sized
 }
 
-func (f *Frame) stewardTick(now int64, out *wire.Outputs) {
+func (f *Frame) coordinatorTick(now int64, out *wire.Outputs) {
 	core := f.proposer.Core()
-	if !f.founded() || f.leaving || !seatOf(core.Seats, f.boot.ID) || !f.due(now, "steward", f.boot.ProbeMs/4) {
+	if !f.founded() || f.leaving || !voterOf(core.Voters, f.boot.ID) || !f.due(now, "steward", f.boot.ProbeMs/4) {
 		return
 	}
-	s := &f.steward
-	if !f.members.Majority(core.Seats) {
+	s := &f.coordinator
+	if !f.members.Majority(core.Voters) {
 		s.aloneAt = now
 	}
 	// What was asked for now might pass at the heal, by what this node thought of
@@ -44,14 +44,14 @@
 		return
 	}
 	next, change := f.nextCore(now, core)
-	if core.Epoch != s.epoch || core.Swept != s.swept || (!change && core.Swept) {
+	if core.Epoch != s.epoch || core.Rereplicated != s.rereplicated || (!change && core.Rereplicated) {
 		// What was under way for the set before is of no use.
 		s.busy = s.busy && core.Epoch == s.epoch
-		s.epoch, s.swept, s.since = core.Epoch, core.Swept, now
+		s.epoch, s.rereplicated, s.since = core.Epoch, core.Rereplicated, now
 	}
 	rank := int64(0)
-	for _, seat := range core.Seats {
-		if standing, _ := f.members.Standing(seat.ID); standing == wire.StandingWell && seat.ID < f.boot.ID {
+	for _, voter := range core.Voters {
+		if standing, _ := f.members.Standing(voter.ID); standing == wire.StandingWell && voter.ID < f.boot.ID {
 			rank++
 		}
 	}
@@ -62,8 +62,8 @@
 			s.gaveUp = core.Epoch
 		}
 		f.changeCore(now, out, next)
-	case !s.busy && !core.Swept:
-		f.sweepAll(now, out, core)
+	case !s.busy && !core.Rereplicated:
+		f.rereplicate(now, out, core)
 	}
 }
 
@@ -85,27 +85,27 @@
 
 // begin starts a piece of work on the set; one that was under way is given up.
 func (f *Frame) begin() int64 {
-	f.steward.turn++
-	f.steward.busy = true
-	return f.steward.turn
+	f.coordinator.turn++
+	f.coordinator.busy = true
+	return f.coordinator.turn
 }
 
 func (f *Frame) end(turn int64) bool {
-	if turn != f.steward.turn {
+	if turn != f.coordinator.turn {
 		return false
 	}
-	f.steward.busy = false
+	f.coordinator.busy = false
 	return true
 }
 
-// sweepAll writes every register again under this epoch; only when all are
+// rereplicate writes every register again under this epoch; only when all are
 // through does a newcomer count, and only then may the set change again.
-func (f *Frame) sweepAll(now int64, out *wire.Outputs, core wire.CoreSet) {
+func (f *Frame) rereplicate(now int64, out *wire.Outputs, core wire.CoreSet) {
 	turn := f.begin()
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
 		if outcome.Fate != register.FateDone || len(outcome.Keys) == 0 {
-			f.sweepFailed(now, turn, core)
+			f.rereplicationFailed(now, turn, core)
 			return out
 		}
 		left := len(outcome.Keys)
@@ -113,12 +113,12 @@
 			mended := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 				var done wire.Outputs
 				if outcome.Fate != register.FateDone {
-					f.sweepFailed(now, turn, core)
+					f.rereplicationFailed(now, turn, core)
 					return done
 				}
-				f.swept++
+				f.rereplicated++
 				if left--; left == 0 && f.end(turn) && f.proposer.Core().Epoch == core.Epoch {
-					f.changeCore(now, &done, f.sweptCore(now, core))
+					f.changeCore(now, &done, f.rereplicatedCore(now, core))
 				}
 				return done
 			})
@@ -126,34 +126,34 @@
 		}
 		return out
 	})
-	out.Add(f.proposer.Keys(now, call, f.settledSeats(now, core)))
+	out.Add(f.proposer.Keys(now, call, f.settledVoters(now, core)))
 }
 
-func (f *Frame) sweepFailed(now, turn int64, core wire.CoreSet) {
+func (f *Frame) rereplicationFailed(now, turn int64, core wire.CoreSet) {
 	if f.end(turn) && len(core.Joining) > 0 {
-		f.steward.failed[core.Joining[0].ID] = now
+		f.coordinator.failed[core.Joining[0].ID] = now
 	}
 }
 
-// sweptCore is the set that comes once all registers are through: a newcomer
-// gets its seat, or the set is whole and may change again.
-func (f *Frame) sweptCore(now int64, core wire.CoreSet) wire.CoreSet {
+// rereplicatedCore is the set that comes once all registers are through: a newcomer
+// gets its vote, or the set is whole and may change again.
+func (f *Frame) rereplicatedCore(now int64, core wire.CoreSet) wire.CoreSet {
 	if len(core.Joining) > 0 {
-		return coreOf(core.Epoch+1, append(slices.Clone(core.Seats), core.Joining...))
+		return coreOf(core.Epoch+1, append(slices.Clone(core.Voters), core.Joining...))
 	}
-	next := coreOf(core.Epoch, core.Seats)
-	next.Swept = true
+	next := coreOf(core.Epoch, core.Voters)
+	next.Rereplicated = true
 	next, _ = f.nextCore(now, next)
 	return next
 }
 
-func coreOf(epoch int64, seats []wire.Seat) wire.CoreSet {
-	return wire.CoreSet{Epoch: epoch, Size: int64(len(seats)), Seats: seats}
+func coreOf(epoch int64, voters []wire.Voter) wire.CoreSet {
+	return wire.CoreSet{Epoch: epoch, Size: int64(len(voters)), Voters: voters}
 }
 
-func seatOf(seats []wire.Seat, id string) bool {
-	for _, seat := range seats {
-		if seat.ID == id {
+func voterOf(voters []wire.Voter, id string) bool {
+	for _, voter := range voters {
+		if voter.ID == id {
 			return true
 		}
 	}
--- a/internal/controlplane/controller/epochs.go
+++ b/internal/controlplane/controller/epochs.go
@@ -30,22 +30,22 @@
 	out.Send(from, wire.KindSubscribe, f.board.Asks(distribution.ControlService))
 }
 
-// tellSet tells a new set to those of it who had no seat before: all others hear
+// tellSet tells a new set to those of it who had no vote before: all others hear
 // of it as of any value that was chosen.
 func (f *Frame) tellSet(out *wire.Outputs, before wire.CoreSet) {
 	core := f.proposer.Core()
-	for _, list := range [][]wire.Seat{core.Seats, core.Joining} {
-		for _, seat := range list {
-			if seat.ID != f.boot.ID && !seatOf(before.Seats, seat.ID) {
-				out.Send(seat.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
+	for _, list := range [][]wire.Voter{core.Voters, core.Joining} {
+		for _, voter := range list {
+			if voter.ID != f.boot.ID && !voterOf(before.Voters, voter.ID) {
+				out.Send(voter.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
 			}
 		}
 	}
 }
 
-// seated tells whether this node's identity is in the core set, or on its way
+// admitted tells whether this node's identity is in the core set, or on its way
 // in: only then does it vote or keep copies.
-func (f *Frame) seated() bool {
+func (f *Frame) admitted() bool {
 	core := f.proposer.Core()
-	return seatOf(core.Seats, f.boot.ID) || seatOf(core.Joining, f.boot.ID)
+	return voterOf(core.Voters, f.boot.ID) || voterOf(core.Joining, f.boot.ID)
 }
--- a/internal/controlplane/controller/epochs_test.go
+++ b/internal/controlplane/controller/epochs_test.go
@@ -20,14 +20,14 @@
 	drop  func(from string, send wire.Send) bool
 }
 
-func newTrio(seats ...string) *trio {
+func newTrio(voters ...string) *trio {
 	t := &trio{nodes: map[string]*Frame{}, down: map[string]bool{}, now: 20000, drop: func(string, wire.Send) bool { return false }}
-	first := wire.CoreSet{Epoch: 1, Size: int64(len(seats)), Swept: true}
-	for _, id := range seats {
-		first.Seats = append(first.Seats, wire.Seat{ID: id, Name: id, Addr: id + ":1"})
+	first := wire.CoreSet{Epoch: 1, Size: int64(len(voters)), Rereplicated: true}
+	for _, id := range voters {
+		first.Voters = append(first.Voters, wire.Voter{ID: id, Name: id, Addr: id + ":1"})
 	}
 	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&first)})
-	for _, id := range seats {
+	for _, id := range voters {
 		boot := Boot{ID: id, Name: id, Addr: id + ":1", Partitions: 1, LeaseMs: 3200, PollMs: 500, ProbeMs: 200, CallMs: 1600, Born: 1}
 		founding := wire.Ballot{N: 1, By: "founding"}
 		snapshot := &wire.Snapshot{Registers: []wire.AcceptorRecord{{Key: "#core", Value: value}, {Key: "#epoch", Promised: wire.Ballot{N: 1}}, {Key: register.CoreKey, Promised: founding, Accepted: founding, Value: value}}}
@@ -69,7 +69,7 @@
 	}
 }
 
-// The coordinator takes a seat out, asks which registers there are under the new
+// The coordinator takes a voter out, asks which registers there are under the new
 // set, and goes for good before anybody else knows the set. The others find out:
 // nobody is bound to a set that nobody left knows.
 func TestSetKnownToItsCoordinatorAlone(t *testing.T) {
@@ -79,12 +79,12 @@
 	w.drop = func(_ string, send wire.Send) bool { return send.Kind == wire.KindChosen || send.Kind == wire.KindNews }
 	var out wire.Outputs
 	core := f.proposer.Core()
-	f.changeCore(w.now, &out, coreOf(2, core.Seats[:3]))
+	f.changeCore(w.now, &out, coreOf(2, core.Voters[:3]))
 	w.send("a", out)
 	w.pass("a", 10)
 	c.Assert(f.proposer.Core().Epoch, qt.Equals, int64(2))
 	out = wire.Outputs{}
-	f.sweepAll(w.now, &out, f.proposer.Core())
+	f.rereplicate(w.now, &out, f.proposer.Core())
 	w.send("a", out)
 	w.down["a"] = true
 	w.drop = func(string, wire.Send) bool { return false }
@@ -98,24 +98,24 @@
 	c.Check(done, qt.IsTrue, qt.Commentf("b, c and d are a majority of the only set that they know"))
 }
 
-// A node votes on leases only where it has a seat in the set that it knows, and in
-// the asker's: who has just got a seat grants nothing for a lease.
-func TestVotesOnlyFromAKnownSeat(t *testing.T) {
+// A node votes on leases only where it has a vote in the set that it knows, and in
+// the asker's: who has just got a vote grants nothing for a lease.
+func TestVotesOnlyFromAKnownVoter(t *testing.T) {
 	c := qt.New(t)
 	boot := Boot{ID: "d", Name: "d", Addr: "d:1", Partitions: 1, LeaseMs: 3200, PollMs: 500, ProbeMs: 200, CallMs: 1600, Born: 1}
-	seats := []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	voters := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	cases := []struct {
 		name  string
 		known wire.CoreSet
 		asked int64
 		votes bool
 	}{
-		{"a seat of the very set", wire.CoreSet{Epoch: 5, Seats: append(seats[:2:2], wire.Seat{ID: "d"}), Swept: true}, 5, true},
-		{"a seat that may have been lost, but not got again", wire.CoreSet{Epoch: 5, Seats: append(seats[:2:2], wire.Seat{ID: "d"}), Swept: true}, 7, true},
-		{"a seat that may have been lost and got again", wire.CoreSet{Epoch: 5, Seats: append(seats[:2:2], wire.Seat{ID: "d"}), Swept: true}, 8, false},
-		{"a joiner", wire.CoreSet{Epoch: 5, Seats: seats, Joining: []wire.Seat{{ID: "d"}}}, 5, false},
-		{"a joiner that may have its seat by now", wire.CoreSet{Epoch: 5, Seats: seats, Joining: []wire.Seat{{ID: "d"}}}, 6, false},
-		{"an older set", wire.CoreSet{Epoch: 5, Seats: append(seats[:2:2], wire.Seat{ID: "d"}), Swept: true}, 4, false},
+		{"a seat of the very set", wire.CoreSet{Epoch: 5, Voters: append(voters[:2:2], wire.Voter{ID: "d"}), Rereplicated: true}, 5, true},
+		{"a seat that may have been lost, but not got again", wire.CoreSet{Epoch: 5, Voters: append(voters[:2:2], wire.Voter{ID: "d"}), Rereplicated: true}, 7, true},
+		{"a seat that may have been lost and got again", wire.CoreSet{Epoch: 5, Voters: append(voters[:2:2], wire.Voter{ID: "d"}), Rereplicated: true}, 8, false},
+		{"a joiner", wire.CoreSet{Epoch: 5, Voters: voters, Joining: []wire.Voter{{ID: "d"}}}, 5, false},
+		{"a joiner that may have its seat by now", wire.CoreSet{Epoch: 5, Voters: voters, Joining: []wire.Voter{{ID: "d"}}}, 6, false},
+		{"an older set", wire.CoreSet{Epoch: 5, Voters: append(voters[:2:2], wire.Voter{ID: "d"}), Rereplicated: true}, 4, false},
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -42,8 +42,8 @@
 
 func (f *Frame) founded() bool { return len(f.accepted(register.CoreKey)) > 0 }
 
-func (f *Frame) seat() wire.Seat {
-	return wire.Seat{ID: f.boot.ID, Name: f.boot.Name, Addr: f.boot.Addr}
+func (f *Frame) voter() wire.Voter {
+	return wire.Voter{ID: f.boot.ID, Name: f.boot.Name, Addr: f.boot.Addr}
 }
 
 // foundTick asks the others as long as this node has no core set.
@@ -59,7 +59,7 @@
 	slices.Sort(addrs)
 	for _, addr := range slices.Compact(addrs) {
 		if addr != f.boot.Addr {
-			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Seat: f.seat()})
+			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: f.voter()})
 		}
 	}
 	if founders := f.founders(); len(founders) == 1 && founders[0] == f.boot.Addr {
@@ -71,16 +71,16 @@
 	var out wire.Outputs
 	switch told := body.(type) {
 	case *wire.FoundAsk:
-		if founders := f.founders(); len(founders) > 0 && told.Seat.Addr == slices.Min(founders) {
-			f.founding.bound = told.Seat.ID
+		if founders := f.founders(); len(founders) > 0 && told.Voter.Addr == slices.Min(founders) {
+			f.founding.bound = told.Voter.ID
 		}
-		out.After(from, wire.KindFoundTold, &wire.FoundTold{Seat: f.seat(), Founded: f.founded(), Core: f.chosenCore()})
+		out.After(from, wire.KindFoundTold, &wire.FoundTold{Voter: f.voter(), Founded: f.founded(), Core: f.chosenCore()})
 	case *wire.FoundTold:
 		if core, ok := register.ParseCore(told.Core); told.Founded && ok {
 			f.adopt(now, &out, core, told.Core)
 			return out
 		}
-		f.founding.told[told.Seat.Addr] = *told
+		f.founding.told[told.Voter.Addr] = *told
 		f.found(now, &out)
 	case *wire.Found:
 		if core, ok := register.ParseCore(told.Core); ok && f.founding.bound == told.By {
@@ -106,8 +106,8 @@
 	if f.founded() || len(founders) == 0 || slices.Min(founders) != f.boot.Addr {
 		return
 	}
-	core := coreOf(1, []wire.Seat{f.seat()})
-	core.Swept = true
+	core := coreOf(1, []wire.Voter{f.voter()})
+	core.Rereplicated = true
 	for _, addr := range founders {
 		told, ok := f.founding.told[addr]
 		if addr == f.boot.Addr {
@@ -116,21 +116,21 @@
 		if !ok {
 			return
 		}
-		core.Seats = append(core.Seats, told.Seat)
+		core.Voters = append(core.Voters, told.Voter)
 	}
 	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 	f.adopt(now, out, core, value)
-	for _, seat := range core.Seats {
-		if seat.ID != f.boot.ID {
-			out.After(seat.ID, wire.KindFound, &wire.Found{By: f.boot.ID, Core: value})
+	for _, voter := range core.Voters {
+		if voter.ID != f.boot.ID {
+			out.After(voter.ID, wire.KindFound, &wire.Found{By: f.boot.ID, Core: value})
 		}
 	}
 }
 
 // adopt takes a founding core set that names this identity. One that does not
-// only tells the proposer whom to ask: the stewards will let this node in.
+// only tells the proposer whom to ask: the coordinators will let this node in.
 func (f *Frame) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte) {
-	if core.Epoch == 1 && seatOf(core.Seats, f.boot.ID) && !f.founded() {
+	if core.Epoch == 1 && voterOf(core.Voters, f.boot.ID) && !f.founded() {
 		first := wire.Ballot{N: 1, By: "founding"}
 		record := &wire.AcceptorRecord{Key: register.CoreKey, Promised: first, Accepted: first, Value: value}
 		f.acceptor.Replay(record)
@@ -153,9 +153,9 @@
 //	picture.SetSeeds(controller.SeedsWith(settings.Seeds, core))
 func SeedsWith(seeds []string, core wire.CoreSet) []string {
 	out := slices.Clone(seeds)
-	for _, seat := range core.Seats {
-		if !slices.Contains(out, seat.Addr) {
-			out = append(out, seat.Addr)
+	for _, voter := range core.Voters {
+		if !slices.Contains(out, voter.Addr) {
+			out = append(out, voter.Addr)
 		}
 	}
 	return out
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -10,7 +10,7 @@
 
 // chosen takes a proposer's word that a ballot was chosen.
 func (f *Frame) chosen(now int64, out *wire.Outputs, told *wire.Chosen) {
-	if f.seated() {
+	if f.admitted() {
 		out.Add(f.acceptor.Mend(told))
 	}
 	body := told.Value
@@ -77,18 +77,18 @@
 // took up before, since the proposer may already work with the newer one.
 func (f *Frame) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
 	known := f.core
-	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Swept) {
+	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Rereplicated) {
 		return
 	}
-	// To lose a seat and get one again takes three changes, of which a node that
+	// To lose a vote and get one again takes three changes, of which a node that
 	// was cut off may not have heard.
 	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+regained
-	if core.Epoch > 1 && seatOf(core.Seats, f.boot.ID) && (missed || !seatOf(known.Seats, f.boot.ID)) {
+	if core.Epoch > 1 && voterOf(core.Voters, f.boot.ID) && (missed || !voterOf(known.Voters, f.boot.ID)) {
 		f.granter.Quiet(now)
 	}
 	f.core = core
 	f.noteSize(now, known, core)
-	if seatOf(known.Seats, f.boot.ID) && !seatOf(core.Seats, f.boot.ID) {
+	if voterOf(known.Voters, f.boot.ID) && !voterOf(core.Voters, f.boot.ID) {
 		f.outSince = core.Epoch
 	}
 	if core.Epoch > known.Epoch {
@@ -107,7 +107,7 @@
 			continue
 		}
 		if from == f.boot.ID {
-			f.tellSeats(out, topic)
+			f.tellVoters(out, topic)
 			f.push(out, topic, true)
 		}
 		switch {
@@ -130,18 +130,18 @@
 	}
 }
 
-func (f *Frame) tellSeats(out *wire.Outputs, topic wire.Topic) {
-	for _, seat := range f.proposer.Core().Seats {
-		if seat.ID != f.boot.ID {
-			out.Send(seat.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
+func (f *Frame) tellVoters(out *wire.Outputs, topic wire.Topic) {
+	for _, voter := range f.proposer.Core().Voters {
+		if voter.ID != f.boot.ID {
+			out.Send(voter.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
 		}
 	}
 }
 
-// sweepTick reads registers in turn: reads mend the copies they find old, and
+// readRepairTick reads registers in turn: reads mend the copies they find old, and
 // bring here what this node missed. What is chosen is told at once and asked for
 // as news, so a turn now and then is enough.
-func (f *Frame) sweepTick(now int64, out *wire.Outputs) {
+func (f *Frame) readRepairTick(now int64, out *wire.Outputs) {
 	if !f.founded() || !f.due(now, "sweep", f.often(now, f.boot.LeaseMs/8)) {
 		return
 	}
--- a/internal/controlplane/controller/listing.go
+++ b/internal/controlplane/controller/listing.go
@@ -24,7 +24,7 @@
 	if f.boot.ListPerS <= 0 {
 		return f.boot.PollMs
 	}
-	controllers := int64(len(f.proposer.Core().Seats))
+	controllers := int64(len(f.proposer.Core().Voters))
 	// In the time of one read of the first controller, the others together begin
 	// a quarter of a read each.
 	quarters := followerReads + max(controllers-1, 0)
@@ -40,8 +40,8 @@
 		return
 	}
 	every := f.listEveryMs()
-	for _, seat := range f.proposer.Core().Seats {
-		if standing, _ := f.members.Standing(seat.ID); standing == wire.StandingWell && seat.ID < f.boot.ID {
+	for _, voter := range f.proposer.Core().Voters {
+		if standing, _ := f.members.Standing(voter.ID); standing == wire.StandingWell && voter.ID < f.boot.ID {
 			every = followerReads * f.listEveryMs()
 			break
 		}
--- a/internal/controlplane/controller/listing_test.go
+++ b/internal/controlplane/controller/listing_test.go
@@ -28,9 +28,9 @@
 		c.Run(one.name, func(c *qt.C) {
 			boot := Boot{ID: "a", Name: "a", Addr: "a:1", Partitions: 1, LeaseMs: 3000, PollMs: one.pollMs, ProbeMs: 200, CallMs: 1600, ListPerS: one.perS, Born: 1}
 			f := New(1, boot, rand.New(rand.NewSource(1)), &wire.Snapshot{}, nil)
-			core := wire.CoreSet{Epoch: 7, Swept: true}
+			core := wire.CoreSet{Epoch: 7, Rereplicated: true}
 			for range one.controllers {
-				core.Seats = append(core.Seats, wire.Seat{ID: string(rune('a' + len(core.Seats)))})
+				core.Voters = append(core.Voters, wire.Voter{ID: string(rune('a' + len(core.Voters)))})
 			}
 			f.proposer.Learn(core)
 			f.ListCalls(one.pages)
--- a/internal/controlplane/controller/moves.go
+++ b/internal/controlplane/controller/moves.go
@@ -72,8 +72,8 @@
 
 func (f *Frame) giveBack(out *wire.Outputs, numbers ...int64) {
 	back := f.holder.Release(numbers)
-	for _, seat := range f.proposer.Core().Seats {
-		out.Send(seat.ID, wire.KindGrantBack, back)
+	for _, voter := range f.proposer.Core().Voters {
+		out.Send(voter.ID, wire.KindGrantBack, back)
 	}
 }
 
@@ -81,7 +81,7 @@
 // differ by two or more and all have stood well for a while.
 func (f *Frame) balance(now int64, out *wire.Outputs) {
 	core := f.proposer.Core()
-	if !core.Swept || len(f.moving) > 0 || f.stalled || now-f.StartedMs < 4*f.boot.LeaseMs {
+	if !core.Rereplicated || len(f.moving) > 0 || f.stalled || now-f.StartedMs < 4*f.boot.LeaseMs {
 		return
 	}
 	load := map[string]int{}
@@ -89,19 +89,19 @@
 		load[owner.ID]++
 	}
 	target := ""
-	for _, seat := range core.Seats {
-		standing, since := f.members.Standing(seat.ID)
-		if standing != wire.StandingWell || (seat.ID != f.boot.ID && now-since < 2*f.boot.LeaseMs) {
+	for _, voter := range core.Voters {
+		standing, since := f.members.Standing(voter.ID)
+		if standing != wire.StandingWell || (voter.ID != f.boot.ID && now-since < 2*f.boot.LeaseMs) {
 			return
 		}
-		if target == "" || load[seat.ID] < load[target] {
-			target = seat.ID
+		if target == "" || load[voter.ID] < load[target] {
+			target = voter.ID
 		}
 	}
 	if target == "" {
 		return
 	}
-	if number, ok := f.lightest(now, load[f.boot.ID]-load[target], len(core.Seats)); ok {
+	if number, ok := f.lightest(now, load[f.boot.ID]-load[target], len(core.Voters)); ok {
 		f.startMove(now, out, number, target)
 	}
 }
@@ -109,7 +109,7 @@
 // lightest is the partition to move to a node that owns so many fewer. One that
 // orders no workers may always go. With the others, workers get no orders for a
 // lease, so those go only to a node that lacks a whole share.
-func (f *Frame) lightest(now int64, fewer, seats int) (int64, bool) {
+func (f *Frame) lightest(now int64, fewer, voters int) (int64, bool) {
 	best, least := int64(0), -1
 	for number := range f.boot.Partitions {
 		owned := f.mine(now, number)
@@ -126,14 +126,14 @@
 			best, least = number, workers
 		}
 	}
-	share := int(f.boot.Partitions) / max(seats, 1)
+	share := int(f.boot.Partitions) / max(voters, 1)
 	return best, fewer >= 2 && (least == 0 || (least > 0 && fewer >= share))
 }
 
 // handedOver takes a sealed state and says so once it lasts.
 func (f *Frame) handedOver(from string, told *wire.Handover) wire.Outputs {
 	var out wire.Outputs
-	if !f.seated() || f.leaving || f.stalled || told.Fence < f.view.Owners[told.Partition].Fence {
+	if !f.admitted() || f.leaving || f.stalled || told.Fence < f.view.Owners[told.Partition].Fence {
 		return out
 	}
 	if kept := f.handed[told.Partition]; kept == nil || kept.Fence != told.Fence {
@@ -202,9 +202,9 @@
 	f.leaving = true
 	f.members.Leave()
 	var others []string
-	for _, seat := range f.proposer.Core().Seats {
-		if standing, _ := f.members.Standing(seat.ID); seat.ID != f.boot.ID && standing == wire.StandingWell {
-			others = append(others, seat.ID)
+	for _, voter := range f.proposer.Core().Voters {
+		if standing, _ := f.members.Standing(voter.ID); voter.ID != f.boot.ID && standing == wire.StandingWell {
+			others = append(others, voter.ID)
 		}
 	}
 	slices.Sort(others)
@@ -219,8 +219,8 @@
 }
 
 // Needed tells whether a node that leaves should stay: partitions are on their way,
-// or its seat is still its own, though the set can do without it or a successor
-// waits. Nobody may count on a seat that nobody keeps, and the registers must be
+// or its vote is still its own, though the set can do without it or a successor
+// waits. Nobody may count on a vote that nobody keeps, and the registers must be
 // with the others: the set without this node is whole.
 //
 //	if !core.Needed() { ... }
@@ -231,10 +231,10 @@
 		return true
 	case !f.founded():
 		return false
-	case seatOf(core.Seats, f.boot.ID):
-		return len(core.Seats) > leastSeats || len(core.Joining) > 0 || len(f.newcomers(core)) > 0
+	case voterOf(core.Voters, f.boot.ID):
+		return len(core.Voters) > leastVoters || len(core.Joining) > 0 || len(f.newcomers(core)) > 0
 	}
-	return core.Epoch == f.outSince && !core.Swept
+	return core.Epoch == f.outSince && !core.Rereplicated
 }
 
 // Gone stops all turns that are left and gives their grants back.
--- a/internal/controlplane/controller/notice_test.go
+++ b/internal/controlplane/controller/notice_test.go
@@ -11,11 +11,11 @@
 )
 
 // A machine that learns by a register's answer, and not by news, that it got a
-// seat lets a lease pass before it votes on leases, as after any other way.
-func TestSeatLearnedByAnswer(t *testing.T) {
+// voter lets a lease pass before it votes on leases, as after any other way.
+func TestVoterLearnedByAnswer(t *testing.T) {
 	c := qt.New(t)
-	seat := func(id string) wire.Seat { return wire.Seat{ID: id, Name: id, Addr: id + ":1"} }
-	core := wire.CoreSet{Epoch: 1, Size: 2, Swept: true, Seats: []wire.Seat{seat("c2"), seat("c3")}}
+	voter := func(id string) wire.Voter { return wire.Voter{ID: id, Name: id, Addr: id + ":1"} }
+	core := wire.CoreSet{Epoch: 1, Size: 2, Rereplicated: true, Voters: []wire.Voter{voter("c2"), voter("c3")}}
 	acceptor := register.NewAcceptor()
 	acceptor.Chose(core)
 	snapshot := &wire.Snapshot{Registers: acceptor.Snapshot()}
@@ -29,9 +29,9 @@
 		}
 	}
 	c.Assert(query, qt.IsNotNil)
-	next := wire.CoreSet{Epoch: 2, Size: 3, Seats: append(core.Seats, seat("c1"))}
+	next := wire.CoreSet{Epoch: 2, Size: 3, Voters: append(core.Voters, voter("c1"))}
 	f.Hear(now, "c2", &wire.Promise{Op: query.Op, Key: PolicyKey, Query: true, Epoch: 2, Core: wire.Encode(&wire.Value{Version: 2, Body: wire.Encode(&next)})})
-	c.Assert(f.seated(), qt.IsTrue)
+	c.Assert(f.admitted(), qt.IsTrue)
 	asked := &wire.GrantAsk{Op: 1, Claim: true, Epoch: 2, Holds: []wire.Hold{{Partition: 0, Fence: 1}}}
 	for _, send := range f.Hear(now+10, "c2", asked).Sends {
 		if told, is := send.Body.(*wire.GrantTold); is {
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -20,9 +20,9 @@
 // renews its grants, and whoever claims meanwhile is refused.
 func (f *Frame) wish(now int64) map[int64]string {
 	alive := []string{}
-	for _, seat := range f.proposer.Core().Seats {
-		if standing, _ := f.members.Standing(seat.ID); standing == wire.StandingWell {
-			alive = append(alive, seat.ID)
+	for _, voter := range f.proposer.Core().Voters {
+		if standing, _ := f.members.Standing(voter.ID); standing == wire.StandingWell {
+			alive = append(alive, voter.ID)
 		}
 	}
 	out, load := map[int64]string{}, map[string]int64{}
@@ -60,7 +60,7 @@
 }
 
 func (f *Frame) ownersTick(now int64, out *wire.Outputs) {
-	if f.founded() && f.seated() && !f.leaving && !f.stalled {
+	if f.founded() && f.admitted() && !f.leaving && !f.stalled {
 		wishes := f.wish(now)
 		for number := range f.boot.Partitions {
 			_, held := f.holder.Mine(now, number)
@@ -78,7 +78,7 @@
 		}
 	}
 	f.view.Demands.Sum(now, f.view.Policy)
-	moves, more := f.holder.Tick(now, f.proposer.Core().Seats, f.boot.Addr)
+	moves, more := f.holder.Tick(now, f.proposer.Core().Voters, f.boot.Addr)
 	for i := range more.Sends {
 		if asked, is := more.Sends[i].Body.(*wire.GrantAsk); is {
 			asked.Epoch = f.proposer.Core().Epoch
@@ -93,19 +93,19 @@
 	}
 }
 
-// regained is how many changes of the set it takes to lose a seat and get one again.
+// regained is how many changes of the set it takes to lose a vote and get one again.
 const regained = 3
 
 // grantAsked votes on grants. Who goes by a set older than this node knows may
 // count others than those who count now, and gets none. Nor does anybody from a
-// node that may have got its seat since: it must keep quiet first.
+// node that may have got its vote since: it must keep quiet first.
 func (f *Frame) grantAsked(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
 	var out wire.Outputs
 	core := f.proposer.Core()
 	switch {
 	case asked.Epoch < core.Epoch:
 		out.Send(from, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
-	case seatOf(core.Seats, f.boot.ID) && asked.Epoch < core.Epoch+regained:
+	case voterOf(core.Voters, f.boot.ID) && asked.Epoch < core.Epoch+regained:
 		out.Send(from, wire.KindGrantTold, f.granter.Ask(now, from, asked))
 	case asked.Epoch > core.Epoch:
 		f.askSet(&out, from)
@@ -152,7 +152,7 @@
 			f.learn(now, &out, key, read.Value)
 			// It is asked for at once by those who started with this node.
 			topic := wire.Topic{Name: key, Term: owner.Fence, Body: read.Value.Body}
-			f.tellSeats(&out, topic)
+			f.tellVoters(&out, topic)
 			f.push(&out, topic, true)
 			f.holder.Settled(number, owner.Fence)
 			return out
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -11,19 +11,19 @@
 
 // Page is what operators are shown of a node. Every node fills it alike.
 type Page struct {
-	ID, Role  string
-	Core      wire.CoreSet
-	Policy    *configuration.Table
-	Versions  map[string]int64
-	Members   []wire.Member
-	Owners    map[int64]wire.Owner
-	Workers   map[string]wire.Worker
-	Rooms     map[string]wire.WorkerNews
-	Owned     []wire.Hold
-	Recovered int64
-	Swept     int
-	Rounds    int64
-	Events    int64
+	ID, Role     string
+	Core         wire.CoreSet
+	Policy       *configuration.Table
+	Versions     map[string]int64
+	Members      []wire.Member
+	Owners       map[int64]wire.Owner
+	Workers      map[string]wire.Worker
+	Rooms        map[string]wire.WorkerNews
+	Owned        []wire.Hold
+	Recovered    int64
+	Rereplicated int
+	Rounds       int64
+	Events       int64
 	// Moving counts partitions on their way to another owner, Moves all that were.
 	Moving int
 	Moves  int64
@@ -40,7 +40,7 @@
 func (f *Frame) Page(now int64) Page {
 	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Versions: map[string]int64{}, Members: f.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
-		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
+		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Rereplicated: f.rereplicated, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
 	page.Events, page.Moving, page.Moves = f.events, len(f.moving), f.Moves
 	page.Needed = f.Needed()
 	for _, owned := range f.owned {
@@ -69,9 +69,9 @@
 		return addr, true
 	}
 	core := f.proposer.Core()
-	for _, seat := range append(core.Seats, core.Joining...) {
-		if seat.ID == id {
-			return seat.Addr, true
+	for _, voter := range append(core.Voters, core.Joining...) {
+		if voter.ID == id {
+			return voter.Addr, true
 		}
 	}
 	return "", false
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -29,10 +29,10 @@
 // the first that stands there does, or the first of all where none is there.
 func (f *Frame) looksAfter(zone string) bool {
 	first, there := "", false
-	for _, seat := range f.members.Alive("controller") {
-		here := seat.Zone == zone
-		if first == "" || (here && !there) || (here == there && seat.ID < first) {
-			first, there = seat.ID, here
+	for _, voter := range f.members.Alive("controller") {
+		here := voter.Zone == zone
+		if first == "" || (here && !there) || (here == there && voter.ID < first) {
+			first, there = voter.ID, here
 		}
 	}
 	return first == f.boot.ID
--- a/internal/controlplane/controller/recall_test.go
+++ b/internal/controlplane/controller/recall_test.go
@@ -30,7 +30,7 @@
 			state := wire.PartitionState{Owner: "c1~a", Fence: 4, Sealed: one.seal, Input: 9, Workers: map[string]wire.WorkerState{
 				"w1": {Name: "w1", Known: true, Residents: []wire.Resident{{Item: "m1", State: 4}}},
 			}}
-			core := wire.CoreSet{Epoch: 1, Swept: true, Seats: []wire.Seat{{ID: "c1~a", Addr: "10.0.0.1:1"}}}
+			core := wire.CoreSet{Epoch: 1, Rereplicated: true, Voters: []wire.Voter{{ID: "c1~a", Addr: "10.0.0.1:1"}}}
 			snapshot := &wire.Snapshot{Partitions: []wire.PartitionState{state}, Registers: []wire.AcceptorRecord{
 				{Key: register.CoreKey, Promised: wire.Ballot{N: 1, By: "x"}, Accepted: wire.Ballot{N: 1, By: "x"}, Value: wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})},
 				{Key: "owner/0", Promised: wire.Ballot{N: 1, By: "x"}, Accepted: wire.Ballot{N: 1, By: "x"}, Value: wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&one.owner)})},
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -18,8 +18,8 @@
 	f.foundTick(now, &out)
 	out.Add(f.members.Tick(now))
 	out.Add(f.proposer.Tick(now))
-	f.sweepTick(now, &out)
-	f.stewardTick(now, &out)
+	f.readRepairTick(now, &out)
+	f.coordinatorTick(now, &out)
 	f.ownersTick(now, &out)
 	f.movesTick(now, &out)
 	f.newsTick(now, &out)
@@ -44,12 +44,12 @@
 
 // newsTick fetches from another controller what this one missed.
 func (f *Frame) newsTick(now int64, out *wire.Outputs) {
-	seats := f.proposer.Core().Seats
-	if len(seats) < 2 || !f.due(now, "news", f.often(now, f.boot.LeaseMs/4)) {
+	voters := f.proposer.Core().Voters
+	if len(voters) < 2 || !f.due(now, "news", f.often(now, f.boot.LeaseMs/4)) {
 		return
 	}
-	if seat := seats[f.random.Intn(len(seats))]; seat.ID != f.boot.ID {
-		out.Send(seat.ID, wire.KindSubscribe, f.board.Asks(""))
+	if voter := voters[f.random.Intn(len(voters))]; voter.ID != f.boot.ID {
+		out.Send(voter.ID, wire.KindSubscribe, f.board.Asks(""))
 	}
 }
 
@@ -107,7 +107,7 @@
 //
 //	out := core.Change(now, call, register.Write{Key: controller.PolicyKey, Expected: 7, Body: body})
 func (f *Frame) Change(now, call int64, asked register.Write) wire.Outputs {
-	if !f.members.Majority(f.proposer.Core().Seats) {
+	if !f.members.Majority(f.proposer.Core().Voters) {
 		return register.Hopeless(call, asked.Key)
 	}
 	if asked.Name == "" {
@@ -120,7 +120,7 @@
 //
 //	out := core.Read(now, call, controller.PolicyKey)
 func (f *Frame) Read(now, call int64, key string) wire.Outputs {
-	if !f.members.Majority(f.proposer.Core().Seats) {
+	if !f.members.Majority(f.proposer.Core().Voters) {
 		return register.Hopeless(call, key)
 	}
 	ballot, held := f.acceptor.Accepted(key)
--- a/internal/controlplane/controller/seats.go
+++ b/internal/controlplane/controller/voters.go
@@ -8,30 +8,30 @@
 )
 
 // Bounds of the set: more machines than the most only replace those that go;
-// fewer seats than the least are left only to make way for a newcomer.
+// fewer voters than the least are left only to make way for a newcomer.
 const (
-	mostSeats  = 9
-	leastSeats = 3
+	mostVoters  = 9
+	leastVoters = 3
 )
 
-// deputyMs is how long each next steward waits for those before it, and goneMs
-// how long a seat stays with one that does not stand and that nobody replaces:
+// deputyMs is how long each next coordinator waits for those before it, and goneMs
+// how long a vote stays with one that does not stand and that nobody replaces:
 // all is over before the next machine may go.
 func (f *Frame) deputyMs() int64 { return f.boot.CatchUpMs / 5 }
 
 func (f *Frame) goneMs() int64 { return f.boot.CatchUpMs / 8 }
 
-// heardLately tells whether a seat spoke here itself so lately that it keeps its
+// heardLately tells whether a voter spoke here itself so lately that it keeps its
 // place: that it is gone may be the word of one who was cut off from it.
 func (f *Frame) heardLately(now int64, id string) bool {
-	last, heard := f.steward.heard[id]
+	last, heard := f.coordinator.heard[id]
 	return heard && now-last < f.boot.CatchUpMs/4
 }
 
 // heardMs is how long another may take to be heard of.
 func (f *Frame) heardMs() int64 { return f.boot.CatchUpMs / 2 }
 
-// stands tells how a seat stands, and for how long it has. One of whom nothing
+// stands tells how a voter stands, and for how long it has. One of whom nothing
 // was heard yet stands well until it had the time to be heard of.
 func (f *Frame) stands(now int64, id string) (wire.Standing, int64) {
 	standing, since := f.members.Standing(id)
@@ -42,95 +42,95 @@
 	return standing, forMs
 }
 
-// newcomers are the controllers that stand well without a seat, those first that
+// newcomers are the controllers that stand well without a vote, those first that
 // were not given up lately.
-func (f *Frame) newcomers(core wire.CoreSet) []wire.Seat {
-	var out []wire.Seat
+func (f *Frame) newcomers(core wire.CoreSet) []wire.Voter {
+	var out []wire.Voter
 	for _, member := range f.members.Alive("controller") {
-		if wire.Standing(member.Standing) == wire.StandingWell && !seatOf(core.Seats, member.ID) {
-			out = append(out, wire.Seat{ID: member.ID, Name: member.Name, Addr: member.Addr})
+		if wire.Standing(member.Standing) == wire.StandingWell && !voterOf(core.Voters, member.ID) {
+			out = append(out, wire.Voter{ID: member.ID, Name: member.Name, Addr: member.Addr})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b wire.Seat) int { return cmp.Compare(f.steward.failed[a.ID], f.steward.failed[b.ID]) })
+	slices.SortStableFunc(out, func(a, b wire.Voter) int { return cmp.Compare(f.coordinator.failed[a.ID], f.coordinator.failed[b.ID]) })
 	return out
 }
 
 // nextCore is the core set that should come after this one, if any should: all
-// controllers that stand have seats. Where a newcomer waits, who does not stand
+// controllers that stand have votes. Where a newcomer waits, who does not stand
 // goes first, which leaves majorities small; else only who is gone for good.
 func (f *Frame) nextCore(now int64, core wire.CoreSet) (wire.CoreSet, bool) {
 	newcomers := f.newcomers(core)
 	if len(core.Joining) > 0 {
 		// A newcomer that goes, or that cannot be given its copies while another waits,
 		// makes way; and so does one while somebody else is to go: it would be needed for
-		// a majority as soon as it had its seat.
+		// a majority as soon as it had its vote.
 		joiner := core.Joining[0].ID
 		standing, _ := f.stands(now, joiner)
-		stuck := f.steward.failed[joiner] > 0 && len(newcomers) > 0 && newcomers[0].ID != joiner
-		return coreOf(core.Epoch+1, core.Seats), standing != wire.StandingWell || stuck || f.leaver(now, core, newcomers) >= 0
+		stuck := f.coordinator.failed[joiner] > 0 && len(newcomers) > 0 && newcomers[0].ID != joiner
+		return coreOf(core.Epoch+1, core.Voters), standing != wire.StandingWell || stuck || f.leaver(now, core, newcomers) >= 0
 	}
-	if !core.Swept {
+	if !core.Rereplicated {
 		return core, false
 	}
 	if at := f.leaver(now, core, newcomers); at >= 0 {
-		return coreOf(core.Epoch+1, slices.Delete(slices.Clone(core.Seats), at, at+1)), true
+		return coreOf(core.Epoch+1, slices.Delete(slices.Clone(core.Voters), at, at+1)), true
 	}
-	if len(newcomers) > 0 && len(core.Seats) < mostSeats && f.mayGrow(now, core) {
-		next := coreOf(core.Epoch+1, core.Seats)
+	if len(newcomers) > 0 && len(core.Voters) < mostVoters && f.mayGrow(now, core) {
+		next := coreOf(core.Epoch+1, core.Voters)
 		next.Joining = newcomers[:1]
 		return next, true
 	}
 	return core, false
 }
 
-// leaver picks the seat to be taken out, -1 for none.
-func (f *Frame) leaver(now int64, core wire.CoreSet, newcomers []wire.Seat) int {
+// leaver picks the voter to be taken out, -1 for none.
+func (f *Frame) leaver(now int64, core wire.CoreSet, newcomers []wire.Voter) int {
 	if !f.mayShrink(now, core) {
 		return -1
 	}
 	worst, worstAt := wire.StandingWell, -1
-	waits := slices.ContainsFunc(newcomers, func(n wire.Seat) bool { return f.steward.failed[n.ID] == 0 })
-	for at, seat := range core.Seats {
-		standing, forMs := f.stands(now, seat.ID)
+	waits := slices.ContainsFunc(newcomers, func(n wire.Voter) bool { return f.coordinator.failed[n.ID] == 0 })
+	for at, voter := range core.Voters {
+		standing, forMs := f.stands(now, voter.ID)
 		gone := standing == wire.StandingLeaving || forMs >= f.goneMs()
-		reborn := slices.ContainsFunc(newcomers, func(n wire.Seat) bool { return n.Name == seat.Name })
+		reborn := slices.ContainsFunc(newcomers, func(n wire.Voter) bool { return n.Name == voter.Name })
 		switch {
-		case standing == wire.StandingWell || seat.ID == f.boot.ID:
+		case standing == wire.StandingWell || voter.ID == f.boot.ID:
 		case reborn:
 			return at
-		case standing != wire.StandingLeaving && f.heardLately(now, seat.ID):
-		case standing == wire.StandingLeaving && len(core.Seats) <= leastSeats:
-			// It stays until its successor has a seat, or it is gone.
-		case standing > worst && (waits || (gone && len(core.Seats) > leastSeats)):
+		case standing != wire.StandingLeaving && f.heardLately(now, voter.ID):
+		case standing == wire.StandingLeaving && len(core.Voters) <= leastVoters:
+			// It stays until its successor has a vote, or it is gone.
+		case standing > worst && (waits || (gone && len(core.Voters) > leastVoters)):
 			worst, worstAt = standing, at
 		}
 	}
 	return worstAt
 }
 
-// mayGrow: a newcomer gets a seat only where the set that it comes into has a
-// majority of seats that stand and had their time to catch up. Until then such a
+// mayGrow: a newcomer gets a vote only where the set that it comes into has a
+// majority of voters that stand and had their time to catch up. Until then such a
 // machine counts as lost, and so does one that is down: both may go, or go again,
-// and leave their seats behind.
+// and leave their votes behind.
 func (f *Frame) mayGrow(now int64, core wire.CoreSet) bool {
-	return len(f.settledSeats(now, core)) >= min((len(core.Seats)+1)/2+1, len(core.Seats))
+	return len(f.settledVoters(now, core)) >= min((len(core.Voters)+1)/2+1, len(core.Voters))
 }
 
-// settledSeats are those that stand and had their time to catch up; where all
+// settledVoters are those that stand and had their time to catch up; where all
 // started together nobody is older than the others.
-func (f *Frame) settledSeats(now int64, core wire.CoreSet) map[string]bool {
+func (f *Frame) settledVoters(now int64, core wire.CoreSet) map[string]bool {
 	oldest := int64(0)
-	for _, seat := range core.Seats {
-		age, _ := f.ageMs(now, seat.ID)
+	for _, voter := range core.Voters {
+		age, _ := f.ageMs(now, voter.ID)
 		oldest = max(oldest, age)
 	}
 	settled := map[string]bool{}
-	for _, seat := range core.Seats {
-		standing, _ := f.stands(now, seat.ID)
-		age, known := f.ageMs(now, seat.ID)
+	for _, voter := range core.Voters {
+		standing, _ := f.stands(now, voter.ID)
+		age, known := f.ageMs(now, voter.ID)
 		ripe := !known || age >= f.boot.CatchUpMs || oldest-age <= f.togetherMs()
 		if ripe && (standing == wire.StandingWell || standing == wire.StandingLeaving) {
-			settled[seat.ID] = true
+			settled[voter.ID] = true
 		}
 	}
 	return settled
@@ -147,49 +147,49 @@
 	return f.members.AgeMs(now, id)
 }
 
-// sized is how many seats there were before a set, and when that set was whole: a
+// sized is how many voters there were before a set, and when that set was whole: a
 // grant given under the one before lasts for a lease from then at most.
 type sized struct {
-	seats, epoch, at int64
-	whole            bool
+	voters, epoch, at int64
+	whole             bool
 }
 
 // grantMs is how long what a node granted lasts, with what its holder's clock may
 // be off.
 func (f *Frame) grantMs() int64 { return f.boot.LeaseMs/2 + f.boot.LeaseMs/16 }
 
-// mayShrink: within one lease the set loses no more than one seat of all it had.
+// mayShrink: within one lease the set loses no more than one voter of all it had.
 // Majorities before and after then meet, so that a grant given by the one is
-// known to the other; who is newly seated grants nothing for a lease.
+// known to the other; who is newly admitted grants nothing for a lease.
 func (f *Frame) mayShrink(now int64, core wire.CoreSet) bool {
 	if now-f.StartedMs < f.grantMs() {
 		return false
 	}
-	most := int64(len(core.Seats))
-	for _, before := range f.steward.sizes {
+	most := int64(len(core.Voters))
+	for _, before := range f.coordinator.sizes {
 		if !before.whole || now-before.at <= f.grantMs() {
-			most = max(most, before.seats)
+			most = max(most, before.voters)
 		}
 	}
-	return int64(len(core.Seats)) >= most
+	return int64(len(core.Voters)) >= most
 }
 
-// noteSize remembers for a lease how many seats there were. Of sets that were
+// noteSize remembers for a lease how many voters there were. Of sets that were
 // missed in between nothing is known.
 func (f *Frame) noteSize(now int64, core, next wire.CoreSet) {
-	sizes := f.steward.sizes
+	sizes := f.coordinator.sizes
 	for at := range sizes {
-		if one := &sizes[at]; !one.whole && (next.Epoch > one.epoch || next.Swept) {
+		if one := &sizes[at]; !one.whole && (next.Epoch > one.epoch || next.Rereplicated) {
 			one.whole, one.at = true, now
 		}
 	}
 	missed := core.Epoch > 0 && next.Epoch > core.Epoch+1
-	if len(core.Seats) == len(next.Seats) && !missed {
+	if len(core.Voters) == len(next.Voters) && !missed {
 		return
 	}
-	before := sized{seats: int64(len(core.Seats)), epoch: next.Epoch, at: now, whole: next.Swept}
+	before := sized{voters: int64(len(core.Voters)), epoch: next.Epoch, at: now, whole: next.Rereplicated}
 	if missed {
-		before.seats = mostSeats + 1
+		before.voters = mostVoters + 1
 	}
-	f.steward.sizes = append(slices.DeleteFunc(sizes, func(s sized) bool { return s.whole && now-s.at > f.grantMs() }), before)
+	f.coordinator.sizes = append(slices.DeleteFunc(sizes, func(s sized) bool { return s.whole && now-s.at > f.grantMs() }), before)
 }
--- a/internal/controlplane/controller/seats_test.go
+++ b/internal/controlplane/controller/voters_test.go
@@ -9,15 +9,15 @@
 	"applequay/internal/transport/wire"
 )
 
-// Who is let in, and who makes way: all that stand have seats, at most nine, and
+// Who is let in, and who makes way: all that stand have votes, at most nine, and
 // at least three are kept.
 func TestNextCore(t *testing.T) {
 	c := qt.New(t)
 	const well, suspect, leaving, removed = wire.StandingWell, wire.StandingSuspect, wire.StandingLeaving, wire.StandingRemoved
 	cases := []struct {
 		name    string
-		seats   string
-		others  map[string]wire.Standing // by id; "x" are newcomers, the rest seats that do not stand
+		voters  string
+		others  map[string]wire.Standing // by id; "x" are newcomers, the rest voters that do not stand
 		joining string
 		shrunk  bool
 		want    string
@@ -38,15 +38,15 @@
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			f := New(1, Boot{ID: "a", Name: "a", Addr: "a:1", Partitions: 1, LeaseMs: 3000, PollMs: 500, ProbeMs: 200, CallMs: 1600, Born: 1}, rand.New(rand.NewSource(1)), &wire.Snapshot{}, nil)
-			seat := func(id string) wire.Seat { return wire.Seat{ID: id, Name: id, Addr: id + ":1"} }
-			core := wire.CoreSet{Epoch: 7, Swept: one.joining == ""}
+			voter := func(id string) wire.Voter { return wire.Voter{ID: id, Name: id, Addr: id + ":1"} }
+			core := wire.CoreSet{Epoch: 7, Rereplicated: one.joining == ""}
 			told := []wire.Member{}
-			for _, letter := range one.seats {
-				core.Seats = append(core.Seats, seat(string(letter)))
+			for _, letter := range one.voters {
+				core.Voters = append(core.Voters, voter(string(letter)))
 				told = append(told, wire.Member{ID: string(letter), Name: string(letter), Addr: string(letter) + ":1", Role: "controller", Born: 1})
 			}
 			if one.joining != "" {
-				core.Joining = []wire.Seat{seat(one.joining)}
+				core.Joining = []wire.Voter{voter(one.joining)}
 			}
 			told = append(told, wire.Member{ID: "x", Name: "x", Addr: "x:1", Role: "controller", Born: 1})
 			if _, there := one.others["x"]; !there {
@@ -58,11 +58,11 @@
 			}
 			f.Hear(5000, "z", &wire.Probe{Members: told})
 			if one.shrunk {
-				f.noteSize(9000, wire.CoreSet{Seats: append(core.Seats, seat("y"))}, core)
+				f.noteSize(9000, wire.CoreSet{Voters: append(core.Voters, voter("y"))}, core)
 			}
 			next, change := f.nextCore(10000, core)
 			ids := ""
-			for _, kept := range next.Seats {
+			for _, kept := range next.Voters {
 				ids += kept.ID
 			}
 			joins := ""
@@ -71,7 +71,7 @@
 			}
 			c.Check(ids, qt.Equals, one.want)
 			c.Check(joins, qt.Equals, one.joins)
-			c.Check(change, qt.Equals, ids != one.seats || joins != one.joining)
+			c.Check(change, qt.Equals, ids != one.voters || joins != one.joining)
 		})
 	}
 }
--- a/internal/controlplane/lease/granter.go
+++ b/internal/controlplane/lease/granter.go
@@ -43,8 +43,8 @@
 	return &Granter{limits: limits, quietTo: now + limits.LeaseMs, table: map[int64]given{}}
 }
 
-// Quiet begins the time without grants anew: a granter that was just seated does
-// not know what the one before it in the seat had granted.
+// Quiet begins the time without grants anew: a granter that was just admitted does
+// not know what the one before it in that place had granted.
 //
 //	granter.Quiet(now)
 func (g *Granter) Quiet(now int64) { g.quietTo = max(g.quietTo, now+g.limits.LeaseMs) }
--- a/internal/controlplane/lease/holder.go
+++ b/internal/controlplane/lease/holder.go
@@ -121,8 +121,8 @@
 
 // Tick ends grants that ran out and sends the next round of renewals.
 //
-//	moves, out := holder.Tick(now, seats, "127.0.0.1:7100")
-func (h *Holder) Tick(now int64, seats []wire.Seat, addr string) ([]Move, wire.Outputs) {
+//	moves, out := holder.Tick(now, voters, "127.0.0.1:7100")
+func (h *Holder) Tick(now int64, voters []wire.Voter, addr string) ([]Move, wire.Outputs) {
 	var moves []Move
 	var out wire.Outputs
 	for _, partition := range sortedKeys(h.claims) {
@@ -136,7 +136,7 @@
 			}
 		}
 	}
-	h.yield(now, seats, addr, &out)
+	h.yield(now, voters, addr, &out)
 	if (now-h.renewed < h.limits.RenewMs && (h.soon == 0 || now < h.soon)) || len(h.claims) == 0 {
 		return moves, out
 	}
@@ -151,8 +151,8 @@
 		if asked == nil {
 			continue
 		}
-		for _, seat := range seats {
-			out.Send(seat.ID, wire.KindGrantAsk, asked)
+		for _, voter := range voters {
+			out.Send(voter.ID, wire.KindGrantAsk, asked)
 		}
 	}
 	return moves, out
@@ -186,15 +186,15 @@
 
 // Told counts a granter's answer; the grant runs from when it was asked for.
 //
-//	moves := holder.Told(now, "c2~51", told, seats)
-func (h *Holder) Told(now int64, from string, told *wire.GrantTold, seats []wire.Seat) []Move {
+//	moves := holder.Told(now, "c2~51", told, voters)
+func (h *Holder) Told(now int64, from string, told *wire.GrantTold, voters []wire.Voter) []Move {
 	var moves []Move
 	sent := h.rounds[told.Op]
-	seated := false
-	for _, seat := range seats {
-		seated = seated || seat.ID == from
+	admitted := false
+	for _, voter := range voters {
+		admitted = admitted || voter.ID == from
 	}
-	if sent == nil || !seated {
+	if sent == nil || !admitted {
 		return nil
 	}
 	for _, refusal := range told.Refused {
@@ -216,14 +216,14 @@
 		}
 		votes[from] = true
 		count := 0
-		for _, seat := range seats {
-			if votes[seat.ID] {
+		for _, voter := range voters {
+			if votes[voter.ID] {
 				count++
 			}
 		}
 		kept.votes = max(kept.votes, count)
 		until := sent.sent + h.limits.LeaseMs - h.limits.MarginMs
-		if count < len(seats)/2+1 || now >= until {
+		if count < len(voters)/2+1 || now >= until {
 			continue
 		}
 		switch {
--- a/internal/controlplane/lease/late_test.go
+++ b/internal/controlplane/lease/late_test.go
@@ -16,7 +16,7 @@
 	holder, granter := NewHolder(limits), NewGranter(limits, 0)
 	var now int64 = 4000
 	asks := func() *wire.GrantAsk {
-		_, out := holder.Tick(now, seats, "a:1")
+		_, out := holder.Tick(now, voters, "a:1")
 		c.Assert(out.Sends, qt.Not(qt.HasLen), 0)
 		return out.Sends[0].Body.(*wire.GrantAsk)
 	}
--- a/internal/controlplane/lease/lease_test.go
+++ b/internal/controlplane/lease/lease_test.go
@@ -8,8 +8,8 @@
 	"applequay/internal/transport/wire"
 )
 
-// A granter that is seated in another's place grants nothing for a lease.
-func TestSeatedLateIsQuiet(t *testing.T) {
+// A granter that is admitted in another's place grants nothing for a lease.
+func TestAdmittedLateIsQuiet(t *testing.T) {
 	c := qt.New(t)
 	granter := NewGranter(LimitsFor(3200), 0)
 	granter.Quiet(10000)
@@ -58,16 +58,16 @@
 	}
 }
 
-var seats = []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+var voters = []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 
-// answer lets some seats grant all that the holder's last round asked.
+// answer lets some voters grant all that the holder's last round asked.
 func answer(h *Holder, now int64, out wire.Outputs, from ...string) []Move {
 	var moves []Move
 	for _, send := range out.Sends {
 		asked := send.Body.(*wire.GrantAsk)
 		for _, id := range from {
 			if send.To == id {
-				moves = append(moves, h.Told(now, id, &wire.GrantTold{Op: asked.Op, Granted: asked.Holds}, seats)...)
+				moves = append(moves, h.Told(now, id, &wire.GrantTold{Op: asked.Op, Granted: asked.Holds}, voters)...)
 			}
 		}
 	}
@@ -79,14 +79,14 @@
 	limits := LimitsFor(3200)
 	h := NewHolder(limits)
 	h.Claim(0, 3)
-	_, out := h.Tick(1000, seats, "")
+	_, out := h.Tick(1000, voters, "")
 	c.Assert(answer(h, 1010, out, "a"), qt.HasLen, 0, qt.Commentf("one of three is no majority"))
 	moves := answer(h, 1010, out, "b")
 	c.Assert(moves, qt.DeepEquals, []Move{{Partition: 3, Change: Reserved}})
 	_, ok := h.Mine(1010, 3)
 	c.Assert(ok, qt.IsFalse, qt.Commentf("reserved is not held"))
 	h.Settled(3, 7)
-	_, out = h.Tick(1100, seats, "")
+	_, out = h.Tick(1100, voters, "")
 	moves = answer(h, 1900, out, "a", "c")
 	c.Assert(moves, qt.DeepEquals, []Move{{Partition: 3, Change: Held, Fence: 7}})
 	// The grant runs from when it was asked for, less the margin.
@@ -95,11 +95,11 @@
 	c.Assert(ok, qt.IsTrue)
 	_, ok = h.Mine(ends, 3)
 	c.Assert(ok, qt.IsFalse)
-	moves, _ = h.Tick(ends, seats, "")
+	moves, _ = h.Tick(ends, voters, "")
 	c.Assert(moves, qt.DeepEquals, []Move{{Partition: 3, Change: Lost, Fence: 7}})
 	// An answer that comes later than the grant would end counts for nothing.
 	h.Claim(ends, 3)
-	_, out = h.Tick(ends+500, seats, "")
+	_, out = h.Tick(ends+500, voters, "")
 	c.Assert(answer(h, ends+500+limits.LeaseMs, out, "a", "b", "c"), qt.HasLen, 0)
 }
 
@@ -110,16 +110,16 @@
 	for partition := range int64(12) {
 		h.Claim(0, partition)
 	}
-	_, out := h.Tick(1000, seats, "")
-	c.Assert(out.Sends, qt.HasLen, len(seats))
+	_, out := h.Tick(1000, voters, "")
+	c.Assert(out.Sends, qt.HasLen, len(voters))
 	c.Assert(out.Sends[0].Body.(*wire.GrantAsk).Holds, qt.HasLen, 12)
 }
 
-// The vote of a seat that was taken out meanwhile does not count in the set that
-// came: of four seats a and b granted, and of b, c and d only b did.
+// The vote of a voter that was taken out meanwhile does not count in the set that
+// came: of four voters a and b granted, and of b, c and d only b did.
 func TestVotesOfTheSetThatIs(t *testing.T) {
 	c := qt.New(t)
-	four := []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	four := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
 	h := NewHolder(LimitsFor(3200))
 	h.Claim(0, 3)
 	_, out := h.Tick(1000, four, "")
--- a/internal/controlplane/lease/lives_test.go
+++ b/internal/controlplane/lease/lives_test.go
@@ -12,17 +12,17 @@
 // of this life, which would outlast the grant.
 func TestGrantsOfTheLifeBefore(t *testing.T) {
 	c := qt.New(t)
-	seats := []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	voters := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	before := NewHolder(LimitsFor(3200))
 	before.NumberFrom(700)
 	before.Claim(0, 3)
-	_, out := before.Tick(1000, seats, "")
+	_, out := before.Tick(1000, voters, "")
 	asked := out.Sends[0].Body.(*wire.GrantAsk)
 	now := NewHolder(LimitsFor(3200))
 	now.NumberFrom(90000)
 	now.Claim(2000, 3)
-	now.Tick(3000, seats, "")
+	now.Tick(3000, voters, "")
 	for _, id := range []string{"a", "b"} {
-		c.Check(now.Told(3010, id, &wire.GrantTold{Op: asked.Op, Granted: asked.Holds}, seats), qt.HasLen, 0)
+		c.Check(now.Told(3010, id, &wire.GrantTold{Op: asked.Op, Granted: asked.Holds}, voters), qt.HasLen, 0)
 	}
 }
--- a/internal/controlplane/lease/split_test.go
+++ b/internal/controlplane/lease/split_test.go
@@ -13,10 +13,10 @@
 func TestSplitVotes(t *testing.T) {
 	c := qt.New(t)
 	limits := LimitsFor(3200)
-	four := []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	four := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
 	granters := map[string]*Granter{}
-	for _, seat := range four {
-		granters[seat.ID] = NewGranter(limits, -limits.LeaseMs)
+	for _, voter := range four {
+		granters[voter.ID] = NewGranter(limits, -limits.LeaseMs)
 	}
 	names := []string{"x:1", "y:1"}
 	holders := map[string]*Holder{}
@@ -54,7 +54,7 @@
 func TestQuietVotesAreNoSplit(t *testing.T) {
 	c := qt.New(t)
 	limits := LimitsFor(1600)
-	three := []wire.Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	three := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	granters := map[string]*Granter{"a": NewGranter(limits, 0), "b": NewGranter(limits, 400), "c": NewGranter(limits, 400)}
 	holder := NewHolder(limits)
 	reservedMs := int64(0)
--- a/internal/controlplane/lease/yield.go
+++ b/internal/controlplane/lease/yield.go
@@ -18,7 +18,7 @@
 // another node has the rest, and both would keep each other out. Each then
 // waits a time of its own. Votes that lack because a granter is quiet yet are
 // nobody else's.
-func (h *Holder) yield(now int64, seats []wire.Seat, addr string, out *wire.Outputs) {
+func (h *Holder) yield(now int64, voters []wire.Voter, addr string, out *wire.Outputs) {
 	back := &wire.GrantBack{}
 	asks := false
 	for _, kept := range h.claims {
@@ -42,8 +42,8 @@
 	if len(back.Holds) == 0 {
 		return
 	}
-	for _, seat := range seats {
-		out.Send(seat.ID, wire.KindGrantBack, back)
+	for _, voter := range voters {
+		out.Send(voter.ID, wire.KindGrantBack, back)
 	}
 }
 
--- a/internal/controlplane/membership/gossip.go
+++ b/internal/controlplane/membership/gossip.go
@@ -134,17 +134,17 @@
 	return wire.StandingRemoved, 0
 }
 
-// Majority tells whether a majority of the seats may be reached. While nothing
-// is known of a seat it counts as reachable.
+// Majority tells whether a majority of the voters may be reached. While nothing
+// is known of a voter it counts as reachable.
 //
-//	if !picture.Majority(core.Seats) { ... }
-func (m *Members) Majority(seats []wire.Seat) bool {
+//	if !picture.Majority(core.Voters) { ... }
+func (m *Members) Majority(voters []wire.Voter) bool {
 	standing := 0
-	for _, seat := range seats {
-		kept, known := m.table[seat.ID]
+	for _, voter := range voters {
+		kept, known := m.table[voter.ID]
 		if !known || wire.Standing(kept.member.Standing) < wire.StandingRemoved {
 			standing++
 		}
 	}
-	return len(seats) > 0 && standing >= len(seats)/2+1
+	return len(voters) > 0 && standing >= len(voters)/2+1
 }
--- a/internal/controlplane/register/coreset.go
+++ b/internal/controlplane/register/coreset.go
@@ -26,7 +26,7 @@
 //	out := acceptor.Chose(core)
 func (a *Acceptor) Chose(core wire.CoreSet) wire.Outputs {
 	var out wire.Outputs
-	if known, ok := a.Core(); ok && (core.Epoch < known.Epoch || (core.Epoch == known.Epoch && (known.Swept || !core.Swept))) {
+	if known, ok := a.Core(); ok && (core.Epoch < known.Epoch || (core.Epoch == known.Epoch && (known.Rereplicated || !core.Rereplicated))) {
 		return out
 	}
 	a.chosen = wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
--- a/internal/controlplane/register/epochs_test.go
+++ b/internal/controlplane/register/epochs_test.go
@@ -10,9 +10,9 @@
 )
 
 func coreNamed(epoch int64, ids ...string) wire.CoreSet {
-	core := wire.CoreSet{Epoch: epoch, Swept: true, Size: int64(len(ids))}
+	core := wire.CoreSet{Epoch: epoch, Rereplicated: true, Size: int64(len(ids))}
 	for _, id := range ids {
-		core.Seats = append(core.Seats, wire.Seat{ID: id})
+		core.Voters = append(core.Voters, wire.Voter{ID: id})
 	}
 	return core
 }
--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -128,7 +128,7 @@
 	o.phase = phaseWait
 	o.phaseEnds = until + p.random.Int63n(max(p.limits.PhaseMs/8, 1))
 	for _, asked := range o.writes {
-		if sensed && asked.given != other.by && p.seated(other.by) {
+		if sensed && asked.given != other.by && p.admitted(other.by) {
 			asked.given = other.by
 			out.Send(other.by, wire.KindWriteAsk, &wire.WriteAsk{Key: asked.Key, Expected: asked.Expected, Next: asked.Next, Body: asked.Body, Name: asked.Name})
 		}
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -109,14 +109,14 @@
 
 // Core returns the core set the proposer works with.
 //
-//	seats := proposer.Core().Seats
+//	voters := proposer.Core().Voters
 func (p *Proposer) Core() wire.CoreSet { return p.core }
 
 // Learn takes a newer core set.
 //
 //	proposer.Learn(core)
 func (p *Proposer) Learn(core wire.CoreSet) {
-	if core.Epoch > p.core.Epoch || (core.Epoch == p.core.Epoch && core.Swept) {
+	if core.Epoch > p.core.Epoch || (core.Epoch == p.core.Epoch && core.Rereplicated) {
 		p.core = core
 	}
 }
@@ -135,7 +135,7 @@
 	return p.start(now, &operation{call: call, key: key, read: true, mend: true})
 }
 
-// Keys asks a majority which registers there are; counted seats vouch for a newcomer.
+// Keys asks a majority which registers there are; counted voters vouch for a newcomer.
 //
 //	out := proposer.Keys(now, call, nil)
 func (p *Proposer) Keys(now, call int64, counted map[string]bool) wire.Outputs {
@@ -182,30 +182,30 @@
 func (p *Proposer) say(out *wire.Outputs, o *operation) {
 	switch o.phase {
 	case phaseKeys:
-		p.toSeats(out, wire.KindKeysAsk, &wire.KeysAsk{Op: o.op, Epoch: p.core.Epoch}, false)
+		p.toVoters(out, wire.KindKeysAsk, &wire.KeysAsk{Op: o.op, Epoch: p.core.Epoch}, false)
 	case phaseQuery:
-		p.toSeats(out, wire.KindQuery, &wire.Query{Op: o.op, Key: o.key, Have: o.have, Epoch: p.core.Epoch}, false)
+		p.toVoters(out, wire.KindQuery, &wire.Query{Op: o.op, Key: o.key, Have: o.have, Epoch: p.core.Epoch}, false)
 	case phasePrepare:
-		p.toSeats(out, wire.KindPrepare, &wire.Prepare{Op: o.op, Key: o.key, Ballot: o.ballot, Epoch: p.core.Epoch}, false)
+		p.toVoters(out, wire.KindPrepare, &wire.Prepare{Op: o.op, Key: o.key, Ballot: o.ballot, Epoch: p.core.Epoch}, false)
 	case phaseAccept:
-		p.toSeats(out, wire.KindAccept, &wire.Accept{Op: o.op, Key: o.key, Ballot: o.ballot, Epoch: p.core.Epoch, Value: wire.Encode(&o.chosen)}, true)
+		p.toVoters(out, wire.KindAccept, &wire.Accept{Op: o.op, Key: o.key, Ballot: o.ballot, Epoch: p.core.Epoch, Value: wire.Encode(&o.chosen)}, true)
 	}
 }
 
-func (p *Proposer) toSeats(out *wire.Outputs, kind wire.Kind, body wire.Record, joining bool) {
-	for _, seat := range p.core.Seats {
-		out.Send(seat.ID, kind, body)
+func (p *Proposer) toVoters(out *wire.Outputs, kind wire.Kind, body wire.Record, joining bool) {
+	for _, voter := range p.core.Voters {
+		out.Send(voter.ID, kind, body)
 	}
 	if joining {
-		for _, seat := range p.core.Joining {
-			out.Send(seat.ID, kind, body)
+		for _, voter := range p.core.Joining {
+			out.Send(voter.ID, kind, body)
 		}
 	}
 }
 
-func (p *Proposer) seated(id string) bool {
-	for _, seat := range p.core.Seats {
-		if seat.ID == id {
+func (p *Proposer) admitted(id string) bool {
+	for _, voter := range p.core.Voters {
+		if voter.ID == id {
 			return true
 		}
 	}
--- a/internal/controlplane/register/register_test.go
+++ b/internal/controlplane/register/register_test.go
@@ -22,10 +22,10 @@
 
 func newBench(c *qt.C, names ...string) *bench {
 	b := &bench{c: c, acceptors: map[string]*Acceptor{}, proposers: map[string]*Proposer{}, outcomes: map[string]Outcome{}, pass: func(string, string, wire.Record) bool { return true }}
-	core := wire.CoreSet{Epoch: 1, Swept: true}
+	core := wire.CoreSet{Epoch: 1, Rereplicated: true}
 	for _, id := range []string{"x", "y", "z"} {
 		b.acceptors[id] = NewAcceptor()
-		core.Seats = append(core.Seats, wire.Seat{ID: id})
+		core.Voters = append(core.Voters, wire.Voter{ID: id})
 	}
 	for at, name := range names {
 		p := NewProposer(name, rand.New(rand.NewSource(int64(at))), Limits{CallMs: 1600, PhaseMs: 400, LineageLen: 4})
@@ -167,7 +167,7 @@
 func TestOldEpochIsTurnedAway(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, "p", "q")
-	next := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "x"}, {ID: "y"}}}
+	next := wire.CoreSet{Epoch: 2, Voters: []wire.Voter{{ID: "x"}, {ID: "y"}}}
 	value := wire.Encode(&next)
 	b.carry("q", 0, b.proposers["q"].Change(0, 1, CoreKey, 0, 0, value, "q#1"))
 	for _, id := range []string{"x", "y"} {
@@ -186,7 +186,7 @@
 func TestUnchosenCoreIsNotTold(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, "p", "q")
-	lost := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "y"}, {ID: "z"}}}
+	lost := wire.CoreSet{Epoch: 2, Voters: []wire.Voter{{ID: "y"}, {ID: "z"}}}
 	b.pass = func(_, to string, body wire.Record) bool { return !isAccept(body) || to == "x" }
 	b.carry("q", 0, b.proposers["q"].Change(0, 1, CoreKey, 0, 0, wire.Encode(&lost), "q#1"))
 	b.pass = func(string, string, wire.Record) bool { return true }
@@ -194,7 +194,7 @@
 	b.change("p", 1, 0, "one")
 	c.Check(b.proposers["p"].Core().Epoch, qt.Equals, int64(1))
 	// Once a set is known to be chosen, it is told, after a restart too.
-	chosen := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "x"}, {ID: "y"}}}
+	chosen := wire.CoreSet{Epoch: 2, Voters: []wire.Voter{{ID: "x"}, {ID: "y"}}}
 	again := NewAcceptor()
 	for _, write := range b.acceptors["x"].Chose(chosen).Writes {
 		record, err := wire.Decode(write.Kind, write.Body)
--- a/internal/controlplane/register/rounds.go
+++ b/internal/controlplane/register/rounds.go
@@ -37,7 +37,7 @@
 		if !ok || o.phase != phaseKeys || p.newer(now, &out, o, 0, nil) {
 			return out
 		}
-		if told.Ok && p.seated(from) {
+		if told.Ok && p.admitted(from) {
 			o.heard[from] = true
 			for _, key := range told.Keys {
 				o.found[key] = true
@@ -95,14 +95,14 @@
 //	board.Put(register.CoreTopic(core))
 func CoreTopic(core wire.CoreSet) wire.Topic {
 	topic := wire.Topic{Name: CoreKey, Term: core.Epoch, Body: wire.Encode(&core)}
-	if core.Swept {
+	if core.Rereplicated {
 		topic.Step = 1
 	}
 	return topic
 }
 
 func (p *Proposer) queried(now int64, out *wire.Outputs, o *operation, from string, told *wire.Promise) {
-	if !p.seated(from) || o.heard[from] {
+	if !p.admitted(from) || o.heard[from] {
 		return
 	}
 	o.heard[from] = true
@@ -131,7 +131,7 @@
 		return
 	}
 	// The copies differ for certain once no majority can agree on the newest.
-	if o.agreed+len(p.core.Seats)-len(o.heard) < p.majority() {
+	if o.agreed+len(p.core.Voters)-len(o.heard) < p.majority() {
 		out.Add(p.begin(now, o))
 	}
 }
@@ -143,7 +143,7 @@
 		}
 		return
 	}
-	if !p.seated(from) || told.Ballot != o.ballot || o.heard[from] {
+	if !p.admitted(from) || told.Ballot != o.ballot || o.heard[from] {
 		return
 	}
 	o.heard[from] = true
@@ -175,41 +175,41 @@
 	}
 	o.heard[from] = true
 	count, joined := 0, true
-	for _, seat := range p.core.Seats {
-		if o.heard[seat.ID] {
+	for _, voter := range p.core.Voters {
+		if o.heard[voter.ID] {
 			count++
 		}
 	}
-	for _, seat := range p.core.Joining {
-		joined = joined && o.heard[seat.ID]
+	for _, voter := range p.core.Joining {
+		joined = joined && o.heard[voter.ID]
 	}
 	if count < p.majority() || (o.mend && !joined) {
 		return
 	}
-	for _, seat := range p.core.Seats {
+	for _, voter := range p.core.Voters {
 		note := &wire.Chosen{Key: o.key, Ballot: o.ballot}
-		if !o.heard[seat.ID] {
+		if !o.heard[voter.ID] {
 			note.Value = wire.Encode(&o.chosen)
 		}
-		out.Send(seat.ID, wire.KindChosen, note)
+		out.Send(voter.ID, wire.KindChosen, note)
 	}
 	p.roundMs = (3*p.roundMs + min(now-o.began, p.limits.PhaseMs)) / 4
 	p.told(now, out, o)
 }
 
-func (p *Proposer) majority() int { return len(p.core.Seats)/2 + 1 }
+func (p *Proposer) majority() int { return len(p.core.Voters)/2 + 1 }
 
-// vouched tells whether enough seats answered for registers to be copied to a
+// vouched tells whether enough voters answered for registers to be copied to a
 // newcomer: of those that count, as many as make a majority of the set that it
 // comes into, so that none ever stands that cannot do without the newcomer's vote.
 func (p *Proposer) vouched(o *operation) bool {
 	joining, count := len(p.core.Joining), 0
-	for _, seat := range p.core.Seats {
-		if o.heard[seat.ID] && (o.counted == nil || o.counted[seat.ID]) {
+	for _, voter := range p.core.Voters {
+		if o.heard[voter.ID] && (o.counted == nil || o.counted[voter.ID]) {
 			count++
 		}
 	}
-	return joining == 0 || count >= min((len(p.core.Seats)+joining)/2+1, len(p.core.Seats))
+	return joining == 0 || count >= min((len(p.core.Voters)+joining)/2+1, len(p.core.Voters))
 }
 
 func sortedOps(ops map[int64]*operation) []int64 {
--- a/internal/simulation/changes.go
+++ b/internal/simulation/changes.go
@@ -66,7 +66,7 @@
 		late = w.AddCore("e9", "10.0.0.9:1")
 		at = len(w.cores) - 1
 	}
-	for (w.behind(at) > 0 || !seated(w.coreAt(0), late.ID) || !w.coreAt(0).Swept || w.coreAt(at).Epoch != w.coreAt(0).Epoch) && w.NowMs < beganMs+60000 {
+	for (w.behind(at) > 0 || !admitted(w.coreAt(0), late.ID) || !w.coreAt(0).Rereplicated || w.coreAt(at).Epoch != w.coreAt(0).Epoch) && w.NowMs < beganMs+60000 {
 		w.Run(w.NowMs + 25)
 	}
 	took := CatchUp{Ms: w.NowMs - beganMs, Bytes: w.Carried.Bytes - began.Bytes, Messages: w.Carried.Messages - began.Messages, State: len(wire.Encode(late.core.Snapshot()))}
--- a/internal/simulation/cut.go
+++ b/internal/simulation/cut.go
@@ -71,7 +71,7 @@
 	})
 	t.operators()
 	for at := int64(cutFrom); at < cutEnds; at += 250 {
-		w.At(at, t.seatsStand)
+		w.At(at, t.votersStand)
 	}
 	w.At(cutFronts, t.newFronts)
 	w.Run(cutEnds)
--- a/internal/simulation/cut_test.go
+++ b/internal/simulation/cut_test.go
@@ -67,7 +67,7 @@
 		cut.side, cut.crossed = nil, []int{3}
 		for w.NowMs < 33000 {
 			w.Run(w.NowMs + 50)
-			cut.seatsStand()
+			cut.votersStand()
 		}
 		c.Check(cut.lost, qt.HasLen, 0, qt.Commentf("seed %d", seed))
 	}
--- a/internal/simulation/cutchecks.go
+++ b/internal/simulation/cutchecks.go
@@ -8,30 +8,30 @@
 	"applequay/internal/transport/wire"
 )
 
-// seatsStand notes machines that were neither cut off nor went, and have lost
-// their seats as some machine knows it.
-func (t *cutting) seatsStand() {
+// votersStand notes machines that were neither cut off nor went, and have lost
+// their votes as some machine knows it.
+func (t *cutting) votersStand() {
 	for _, seen := range t.w.cores {
 		core := seen.core.Page(seen.Clock()).Core
 		for at, e := range t.w.cores {
 			if t.off(at) || core.Epoch == 0 {
 				continue
 			}
-			if !seatOf(core.Seats, e.ID) && len(t.lost) < 5 {
+			if !voterOf(core.Voters, e.ID) && len(t.lost) < 5 {
 				t.lost = append(t.lost, fmt.Sprintf("%d: %s, which stands, has no seat in epoch %d as %s knows it", t.w.NowMs, e.Name, core.Epoch, seen.Name))
 			}
 		}
 	}
 }
 
-func seatOf(seats []wire.Seat, id string) bool {
-	return slices.ContainsFunc(seats, func(seat wire.Seat) bool { return seat.ID == id })
+func voterOf(voters []wire.Voter, id string) bool {
+	return slices.ContainsFunc(voters, func(voter wire.Voter) bool { return voter.ID == id })
 }
 
 // CutBreaches checks a run of CutOff for what it is about: a front that starts
 // while it reaches only machines cut off takes up no policy older than one
 // acknowledged before; those machines answer no write and no read; they order no
-// worker under a lease that ran out; no machine of the majority loses its seat; and
+// worker under a lease that ran out; no machine of the majority loses its vote; and
 // at the end all are in the set again.
 //
 //	breaches := world.CutBreaches()
@@ -55,8 +55,8 @@
 	}
 	set := w.cores[0].core.Page(w.cores[0].Clock()).Core
 	for _, e := range w.cores {
-		if core := e.core.Page(e.Clock()).Core; core.Epoch != set.Epoch || !core.Swept || !seatOf(core.Seats, e.ID) {
-			breach("%s is not back: it knows of epoch %d, swept %v, of %d machines", e.Name, core.Epoch, core.Swept, len(core.Seats))
+		if core := e.core.Page(e.Clock()).Core; core.Epoch != set.Epoch || !core.Rereplicated || !voterOf(core.Voters, e.ID) {
+			breach("%s is not back: it knows of epoch %d, swept %v, of %d machines", e.Name, core.Epoch, core.Rereplicated, len(core.Voters))
 		}
 	}
 	if acked < 8 {
--- a/internal/simulation/explorer/disk.go
+++ b/internal/simulation/explorer/disk.go
@@ -90,13 +90,13 @@
 
 // foundAll writes the disks of machines that were founded before.
 func (w *World) foundAll() {
-	core := wire.CoreSet{Epoch: 1, Size: int64(w.model.Seated), Swept: true}
-	for _, m := range w.machines[:w.model.Seated] {
-		core.Seats = append(core.Seats, wire.Seat{ID: m.id, Name: m.name, Addr: m.addr})
+	core := wire.CoreSet{Epoch: 1, Size: int64(w.model.Admitted), Rereplicated: true}
+	for _, m := range w.machines[:w.model.Admitted] {
+		core.Voters = append(core.Voters, wire.Voter{ID: m.id, Name: m.name, Addr: m.addr})
 	}
 	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 	first := wire.Ballot{N: 1, By: "founding"}
-	for _, m := range w.machines[:w.model.Seated] {
+	for _, m := range w.machines[:w.model.Admitted] {
 		acceptor := register.NewAcceptor()
 		acceptor.Replay(&wire.AcceptorRecord{Key: register.CoreKey, Promised: first, Accepted: first, Value: value})
 		acceptor.Raise(core.Epoch)
--- a/internal/simulation/explorer/facts.go
+++ b/internal/simulation/explorer/facts.go
@@ -37,7 +37,7 @@
 	names  map[string]int64
 	clash  string
 	// cores are the core sets told to be chosen, by epoch, newest the last one;
-	// due is what a machine must hold once it has a seat.
+	// due is what a machine must hold once it has a vote.
 	cores  map[int64]wire.CoreSet
 	newest wire.CoreSet
 	// tellers are the machines that told of an epoch's set.
@@ -139,7 +139,7 @@
 
 func (f *facts) coreSeen(w *World, core wire.CoreSet) {
 	if old, ok := f.cores[core.Epoch]; ok {
-		if fmt.Sprint(old.Seats, old.Joining) != fmt.Sprint(core.Seats, core.Joining) && f.clash == "" {
+		if fmt.Sprint(old.Voters, old.Joining) != fmt.Sprint(core.Voters, core.Joining) && f.clash == "" {
 			f.clash = fmt.Sprintf("the core set of epoch %d was %v and %v", core.Epoch, names(old), names(core))
 		}
 	}
@@ -147,20 +147,20 @@
 	if core.Epoch <= f.newest.Epoch {
 		return
 	}
-	for _, seat := range core.Joining {
-		f.due[seat.ID] = map[string]int64{}
+	for _, voter := range core.Joining {
+		f.due[voter.ID] = map[string]int64{}
 		for key, version := range f.acked {
-			f.due[seat.ID][key] = version
+			f.due[voter.ID][key] = version
 		}
 	}
-	for _, seat := range core.Seats {
-		m := w.byID(seat.ID)
-		if before := f.newest.Epoch; before == 0 || seated(f.newest.Seats, seat.ID) || m == nil {
+	for _, voter := range core.Voters {
+		m := w.byID(voter.ID)
+		if before := f.newest.Epoch; before == 0 || admitted(f.newest.Voters, voter.ID) || m == nil {
 			continue
 		}
-		for key, version := range f.due[seat.ID] {
+		for key, version := range f.due[voter.ID] {
 			if m.disk.copies[key].value.Version < version && f.bare == "" {
-				f.bare = fmt.Sprintf("%s got a seat in epoch %d with version %d of %s, %d was acknowledged before it joined", seat.ID, core.Epoch, m.disk.copies[key].value.Version, key, version)
+				f.bare = fmt.Sprintf("%s got a seat in epoch %d with version %d of %s, %d was acknowledged before it joined", voter.ID, core.Epoch, m.disk.copies[key].value.Version, key, version)
 			}
 		}
 	}
@@ -170,18 +170,18 @@
 
 func names(core wire.CoreSet) string {
 	var words []string
-	for _, seat := range core.Seats {
-		words = append(words, seat.ID)
+	for _, voter := range core.Voters {
+		words = append(words, voter.ID)
 	}
-	for _, seat := range core.Joining {
-		words = append(words, "+"+seat.ID)
+	for _, voter := range core.Joining {
+		words = append(words, "+"+voter.ID)
 	}
 	return strings.Join(words, " ")
 }
 
-func seated(seats []wire.Seat, id string) bool {
-	for _, seat := range seats {
-		if seat.ID == id {
+func admitted(voters []wire.Voter, id string) bool {
+	for _, voter := range voters {
+		if voter.ID == id {
 			return true
 		}
 	}
--- a/internal/simulation/explorer/invariants.go
+++ b/internal/simulation/explorer/invariants.go
@@ -114,22 +114,22 @@
 // acknowledgedVersionsAreHeld: in the newest core set, those that lack an
 // acknowledged version, or have lost it, are less than a majority.
 func acknowledgedVersionsAreHeld(w *World) string {
-	seats := w.facts.newest.Seats
+	voters := w.facts.newest.Voters
 	for key, version := range w.facts.acked {
 		lack := 0
-		for _, seat := range seats {
-			if m := w.byID(seat.ID); m != nil && m.disk.copies[key].value.Version < version {
+		for _, voter := range voters {
+			if m := w.byID(voter.ID); m != nil && m.disk.copies[key].value.Version < version {
 				lack++
 			}
 		}
-		if lack > len(seats)/2 {
-			return fmt.Sprintf("version %d of %s was acknowledged, and %d of %d seats lack it", version, key, lack, len(seats))
+		if lack > len(voters)/2 {
+			return fmt.Sprintf("version %d of %s was acknowledged, and %d of %d seats lack it", version, key, lack, len(voters))
 		}
 	}
 	return ""
 }
 
-// noVoteBeforeCopies: who gets a seat has a copy of all that was acknowledged
+// noVoteBeforeCopies: who gets a vote has a copy of all that was acknowledged
 // before it began to join.
 func noVoteBeforeCopies(w *World) string { return w.facts.bare }
 
@@ -140,13 +140,13 @@
 		if !ok {
 			continue
 		}
-		both := len(core.Seats)
-		for _, seat := range next.Seats {
-			if !seated(core.Seats, seat.ID) {
+		both := len(core.Voters)
+		for _, voter := range next.Voters {
+			if !admitted(core.Voters, voter.ID) {
 				both++
 			}
 		}
-		if len(core.Seats)/2+1+len(next.Seats)/2+1 <= both {
+		if len(core.Voters)/2+1+len(next.Voters)/2+1 <= both {
 			return fmt.Sprintf("epochs %d and %d: %s, then %s", epoch, epoch+1, names(core), names(next))
 		}
 	}
--- a/internal/simulation/explorer/invariants_test.go
+++ b/internal/simulation/explorer/invariants_test.go
@@ -10,10 +10,10 @@
 	"applequay/internal/transport/wire"
 )
 
-func seats(ids ...string) []wire.Seat {
-	var out []wire.Seat
+func voters(ids ...string) []wire.Voter {
+	var out []wire.Voter
 	for _, id := range ids {
-		out = append(out, wire.Seat{ID: id})
+		out = append(out, wire.Voter{ID: id})
 	}
 	return out
 }
@@ -37,8 +37,8 @@
 			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("b")})
 		}},
 		{"one value per version", func(w *World) {
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0", "c2~0")})
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0", "c3~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0", "c2~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0", "c3~0")})
 		}},
 		{"reads are fresh", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateDone, 1), {Kind: "read", Began: 3, Ended: 4, Answered: true, Fate: register.FateDone}}
@@ -58,12 +58,12 @@
 		{"no vote before copies", func(w *World) {
 			w.facts.acked["policy"] = 3
 			w.machines[2].id = "c9~0"
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0", "c2~0"), Joining: seats("c9~0")})
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 3, Seats: seats("c1~0", "c2~0", "c9~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0", "c2~0"), Joining: voters("c9~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 3, Voters: voters("c1~0", "c2~0", "c9~0")})
 			w.facts.acked["policy"] = 0
 		}},
 		{"majorities meet", func(w *World) {
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0")})
 		}},
 		{"one holder per lease", func(w *World) {
 			w.machines[0].owned, w.machines[1].owned = []wire.Hold{{Fence: 1}}, []wire.Hold{{Fence: 1}}
--- a/internal/simulation/explorer/lives.go
+++ b/internal/simulation/explorer/lives.go
@@ -24,7 +24,7 @@
 		m.disk = m.disk.older()
 	}
 	// Who has never synced anything is still at its very first start.
-	m.start(w.model.Unfounded && m.at < w.model.Seated && m.wipes == 0 && len(m.disk.writes) == 0)
+	m.start(w.model.Unfounded && m.at < w.model.Admitted && m.wipes == 0 && len(m.disk.writes) == 0)
 	return true
 }
 
--- a/internal/simulation/explorer/machine.go
+++ b/internal/simulation/explorer/machine.go
@@ -74,7 +74,7 @@
 		}
 	}
 	var seeds []string
-	for at := range w.model.Seated {
+	for at := range w.model.Admitted {
 		seeds = append(seeds, fmt.Sprintf("c%d:1", at+1))
 	}
 	m.core = controller.New(m.clock(), controller.Boot{
--- a/internal/simulation/explorer/model.go
+++ b/internal/simulation/explorer/model.go
@@ -5,8 +5,8 @@
 type Model struct {
 	Name string
 	Help string
-	// Seated machines make up the first core set; Spare ones start without a seat.
-	Seated, Spare int
+	// Admitted machines make up the first core set; Spare ones start without a vote.
+	Admitted, Spare int
 	// Unfounded machines start with empty disks and must found the first set.
 	Unfounded bool
 	// Calls are the operators' calls, each of which may begin at any time, at the
@@ -85,35 +85,35 @@
 //	for _, model := range explorer.Models() { ... }
 func Models() []Model {
 	return []Model{
-		{Name: "registers", Help: "one register, two writers on one base, three machines: complete to a depth", Seated: 3,
+		{Name: "registers", Help: "one register, two writers on one base, three machines: complete to a depth", Admitted: 3,
 			Calls: []Call{{At: 0, Write: "a"}, {At: 1, Write: "b"}}, Budget: Budget{Crashes: 1}, Depth: 12, Deviations: -1},
-		{Name: "registers-deep", Help: "two writers and two readers to their ends, with crashes, repeats and losses", Seated: 3,
+		{Name: "registers-deep", Help: "two writers and two readers to their ends, with crashes, repeats and losses", Admitted: 3,
 			Calls:  []Call{{At: 0, Write: "a"}, {At: 1, Write: "b"}, {At: 2}, {At: 0}},
 			Budget: Budget{Crashes: 2, Repeats: 1, Holds: 4, Losses: 4, Stalls: 1}, Depth: 80, Deviations: 4, Rounds: true},
-		{Name: "core-set", Help: "four machines, one goes and comes back while orders are written", Seated: 4, Partitions: 1,
+		{Name: "core-set", Help: "four machines, one goes and comes back while orders are written", Admitted: 4, Partitions: 1,
 			Calls: []Call{{At: 0, Write: "a"}, {At: 1, Write: "b"}, {At: 2}, {At: 3, Write: "c", Expected: 1}},
 			Focus: append([]string{"KeysAsk", "KeysTold", "News"}, registerKinds...), Rounds: true, Settle: 8,
 			Budget: Budget{Crashes: 2, Wipes: 1, Holds: 3, Losses: 3, Cuts: 1, Freezes: 1}, Depth: 400, Deviations: 2},
-		{Name: "set-of-five", Help: "five machines and leases, while machines go and come back", Seated: 5, Partitions: 1, LongLeases: true,
+		{Name: "set-of-five", Help: "five machines and leases, while machines go and come back", Admitted: 5, Partitions: 1, LongLeases: true,
 			Calls: []Call{{At: 0, Write: "a"}, {At: 4, Write: "b"}, {At: 2}},
 			Focus: append([]string{"KeysAsk", "KeysTold", "GrantAsk", "GrantTold", "GrantBack", "News"}, registerKinds...), Rounds: true, Settle: 44,
 			Budget: Budget{Crashes: 2, Wipes: 1, Holds: 3, Losses: 3, Cuts: 1, Freezes: 1}, Depth: 400, Deviations: 1},
-		{Name: "leases", Help: "leases of one partition among three machines", Seated: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
+		{Name: "leases", Help: "leases of one partition among three machines", Admitted: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
 			Focus:  []string{"GrantAsk", "GrantTold", "GrantBack", "Prepare", "Promise", "Accept", "Accepted"},
 			Budget: Budget{Crashes: 2, Holds: 2, Losses: 2, Freezes: 1, Stalls: 1, Cuts: 1}, Depth: 500, Deviations: 2},
-		{Name: "lease-takeover", Help: "the holder of a lease is not heard of by one of two granters", Seated: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
+		{Name: "lease-takeover", Help: "the holder of a lease is not heard of by one of two granters", Admitted: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
 			Focus: []string{"GrantAsk", "GrantBack"}, Opening: takeover(), Unclosed: true,
 			Budget: Budget{Crashes: 1, Freezes: 1, Stalls: 1}, Depth: 60, Deviations: 2},
-		{Name: "lease-again", Help: "a machine that held a lease is back, another holds it now", Seated: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
+		{Name: "lease-again", Help: "a machine that held a lease is back, another holds it now", Admitted: 3, Partitions: 1, LongLeases: true, Rounds: true, Settle: 44,
 			Focus: []string{"GrantAsk", "GrantBack"}, Opening: again(), Unclosed: true,
 			Budget: Budget{Crashes: 2, Freezes: 1, Stalls: 1, Cuts: 1}, Depth: 60, Deviations: 1},
-		{Name: "founding", Help: "three seeds and a fourth machine found the first core set", Seated: 3, Spare: 1, Unfounded: true, Rounds: true,
+		{Name: "founding", Help: "three seeds and a fourth machine found the first core set", Admitted: 3, Spare: 1, Unfounded: true, Rounds: true,
 			Focus:  []string{"FoundAsk", "FoundTold", "Found"},
 			Budget: Budget{Crashes: 2, Wipes: 1, Repeats: 1, Holds: 2, Losses: 2, Stalls: 1}, Depth: 120, Deviations: 3},
-		{Name: "founding-wiped", Help: "founders that lose their disks before the first set is founded", Seated: 3, Unfounded: true, EarlyWipes: true, Rounds: true,
+		{Name: "founding-wiped", Help: "founders that lose their disks before the first set is founded", Admitted: 3, Unfounded: true, EarlyWipes: true, Rounds: true,
 			Focus:  []string{"FoundAsk", "FoundTold", "Found"},
 			Budget: Budget{Crashes: 2, Wipes: 1, Repeats: 1, Holds: 3, Losses: 2}, Depth: 60, Deviations: 4},
-		{Name: "handover", Help: "a planned leaver hands its partitions over", Seated: 3, Partitions: 2, Rounds: true, Settle: 44,
+		{Name: "handover", Help: "a planned leaver hands its partitions over", Admitted: 3, Partitions: 2, Rounds: true, Settle: 44,
 			Focus:  []string{"Handover", "HandoverTaken", "GrantAsk", "GrantTold", "GrantBack"},
 			Budget: Budget{Crashes: 1, Holds: 2, Losses: 2, Leaves: 1, Stalls: 1}, Depth: 600, Deviations: 3},
 	}
--- a/internal/simulation/explorer/world.go
+++ b/internal/simulation/explorer/world.go
@@ -53,14 +53,14 @@
 //	world := explorer.New(model, 1)
 func New(model Model, seed int64) *World {
 	w := &World{model: model, seed: seed, now: 1000, sent: map[string]int{}, cuts: map[[2]string]bool{}, slow: map[[2]string]bool{}, left: model.Budget, facts: newFacts()}
-	for at := range model.Seated + model.Spare {
+	for at := range model.Admitted + model.Spare {
 		w.machines = append(w.machines, newMachine(w, at))
 	}
 	if !model.Unfounded {
 		w.foundAll()
 	}
 	for _, m := range w.machines {
-		m.start(model.Unfounded && m.at < model.Seated)
+		m.start(model.Unfounded && m.at < model.Admitted)
 	}
 	for range model.Settle {
 		w.settleRound()
--- a/internal/simulation/founding_test.go
+++ b/internal/simulation/founding_test.go
@@ -105,10 +105,10 @@
 	w.Run(9000)
 	w.Crash(3, false)
 	w.Run(w.NowMs + 8000)
-	c.Check(w.coreAt(0).Seats, qt.HasLen, 3)
+	c.Check(w.coreAt(0).Voters, qt.HasLen, 3)
 	w.Crash(2, false)
 	w.Run(w.NowMs + 20000)
-	c.Check(w.coreAt(0).Seats, qt.HasLen, 3)
+	c.Check(w.coreAt(0).Voters, qt.HasLen, 3)
 	done := false
 	w.Restart(3, false)
 	w.Run(w.NowMs + 4000)
@@ -155,9 +155,9 @@
 	}
 }
 
-// A steward that hears nobody, and that all others hear, does not keep a newcomer
+// A coordinator that hears nobody, and that all others hear, does not keep a newcomer
 // out.
-func TestDeafSteward(t *testing.T) {
+func TestDeafCoordinator(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	w := New(bySeeds(Krizanka(), 3, 4), 4)
@@ -174,7 +174,7 @@
 	fresh := w.AddCore("c9", "10.0.0.9:1")
 	w.Run(w.NowMs + 5000)
 	other := (at + 1) % 4
-	c.Check(seated(w.coreAt(other), fresh.ID), qt.IsTrue, qt.Commentf("%v", w.coreAt(other)))
+	c.Check(admitted(w.coreAt(other), fresh.ID), qt.IsTrue, qt.Commentf("%v", w.coreAt(other)))
 	w.Cuts = map[[2]string]bool{}
 	w.Run(w.NowMs + 8000)
 	c.Check(w.allIn(), qt.IsTrue, qt.Commentf("%v", w.coreAt(other)))
--- a/internal/simulation/losschecks.go
+++ b/internal/simulation/losschecks.go
@@ -9,7 +9,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// expectWhole notes a fault unless all that are up, nine at most, have seats in one
+// expectWhole notes a fault unless all that are up, nine at most, have votes in one
 // whole set.
 func (r *losing) expectWhole(when string) {
 	if !r.w.allIn() {
@@ -87,7 +87,7 @@
 	}
 }
 
-// watchVoters looks, all the time, at every machine that gets a seat: it holds each
+// watchVoters looks, all the time, at every machine that gets a vote: it holds each
 // register that there is by then.
 func (r *losing) watchVoters() {
 	w := r.w
@@ -99,13 +99,13 @@
 		return keys
 	}
 	all, known := held(w.cores[w.firstUp()]), map[string]bool{}
-	for _, seat := range w.coreAt(w.firstUp()).Seats {
-		known[seat.ID] = true
+	for _, voter := range w.coreAt(w.firstUp()).Voters {
+		known[voter.ID] = true
 	}
 	var look func()
 	look = func() {
 		for _, e := range w.cores {
-			if !e.Up || known[e.ID] || !seated(e.core.Page(e.Clock()).Core, e.ID) {
+			if !e.Up || known[e.ID] || !admitted(e.core.Page(e.Clock()).Core, e.ID) {
 				continue
 			}
 			known[e.ID] = true
@@ -121,7 +121,7 @@
 	look()
 }
 
-// allIn tells whether every core machine that is up has a seat in one whole set.
+// allIn tells whether every core machine that is up has a vote in one whole set.
 func (w *World) allIn() bool {
 	up, in, epoch := 0, 0, int64(0)
 	for at, e := range w.cores {
@@ -130,15 +130,15 @@
 		}
 		up++
 		core := w.coreAt(at)
-		if !core.Swept || (epoch != 0 && core.Epoch != epoch) {
+		if !core.Rereplicated || (epoch != 0 && core.Epoch != epoch) {
 			return false
 		}
-		if seated(core, e.ID) {
+		if admitted(core, e.ID) {
 			in++
 		}
 		epoch = core.Epoch
 	}
-	return in == min(up, 9) && len(w.coreAt(w.firstUp()).Seats) == in
+	return in == min(up, 9) && len(w.coreAt(w.firstUp()).Voters) == in
 }
 
 func (w *World) firstUp() int {
@@ -152,6 +152,6 @@
 
 func (w *World) coreAt(at int) wire.CoreSet { return w.cores[at].core.Page(w.cores[at].Clock()).Core }
 
-func seated(core wire.CoreSet, id string) bool {
-	return slices.ContainsFunc(core.Seats, func(s wire.Seat) bool { return s.ID == id })
+func admitted(core wire.CoreSet, id string) bool {
+	return slices.ContainsFunc(core.Voters, func(s wire.Voter) bool { return s.ID == id })
 }
--- a/internal/simulation/losssteps.go
+++ b/internal/simulation/losssteps.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// victims picks who goes: seated machines that are up, the coordinator among them
+// victims picks who goes: admitted machines that are up, the coordinator among them
 // if asked for.
 func (r *losing) victims(coordinator bool) []int {
 	w := r.w
--- a/internal/simulation/plan.go
+++ b/internal/simulation/plan.go
@@ -179,11 +179,11 @@
 func (w *World) loseDisk(core int) {
 	for _, e := range w.cores {
 		set := e.core.Page(e.Clock()).Core
-		seated := false
-		for _, seat := range set.Seats {
-			seated = seated || seat.ID == e.ID
+		admitted := false
+		for _, voter := range set.Voters {
+			admitted = admitted || voter.ID == e.ID
 		}
-		if !e.Up || !set.Swept || !seated || len(set.Seats) != len(w.cores) {
+		if !e.Up || !set.Rereplicated || !admitted || len(set.Voters) != len(w.cores) {
 			return
 		}
 	}
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -40,7 +40,7 @@
 }
 
 // A machine that comes back with an empty disk is a new identity; it takes the
-// old one's seat, one change at a time, and then makes up the majority.
+// old one's vote, one change at a time, and then makes up the majority.
 func TestLostDisk(t *testing.T) {
 	t.Parallel()
 	each(qt.New(t), func(c *qt.C, shape Shape) {
@@ -51,10 +51,10 @@
 		w.Restart(1, true)
 		w.Run(40000)
 		core := w.coreAt(0)
-		c.Check(core.Seats, qt.HasLen, shape.Cores)
-		c.Check(core.Swept, qt.IsTrue)
-		c.Check(seated(core, old), qt.IsFalse)
-		c.Check(seated(core, w.cores[1].ID), qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores)
+		c.Check(core.Rereplicated, qt.IsTrue)
+		c.Check(admitted(core, old), qt.IsFalse)
+		c.Check(admitted(core, w.cores[1].ID), qt.IsTrue)
 		w.Crash(0, true)
 		done := false
 		ben := w.NewOperator("ben")
@@ -78,9 +78,9 @@
 		w.Restart(1, true)
 		w.Run(30000)
 		core := w.coreAt(0)
-		c.Check(core.Seats, qt.HasLen, shape.Cores)
-		c.Check(seated(core, old), qt.IsFalse)
-		c.Check(seated(core, w.cores[1].ID), qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores)
+		c.Check(admitted(core, old), qt.IsFalse)
+		c.Check(admitted(core, w.cores[1].ID), qt.IsTrue)
 		calm(c, w)
 	})
 }
@@ -95,10 +95,10 @@
 		fresh := w.AddCore("c9", "10.0.0.9:1")
 		w.Run(60000)
 		core := w.coreAt(1)
-		c.Check(core.Seats, qt.HasLen, shape.Cores)
-		c.Check(core.Swept, qt.IsTrue)
-		c.Check(seated(core, gone), qt.IsFalse)
-		c.Check(seated(core, fresh.ID), qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores)
+		c.Check(core.Rereplicated, qt.IsTrue)
+		c.Check(admitted(core, gone), qt.IsFalse)
+		c.Check(admitted(core, fresh.ID), qt.IsTrue)
 		calm(c, w)
 	})
 }
@@ -118,8 +118,8 @@
 			w.Run(w.NowMs + 45000)
 		}
 		core := w.coreAt(shape.Cores)
-		c.Check(core.Seats, qt.HasLen, shape.Cores, qt.Commentf("%v", core.Seats))
-		c.Check(core.Swept, qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores, qt.Commentf("%v", core.Voters))
+		c.Check(core.Rereplicated, qt.IsTrue)
 		joined := w.AddFront("l99", "10.0.1.99:1", "z0", fresh)
 		w.Run(w.NowMs + 4000)
 		c.Check(joined.version > 0, qt.IsTrue, qt.Commentf("the front has no policy"))
--- a/internal/testbed/fleet/corefaults.go
+++ b/internal/testbed/fleet/corefaults.go
@@ -49,7 +49,7 @@
 	Seats []struct{ ID, Name, Addr string }
 }
 
-func (w *World) seats(at string, want int, names ...string) bool {
+func (w *World) voters(at string, want int, names ...string) bool {
 	var core coreTold
 	if w.Ask(at, "/v1/core", &core) != nil || len(core.Seats) != want || !core.Swept {
 		return false
@@ -73,7 +73,7 @@
 	}
 	if !w.Until(20*time.Second, func() bool {
 		var core coreTold
-		return w.seats("c1", w.Shape.Cores, "c2") && w.Ask("c1", "/v1/core", &core) == nil && core.Epoch >= 4
+		return w.voters("c1", w.Shape.Cores, "c2") && w.Ask("c1", "/v1/core", &core) == nil && core.Epoch >= 4
 	}) {
 		return oops.Errorf("the wiped core machine is not seated again")
 	}
@@ -98,7 +98,7 @@
 	if err := w.Start("c9"); err != nil {
 		return err
 	}
-	if !w.Until(35*time.Second, func() bool { return w.seats("c2", w.Shape.Cores, "c9") }) {
+	if !w.Until(35*time.Second, func() bool { return w.voters("c2", w.Shape.Cores, "c9") }) {
 		var core coreTold
 		_ = w.Ask("c2", "/v1/core", &core)
 		return oops.Errorf("the new core machine is not seated: %+v", core)
--- a/internal/testbed/fleet/doctor.go
+++ b/internal/testbed/fleet/doctor.go
@@ -105,7 +105,7 @@
 			if err := w.Disk("c3", ""); err != nil {
 				return err
 			}
-			if !w.Until(40*time.Second, func() bool { return w.seats("c1", w.Shape.Cores, "c2") }) {
+			if !w.Until(40*time.Second, func() bool { return w.voters("c1", w.Shape.Cores, "c2") }) {
 				return oops.Errorf("the core set does not settle")
 			}
 			return nil
--- a/internal/testbed/fleet/machinefaults.go
+++ b/internal/testbed/fleet/machinefaults.go
@@ -143,7 +143,7 @@
 		// Whoever joins from now on is told of the new machine, not the old one.
 		w.seeds = slices.Clone(w.seeds)
 		w.seeds[at] = fresh[at]
-		if !w.Until(40*time.Second, func() bool { return w.seats(name, w.Shape.Cores, names...) }) {
+		if !w.Until(40*time.Second, func() bool { return w.voters(name, w.Shape.Cores, names...) }) {
 			return oops.Errorf("%s is not seated", name)
 		}
 		w.Pass(2 * time.Second)
--- a/internal/transport/wire/fuzz_test.go
+++ b/internal/transport/wire/fuzz_test.go
@@ -14,7 +14,7 @@
 	}
 	f.Add(int64(KindNews), Encode(&News{Topics: []Topic{{Name: "policy", Term: 4, Step: 2, Body: []byte("body")}, {Name: "zone"}}}))
 	f.Add(int64(KindProbe), Encode(&Probe{Seq: 7, Members: []Member{{ID: "c1~7f", Fact: map[string]string{"a": "b", "c": "d"}}}}))
-	f.Add(int64(KindCoreSet), Encode(&CoreSet{Epoch: 3, Seats: []Seat{{ID: "a"}, {ID: "b"}}, Joining: []Seat{{ID: "c"}}, Swept: true}))
+	f.Add(int64(KindCoreSet), Encode(&CoreSet{Epoch: 3, Voters: []Voter{{ID: "a"}, {ID: "b"}}, Joining: []Voter{{ID: "c"}}, Rereplicated: true}))
 	f.Add(int64(KindNews), []byte{0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 0x01})
 	f.Add(int64(KindNews), []byte{0x01, 0x00, 0x00})
 	f.Fuzz(func(t *testing.T, kind int64, body []byte) {
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -261,40 +261,40 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
-// Seat is a generated struct.
-type Seat struct {
+// Voter is a generated struct.
+type Voter struct {
 	ID   string `avro:"id"`
 	Name string `avro:"name"`
 	Addr string `avro:"addr"`
 }
 
-var schemaSeat = schemaOf(`{"name":"Seat","type":"record","fields":[{"name":"id","type":"string"},{"name":"name","type":"string"},{"name":"addr","type":"string"}]}`)
+var schemaVoter = schemaOf(`{"name":"Voter","type":"record","fields":[{"name":"id","type":"string"},{"name":"name","type":"string"},{"name":"addr","type":"string"}]}`)
 
-// Schema returns the schema for Seat.
-func (o *Seat) Schema() avro.Schema {
-	return schemaSeat
+// Schema returns the schema for Voter.
+func (o *Voter) Schema() avro.Schema {
+	return schemaVoter
 }
 
 // Unmarshal decodes b into the receiver.
-func (o *Seat) Unmarshal(b []byte) error {
+func (o *Voter) Unmarshal(b []byte) error {
 	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
-func (o *Seat) Marshal() ([]byte, error) {
+func (o *Voter) Marshal() ([]byte, error) {
 	return avro.Marshal(o.Schema(), o)
 }
 
 // CoreSet is a generated struct.
 type CoreSet struct {
-	Epoch   int64  `avro:"epoch"`
-	Size    int64  `avro:"size"`
-	Seats   []Seat `avro:"seats"`
-	Joining []Seat `avro:"joining"`
-	Swept   bool   `avro:"swept"`
+	Epoch        int64   `avro:"epoch"`
+	Size         int64   `avro:"size"`
+	Voters       []Voter `avro:"voters"`
+	Joining      []Voter `avro:"joining"`
+	Rereplicated bool    `avro:"rereplicated"`
 }
 
-var schemaCoreSet = schemaOf(`{"name":"CoreSet","type":"record","fields":[{"name":"epoch","type":"long"},{"name":"size","type":"long"},{"name":"seats","type":{"type":"array","items":"Seat"}},{"name":"joining","type":{"type":"array","items":"Seat"}},{"name":"swept","type":"boolean"}]}`)
+var schemaCoreSet = schemaOf(`{"name":"CoreSet","type":"record","fields":[{"name":"epoch","type":"long"},{"name":"size","type":"long"},{"name":"voters","type":{"type":"array","items":"Voter"}},{"name":"joining","type":{"type":"array","items":"Voter"}},{"name":"rereplicated","type":"boolean"}]}`)
 
 // Schema returns the schema for CoreSet.
 func (o *CoreSet) Schema() avro.Schema {
@@ -313,10 +313,10 @@
 
 // FoundAsk is a generated struct.
 type FoundAsk struct {
-	Seat Seat `avro:"seat"`
+	Voter Voter `avro:"voter"`
 }
 
-var schemaFoundAsk = schemaOf(`{"name":"FoundAsk","type":"record","fields":[{"name":"seat","type":"Seat"}]}`)
+var schemaFoundAsk = schemaOf(`{"name":"FoundAsk","type":"record","fields":[{"name":"voter","type":"Voter"}]}`)
 
 // Schema returns the schema for FoundAsk.
 func (o *FoundAsk) Schema() avro.Schema {
@@ -335,12 +335,12 @@
 
 // FoundTold is a generated struct.
 type FoundTold struct {
-	Seat    Seat   `avro:"seat"`
+	Voter   Voter  `avro:"voter"`
 	Founded bool   `avro:"founded"`
 	Core    []byte `avro:"core"`
 }
 
-var schemaFoundTold = schemaOf(`{"name":"FoundTold","type":"record","fields":[{"name":"seat","type":"Seat"},{"name":"founded","type":"boolean"},{"name":"core","type":"bytes"}]}`)
+var schemaFoundTold = schemaOf(`{"name":"FoundTold","type":"record","fields":[{"name":"voter","type":"Voter"},{"name":"founded","type":"boolean"},{"name":"core","type":"bytes"}]}`)
 
 // Schema returns the schema for FoundTold.
 func (o *FoundTold) Schema() avro.Schema {
