--- a/coordination/register/example_test.go
+++ b/coordination/register/example_test.go
@@ -7,7 +7,7 @@
 	"applequay/coordination/register"
 )
 
-// carry takes letters to three acceptors and their answers back, at once.
+// carry takes messages to three acceptors and their answers back, at once.
 func carry(acceptors map[string]*register.Acceptor, proposer *register.Proposer, out register.Outputs) {
 	for _, answer := range out.Answers {
 		outcome := answer.Body.(register.Outcome)
--- a/internal/controlplane/agent/tickets.go
+++ b/internal/controlplane/agent/tickets.go
@@ -193,7 +193,7 @@
 	return ""
 }
 
-// ticketsTick asks again where letters were lost, and drops what the
+// ticketsTick asks again where messages were lost, and drops what the
 // proxy has given up.
 func (l *Line) ticketsTick(now int64, out *wire.Outputs) {
 	for _, op := range slices.Sorted(maps.Keys(l.asking)) {
--- a/internal/controlplane/controller/epochs_test.go
+++ b/internal/controlplane/controller/epochs_test.go
@@ -40,14 +40,14 @@
 
 // send carries what a node sent, and what comes of it, until nothing is left.
 func (t *trio) send(from string, out wire.Outputs) {
-	type letter struct {
+	type message struct {
 		from string
 		send wire.Send
 	}
-	var queue []letter
+	var queue []message
 	put := func(from string, out wire.Outputs) {
 		for _, one := range append(out.Sends, out.Then...) {
-			queue = append(queue, letter{from, one})
+			queue = append(queue, message{from, one})
 		}
 	}
 	put(from, out)
--- a/internal/controlplane/eventloop/eventloop.go
+++ b/internal/controlplane/eventloop/eventloop.go
@@ -93,12 +93,12 @@
 	}
 }
 
-// Deliver puts a letter in front of the machine; false says it is too busy.
+// Deliver puts a message in front of the machine; false says it is too busy.
 //
 //	router.Handle("/trunk", cable.Handler(control.Deliver))
-func (p *Position) Deliver(letter transport.Arrived) bool {
+func (p *Position) Deliver(message transport.Arrived) bool {
 	select {
-	case p.inbox <- letter:
+	case p.inbox <- message:
 		return true
 	default:
 		return false
@@ -125,12 +125,12 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case letter := <-p.inbox:
-			p.hear(letter)
+		case message := <-p.inbox:
+			p.hear(message)
 			for more := true; more; {
 				select {
-				case letter := <-p.inbox:
-					p.hear(letter)
+				case message := <-p.inbox:
+					p.hear(message)
 				default:
 					more = false
 				}
@@ -160,20 +160,20 @@
 	}
 }
 
-func (p *Position) hear(letter transport.Arrived) {
-	if letter.Addr != "" {
-		p.addrs[letter.From] = letter.Addr
+func (p *Position) hear(message transport.Arrived) {
+	if message.Addr != "" {
+		p.addrs[message.From] = message.Addr
 	}
 	now := p.Now()
-	p.perform(now, p.machine.Hear(now, letter.From, letter.Body))
+	p.perform(now, p.machine.Hear(now, message.From, message.Body))
 }
 
 // drain gives the machine what it sent to itself.
 func (p *Position) drain() {
 	for len(p.local) > 0 {
-		letter := p.local[0]
+		message := p.local[0]
 		p.local = p.local[1:]
-		p.hear(letter)
+		p.hear(message)
 	}
 }
 
--- a/internal/controlplane/health/health.go
+++ b/internal/controlplane/health/health.go
@@ -90,11 +90,11 @@
 //
 //	health.Trunk(gauges, cable.Counts)
 func Trunk(g *Gauges, counts *transport.Counts) {
-	g.Count("trunk_letters_sent_total", "letters sent to other processes", func() float64 { return float64(counts.SentLetters.Load()) })
+	g.Count("trunk_letters_sent_total", "letters sent to other processes", func() float64 { return float64(counts.SentMessages.Load()) })
 	g.Count("trunk_batches_sent_total", "batches of letters sent", func() float64 { return float64(counts.SentBatches.Load()) })
 	g.Count("trunk_bytes_sent_total", "bytes of letters sent", func() float64 { return float64(counts.SentBytes.Load()) })
-	g.Count("trunk_letters_lost_total", "letters lost on the way out or in", func() float64 { return float64(counts.LostLetters.Load()) })
-	g.Count("trunk_letters_heard_total", "letters taken in", func() float64 { return float64(counts.HeardLetters.Load()) })
+	g.Count("trunk_letters_lost_total", "letters lost on the way out or in", func() float64 { return float64(counts.LostMessages.Load()) })
+	g.Count("trunk_letters_heard_total", "letters taken in", func() float64 { return float64(counts.HeardMessages.Load()) })
 }
 
 // Control shows what a control thread knows.
--- a/internal/controlplane/idempotency/book_test.go
+++ b/internal/controlplane/idempotency/book_test.go
@@ -13,14 +13,14 @@
 	b2 = "b2@10.0.3.2:1"
 )
 
-// pair is two fronts whose agents ask each other; letters wait until carried.
+// pair is two fronts whose agents ask each other; messages wait until carried.
 type pair struct {
-	books   map[string]*Book
-	letters []letter
-	told    map[string][]Decision
+	books    map[string]*Book
+	messages []message
+	told     map[string][]Decision
 }
 
-type letter struct {
+type message struct {
 	from string
 	body wire.Record
 }
@@ -39,7 +39,7 @@
 
 func (p *pair) do(front string, out wire.Outputs) {
 	for _, send := range out.Sends {
-		p.letters = append(p.letters, letter{front, send.Body})
+		p.messages = append(p.messages, message{front, send.Body})
 	}
 	for _, answer := range out.Answers {
 		p.told[front] = append(p.told[front], answer.Body.(Decision))
@@ -53,11 +53,11 @@
 	return "x"
 }
 
-// carry takes letters to where the agents would, in their order.
+// carry takes messages to where the agents would, in their order.
 func (p *pair) carry(now int64, most int) {
-	for ; most > 0 && len(p.letters) > 0; most-- {
-		one := p.letters[0]
-		p.letters = p.letters[1:]
+	for ; most > 0 && len(p.messages) > 0; most-- {
+		one := p.messages[0]
+		p.messages = p.messages[1:]
 		switch told := one.body.(type) {
 		case *wire.TicketWish:
 			p.do(other(one.from), p.books[other(one.from)].Hear(now, &wire.TicketAsk{Op: told.Op, Asker: one.from, Key: told.Key, Server: told.Server}))
@@ -144,9 +144,9 @@
 	}, b1, "", 0},
 	{"the others do not say", func(p *pair) {
 		p.do("x", p.books["x"].Take(2, 1, fresh))
-		p.letters = nil
+		p.messages = nil
 		p.do("x", p.books["x"].Tick(900))
-		p.letters = nil
+		p.messages = nil
 	}, "", "", 1},
 	{"a key that may not be repeated any more", func(p *pair) {
 		p.do("x", p.books["x"].Take(2, 1, old))
@@ -180,7 +180,7 @@
 }
 
 // Two fronts that want one key for two servers at once: whichever way their
-// letters cross, it does not go to both.
+// messages cross, it does not go to both.
 func TestCrossing(t *testing.T) {
 	c := qt.New(t)
 	for cross := range 12 {
@@ -188,8 +188,8 @@
 		p.do("x", p.books["x"].Take(2, 1, call(b2, b1, both...)))
 		p.carry(2, cross%4)
 		p.do("y", p.books["y"].Take(2, 1, call(b1, b2, both...)))
-		if cross >= 4 && len(p.letters) > 1 {
-			p.letters[0], p.letters[1] = p.letters[1], p.letters[0]
+		if cross >= 4 && len(p.messages) > 1 {
+			p.messages[0], p.messages[1] = p.messages[1], p.messages[0]
 		}
 		p.carry(3, cross/4)
 		p.carry(4, 99)
--- a/internal/controlplane/lease/split_test.go
+++ b/internal/controlplane/lease/split_test.go
@@ -33,7 +33,7 @@
 					granters[send.To].Back(now, name, back)
 					continue
 				}
-				// The first letters of each reach only its own half.
+				// The first messages of each reach only its own half.
 				if now < 1025 && (send.To < "c") != (at == 0) {
 					continue
 				}
--- a/internal/controlplane/membership/lossy_test.go
+++ b/internal/controlplane/membership/lossy_test.go
@@ -11,7 +11,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// lossy runs thirteen members over links that lose some letters, and counts
+// lossy runs thirteen members over links that lose some messages, and counts
 // how often one that stands is removed somewhere, and how long a dead one stays.
 func lossy(percent int, seed int64, minutes int64) (wrong int, deadMs int64) {
 	r := newRing(13)
--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -95,7 +95,7 @@
 // pace is how long a round takes here.
 func (p *Proposer) pace() int64 { return max(p.limits.PhaseMs/16, min(p.roundMs, p.limits.PhaseMs)) }
 
-// patience is how long a phase waits before it asks again, should letters have
+// patience is how long a phase waits before it asks again, should messages have
 // been lost.
 func (p *Proposer) patience() int64 {
 	return max(p.limits.PhaseMs/4, min(4*p.roundMs, p.limits.PhaseMs))
--- a/internal/controlplane/register/register_test.go
+++ b/internal/controlplane/register/register_test.go
@@ -11,7 +11,7 @@
 )
 
 // bench is three acceptors and some proposers, with a network that the test
-// decides on letter by letter.
+// decides on message by message.
 type bench struct {
 	c         *qt.C
 	acceptors map[string]*Acceptor
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -70,12 +70,12 @@
 	p.chain = board
 }
 
-// Deliver puts a letter from the agent in front of the thread.
+// Deliver puts a message from the agent in front of the thread.
 //
 //	router.Handle("/trunk", cable.Handler(plugs.Deliver))
-func (p *Plugboard) Deliver(letter transport.Arrived) bool {
+func (p *Plugboard) Deliver(message transport.Arrived) bool {
 	select {
-	case p.inbox <- letter:
+	case p.inbox <- message:
 		return true
 	default:
 		return false
@@ -96,8 +96,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case letter := <-p.inbox:
-			p.hear(letter)
+		case message := <-p.inbox:
+			p.hear(message)
 		case hold := <-p.holds:
 			p.held(hold)
 		case one := <-p.works:
@@ -124,13 +124,13 @@
 	}
 }
 
-func (p *Plugboard) hear(letter transport.Arrived) {
-	switch told := letter.Body.(type) {
+func (p *Plugboard) hear(message transport.Arrived) {
+	switch told := message.Body.(type) {
 	case *wire.Contact:
 		p.chain.Contact(contactAnswers * told.AnswerMs)
-		p.perform(p.book.Hear(p.clock(), letter.Body))
+		p.perform(p.book.Hear(p.clock(), message.Body))
 	case *wire.TicketAsk, *wire.TicketDone:
-		p.perform(p.book.Hear(p.clock(), letter.Body))
+		p.perform(p.book.Hear(p.clock(), message.Body))
 	case *wire.News:
 		changed := false
 		for _, topic := range told.Topics {
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// sendID finds a member's address; one not known yet is found by its letters,
+// sendID finds a member's address; one not known yet is found by its messages,
 // as the transport does.
 func (w *World) sendID(from *ground.Node, addr func(string) (string, bool), send wire.Send) {
 	if known, ok := addr(send.To); ok {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,5 +1,5 @@
-// Package transport carries letters between the project's processes: batches of
-// avro records, posted over HTTP/1.1. Letters may be lost; machines ask again.
+// Package transport carries messages between the project's processes: batches of
+// avro records, posted over HTTP/1.1. Messages may be lost; machines ask again.
 package transport
 
 import (
@@ -17,7 +17,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// Arrived is one letter that came in.
+// Arrived is one message that came in.
 type Arrived struct {
 	From, Addr string
 	Kind       wire.Kind
@@ -26,7 +26,7 @@
 
 // Counts are what a transport carried; they only rise.
 type Counts struct {
-	SentLetters, SentBatches, SentBytes, LostLetters, HeardLetters atomic.Int64
+	SentMessages, SentBatches, SentBytes, LostMessages, HeardMessages atomic.Int64
 }
 
 // How many messages may wait for one address. A front has a line to each of its
@@ -53,7 +53,7 @@
 type Trunk struct {
 	depth      int // of a line
 	self, addr string
-	lines      map[string]chan wire.Letter
+	lines      map[string]chan wire.Message
 	client     *http.Client
 	wait       time.Duration
 	ctx        context.Context
@@ -73,58 +73,58 @@
 	}
 	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: answerBuffer, WriteBufferSize: batchBuffer}
-	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
+	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Message{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
-// Send puts a letter on the line to an address; a full line loses it.
+// Send puts a message on the line to an address; a full line loses it.
 //
 //	cable.Send("127.0.0.1:7101", wire.KindQuery, body)
 func (t *Trunk) Send(addr string, kind wire.Kind, body wire.Record) {
 	line, ok := t.lines[addr]
 	if !ok {
-		line = make(chan wire.Letter, t.depth)
+		line = make(chan wire.Message, t.depth)
 		t.lines[addr] = line
 		go t.run(addr, line)
 	}
 	select {
-	case line <- wire.Letter{Kind: int64(kind), Body: wire.Encode(body)}:
+	case line <- wire.Message{Kind: int64(kind), Body: wire.Encode(body)}:
 	default:
-		t.Counts.LostLetters.Add(1)
+		t.Counts.LostMessages.Add(1)
 	}
 }
 
 // run owns one line: it sends what waits, a batch at a time.
-func (t *Trunk) run(addr string, line chan wire.Letter) {
+func (t *Trunk) run(addr string, line chan wire.Message) {
 	for {
-		var batch wire.Letters
+		var batch wire.Messages
 		select {
 		case <-t.ctx.Done():
 			return
-		case letter := <-line:
-			batch.Letters = append(batch.Letters, letter)
+		case message := <-line:
+			batch.Messages = append(batch.Messages, message)
 		}
-		size := len(batch.Letters[0].Body)
-		for more := true; more && len(batch.Letters) < batchMost && size < batchBytes; {
+		size := len(batch.Messages[0].Body)
+		for more := true; more && len(batch.Messages) < batchMost && size < batchBytes; {
 			select {
-			case letter := <-line:
-				batch.Letters = append(batch.Letters, letter)
-				size += len(letter.Body)
+			case message := <-line:
+				batch.Messages = append(batch.Messages, message)
+				size += len(message.Body)
 			default:
 				more = false
 			}
 		}
 		batch.From, batch.Addr = t.self, t.addr
 		if err := t.post(addr, &batch); err != nil {
-			t.Counts.LostLetters.Add(int64(len(batch.Letters)))
+			t.Counts.LostMessages.Add(int64(len(batch.Messages)))
 			continue
 		}
-		t.Counts.SentLetters.Add(int64(len(batch.Letters)))
+		t.Counts.SentMessages.Add(int64(len(batch.Messages)))
 		t.Counts.SentBatches.Add(1)
 		t.Counts.SentBytes.Add(int64(size))
 	}
 }
 
-func (t *Trunk) post(addr string, batch *wire.Letters) error {
+func (t *Trunk) post(addr string, batch *wire.Messages) error {
 	body := wire.Encode(batch)
 	ctx, cancel := context.WithTimeout(t.ctx, t.patience(int64(len(body))))
 	defer cancel()
@@ -164,8 +164,8 @@
 	return body.Bytes(), err
 }
 
-// Handler takes batches in and hands each letter on. Deliver must not block
-// for long; letters it turns away are lost.
+// Handler takes batches in and hands each message on. Deliver must not block
+// for long; messages it turns away are lost.
 //
 //	router.Handle("/trunk", cable.Handler(deliver)).Methods("POST")
 func (t *Trunk) Handler(deliver func(Arrived) bool) http.Handler {
@@ -175,19 +175,19 @@
 			http.Error(w, "too large, or not all there in time", http.StatusRequestEntityTooLarge)
 			return
 		}
-		var batch wire.Letters
+		var batch wire.Messages
 		if err := batch.Unmarshal(body); err != nil {
 			http.Error(w, oops.Wrapf(err, "letters").Error(), http.StatusBadRequest)
 			return
 		}
-		for _, letter := range batch.Letters {
-			record, err := wire.Decode(wire.Kind(letter.Kind), letter.Body)
+		for _, message := range batch.Messages {
+			record, err := wire.Decode(wire.Kind(message.Kind), message.Body)
 			if err != nil {
 				continue
 			}
-			t.Counts.HeardLetters.Add(1)
-			if !deliver(Arrived{From: batch.From, Addr: batch.Addr, Kind: wire.Kind(letter.Kind), Body: record}) {
-				t.Counts.LostLetters.Add(1)
+			t.Counts.HeardMessages.Add(1)
+			if !deliver(Arrived{From: batch.From, Addr: batch.Addr, Kind: wire.Kind(message.Kind), Body: record}) {
+				t.Counts.LostMessages.Add(1)
 			}
 		}
 		w.Header()["Date"] = nil
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -83,7 +83,7 @@
 				}
 				taken(w, r)
 			})
-			batch := &wire.Letters{From: "n1~7f", Letters: []wire.Letter{{Kind: int64(wire.KindQuery), Body: wire.Encode(&wire.Query{Op: 1})}}}
+			batch := &wire.Messages{From: "n1~7f", Messages: []wire.Message{{Kind: int64(wire.KindQuery), Body: wire.Encode(&wire.Query{Op: 1})}}}
 			c.Assert(cable.post(o.addr, batch), qt.IsNil)
 			bad.Store(true)
 			err := cable.post(o.addr, batch)
@@ -109,7 +109,7 @@
 	c.Cleanup(func() { _ = conn.Close() })
 	c.Assert(conn.SetDeadline(time.Now().Add(30*time.Second)), qt.IsNil)
 	answers := bufio.NewReader(conn)
-	batch := wire.Encode(&wire.Letters{From: "n2~1"})
+	batch := wire.Encode(&wire.Messages{From: "n2~1"})
 	for range 2 {
 		_, err = fmt.Fprintf(conn, "POST /trunk HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(batch), batch)
 		c.Assert(err, qt.IsNil)
@@ -126,11 +126,11 @@
 }
 
 // A batch that is no whole one is refused and nothing of it delivered; of a whole
-// one, letters that cannot be read are left out.
+// one, messages that cannot be read are left out.
 func TestBadBatches(t *testing.T) {
 	c := qt.New(t)
-	query := wire.Letter{Kind: int64(wire.KindQuery), Body: wire.Encode(&wire.Query{Op: 1, Key: "policy"})}
-	whole := string(wire.Encode(&wire.Letters{From: "n2~1", Letters: []wire.Letter{query, {Kind: 9999, Body: []byte("?")}, {Kind: query.Kind, Body: query.Body[:3]}, query}}))
+	query := wire.Message{Kind: int64(wire.KindQuery), Body: wire.Encode(&wire.Query{Op: 1, Key: "policy"})}
+	whole := string(wire.Encode(&wire.Messages{From: "n2~1", Messages: []wire.Message{query, {Kind: 9999, Body: []byte("?")}, {Kind: query.Kind, Body: query.Body[:3]}, query}}))
 	cases := []struct {
 		name, body string
 		status     int
@@ -145,9 +145,9 @@
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			heard := 0
-			handler := newTrunk(c).Handler(func(letter Arrived) bool {
+			handler := newTrunk(c).Handler(func(message Arrived) bool {
 				heard++
-				c.Check(letter.Body, qt.DeepEquals, wire.Record(&wire.Query{Op: 1, Key: "policy"}))
+				c.Check(message.Body, qt.DeepEquals, wire.Record(&wire.Query{Op: 1, Key: "policy"}))
 				return true
 			})
 			answer := httptest.NewRecorder()
--- a/internal/transport/wire/fuzz_test.go
+++ b/internal/transport/wire/fuzz_test.go
@@ -32,17 +32,17 @@
 
 // FuzzBatch gives any bytes to the reader of what one node posts to another.
 func FuzzBatch(f *testing.F) {
-	f.Add(Encode(&Letters{}))
-	f.Add(Encode(&Letters{From: "c1~7f", Addr: "10.0.0.1:1", Letters: []Letter{{Kind: int64(KindQuery), Body: Encode(&Query{Op: 1, Key: "policy"})}}}))
+	f.Add(Encode(&Messages{}))
+	f.Add(Encode(&Messages{From: "c1~7f", Addr: "10.0.0.1:1", Messages: []Message{{Kind: int64(KindQuery), Body: Encode(&Query{Op: 1, Key: "policy"})}}}))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		var batch, again Letters
+		var batch, again Messages
 		if batch.Unmarshal(body) != nil {
 			return
 		}
 		c := qt.New(t)
 		c.Assert(again.Unmarshal(Encode(&batch)), qt.IsNil)
 		c.Check(again, qt.DeepEquals, batch)
-		for _, one := range batch.Letters {
+		for _, one := range batch.Messages {
 			_, _ = Decode(Kind(one.Kind), one.Body)
 		}
 	})
--- a/internal/transport/wire/kind.go
+++ b/internal/transport/wire/kind.go
@@ -7,7 +7,7 @@
 //go:generate go tool enumer -type=Verdict -output=verdict_gen.go
 //go:generate go tool enumer -type=Standing -output=standing_gen.go
 
-// Kind names the record in a letter, a journal record or an event.
+// Kind names the record in a message, a journal record or an event.
 type Kind int64
 
 // The kinds, in the order of messages.avsc. New ones go to the end.
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -2161,49 +2161,49 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
-// Letter is a generated struct.
-type Letter struct {
+// Message is a generated struct.
+type Message struct {
 	Kind int64  `avro:"kind"`
 	Body []byte `avro:"body"`
 }
 
-var schemaLetter = schemaOf(`{"name":"Letter","type":"record","fields":[{"name":"kind","type":"long"},{"name":"body","type":"bytes"}]}`)
+var schemaMessage = schemaOf(`{"name":"Message","type":"record","fields":[{"name":"kind","type":"long"},{"name":"body","type":"bytes"}]}`)
 
-// Schema returns the schema for Letter.
-func (o *Letter) Schema() avro.Schema {
-	return schemaLetter
+// Schema returns the schema for Message.
+func (o *Message) Schema() avro.Schema {
+	return schemaMessage
 }
 
 // Unmarshal decodes b into the receiver.
-func (o *Letter) Unmarshal(b []byte) error {
+func (o *Message) Unmarshal(b []byte) error {
 	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
-func (o *Letter) Marshal() ([]byte, error) {
+func (o *Message) Marshal() ([]byte, error) {
 	return avro.Marshal(o.Schema(), o)
 }
 
-// Letters is a generated struct.
-type Letters struct {
-	From    string   `avro:"from"`
-	Addr    string   `avro:"addr"`
-	Letters []Letter `avro:"letters"`
+// Messages is a generated struct.
+type Messages struct {
+	From     string    `avro:"from"`
+	Addr     string    `avro:"addr"`
+	Messages []Message `avro:"messages"`
 }
 
-var schemaLetters = schemaOf(`{"name":"Letters","type":"record","fields":[{"name":"from","type":"string"},{"name":"addr","type":"string"},{"name":"letters","type":{"type":"array","items":"Letter"}}]}`)
+var schemaMessages = schemaOf(`{"name":"Messages","type":"record","fields":[{"name":"from","type":"string"},{"name":"addr","type":"string"},{"name":"messages","type":{"type":"array","items":"Message"}}]}`)
 
-// Schema returns the schema for Letters.
-func (o *Letters) Schema() avro.Schema {
-	return schemaLetters
+// Schema returns the schema for Messages.
+func (o *Messages) Schema() avro.Schema {
+	return schemaMessages
 }
 
 // Unmarshal decodes b into the receiver.
-func (o *Letters) Unmarshal(b []byte) error {
+func (o *Messages) Unmarshal(b []byte) error {
 	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
-func (o *Letters) Marshal() ([]byte, error) {
+func (o *Messages) Marshal() ([]byte, error) {
 	return avro.Marshal(o.Schema(), o)
 }
--- a/internal/transport/wire/schema_test.go
+++ b/internal/transport/wire/schema_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// Letters of all kinds come back as they were sent.
+// Messages of all kinds come back as they were sent.
 func TestEveryKindIsRead(t *testing.T) {
 	c := qt.New(t)
 	for kind, maker := range makers {
--- a/internal/transport/wire/strict_test.go
+++ b/internal/transport/wire/strict_test.go
@@ -17,9 +17,9 @@
 	var back AcceptorRecord
 	c.Assert(back.Unmarshal(kept), qt.IsNil)
 	c.Check(len(back.Value) == len(value) && back.Value[len(value)-1] == 7, qt.IsTrue)
-	var batch Letters
-	c.Assert(batch.Unmarshal(Encode(&Letters{Letters: []Letter{{Kind: int64(KindAcceptorRecord), Body: kept}}})), qt.IsNil)
-	c.Check(batch.Letters[0].Body, qt.HasLen, len(kept))
+	var batch Messages
+	c.Assert(batch.Unmarshal(Encode(&Messages{Messages: []Message{{Kind: int64(KindAcceptorRecord), Body: kept}}})), qt.IsNil)
+	c.Check(batch.Messages[0].Body, qt.HasLen, len(kept))
 }
 
 // Bytes that are no whole record are refused, before memory is taken for what
