Rename: shot is attempt (identifiers only)

Lines.Shoot is Lines.Do, Switch.shoot is attempt. The header Applequay-Shot, the records' shot and shot_ms and the metric shots_total keep their names.

--- a/cmd/fakeworker/main.go
+++ b/cmd/fakeworker/main.go
@@ -70,24 +70,24 @@
 
 // entry is one line of the record, from which checkers work.
 type entry struct {
-	TimeMs int64  `json:"t"`
-	Worker string `json:"worker"`
-	Born   string `json:"born"`
-	Event  string `json:"event"`
-	Key    string `json:"key,omitempty"`
-	Tag    string `json:"tag,omitempty"`
-	Run    string `json:"run,omitempty"`
-	Item   string `json:"item,omitempty"`
-	Path   string `json:"path,omitempty"`
-	Fence  int64  `json:"fence,omitempty"`
-	Seq    int64  `json:"seq,omitempty"`
-	SizeMb int64  `json:"size_mb,omitempty"`
-	UsedMb int64  `json:"used_mb,omitempty"`
-	RoomMb int64  `json:"room_mb,omitempty"`
-	From   int64  `json:"from,omitempty"`
-	MbPerS int64  `json:"mb_per_s,omitempty"`
-	Shot   string `json:"shot,omitempty"`
-	Why    string `json:"why,omitempty"`
+	TimeMs  int64  `json:"t"`
+	Worker  string `json:"worker"`
+	Born    string `json:"born"`
+	Event   string `json:"event"`
+	Key     string `json:"key,omitempty"`
+	Tag     string `json:"tag,omitempty"`
+	Run     string `json:"run,omitempty"`
+	Item    string `json:"item,omitempty"`
+	Path    string `json:"path,omitempty"`
+	Fence   int64  `json:"fence,omitempty"`
+	Seq     int64  `json:"seq,omitempty"`
+	SizeMb  int64  `json:"size_mb,omitempty"`
+	UsedMb  int64  `json:"used_mb,omitempty"`
+	RoomMb  int64  `json:"room_mb,omitempty"`
+	From    int64  `json:"from,omitempty"`
+	MbPerS  int64  `json:"mb_per_s,omitempty"`
+	Attempt string `json:"shot,omitempty"`
+	Why     string `json:"why,omitempty"`
 }
 
 // record appends a line; only the state's thread calls it.
--- a/cmd/fakeworker/serve.go
+++ b/cmd/fakeworker/serve.go
@@ -183,7 +183,7 @@
 		s.nextRun++
 		made := booking{number: s.nextRun, tag: ask.Tag}
 		s.booked[key] = made
-		w.record(entry{Event: "booked", Key: key, Tag: ask.Tag, Path: r.URL.Path, Shot: r.Header.Get(protocol.HeaderShot)})
+		w.record(entry{Event: "booked", Key: key, Tag: ask.Tag, Path: r.URL.Path, Attempt: r.Header.Get(protocol.HeaderAttempt)})
 		return made
 	})
 	time.Sleep(time.Duration(w.pieceMs) * time.Millisecond / 4)
--- a/cmd/loadgen/calls.go
+++ b/cmd/loadgen/calls.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	mostShots  = 4
-	callWait   = 30 * time.Second
-	mostResume = 6
+	mostAttempts = 4
+	callWait     = 30 * time.Second
+	mostResume   = 6
 	// mostPatience is how much later a caller still comes back.
 	mostPatience = 40 * time.Second
 )
@@ -27,7 +27,7 @@
 func (c *callers) front() string { return c.plan.Fronts[rand.Intn(len(c.plan.Fronts))] }
 
 func (c *callers) note(line Line, came, tried time.Time) {
-	line.ShotMs = time.Since(tried).Milliseconds()
+	line.AttemptMs = time.Since(tried).Milliseconds()
 	line.TimeMs, line.TookMs = time.Now().UnixMilli(), time.Since(came).Milliseconds()
 	c.lines <- line
 }
@@ -35,9 +35,9 @@
 // book makes a booking or a check. It is repeated under the same key where the
 // answer says that it did not run or may not have.
 func (c *callers) book(calls *Calls, key string) {
-	for shot := 1; shot <= mostShots; shot++ {
+	for attempt := 1; attempt <= mostAttempts; attempt++ {
 		came := time.Now()
-		line := Line{Event: "book", Path: calls.Path, Key: key, Tag: fmt.Sprintf("%s#%d", key, shot), Front: c.front(), Shot: shot}
+		line := Line{Event: "book", Path: calls.Path, Key: key, Tag: fmt.Sprintf("%s#%d", key, attempt), Front: c.front(), Attempt: attempt}
 		wait := c.bookOnce(&line)
 		c.note(line, came, came)
 		if line.Whole || line.Bad != "" || wait <= 0 || (c.plan.Careful && line.Ran != string(protocol.RanNo)) {
@@ -59,7 +59,7 @@
 	request.GetBody = nil
 	request.Close = true
 	request.Header.Set(protocol.HeaderKey, line.Key)
-	request.Header.Set(protocol.HeaderShot, strconv.Itoa(line.Shot))
+	request.Header.Set(protocol.HeaderAttempt, strconv.Itoa(line.Attempt))
 	answer, err := c.client.Do(request)
 	if err != nil {
 		line.Why, line.Ran = err.Error(), "unknown"
@@ -129,15 +129,15 @@
 	run, next, sent := "", int64(0), ""
 	came := time.Now()
 	first := int64(0)
-	for shot := 1; shot <= mostResume; shot++ {
+	for attempt := 1; attempt <= mostResume; attempt++ {
 		if run == "" {
 			// Each new run has its own tag, so that each promise can be checked.
-			sent = fmt.Sprintf("%s#%d", tag, shot)
+			sent = fmt.Sprintf("%s#%d", tag, attempt)
 			body, _ = json.Marshal(map[string]any{"model": item[0], "adapter": item[1], "tag": sent, "pieces": calls.Pieces, "prompt": prompt})
 		}
-		line := Line{Event: "stream", Path: calls.Path, Tag: sent, Front: c.front(), Shot: shot}
+		line := Line{Event: "stream", Path: calls.Path, Tag: sent, Front: c.front(), Attempt: attempt}
 		if run != "" {
-			line.Tag = fmt.Sprintf("%s/%d", sent, shot)
+			line.Tag = fmt.Sprintf("%s/%d", sent, attempt)
 		}
 		tried := time.Now()
 		wait := c.streamOnce(&line, body, sent, &run, &next, calls.Pieces)
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -41,22 +41,22 @@
 
 // Line is one line of the record.
 type Line struct {
-	TimeMs  int64  `json:"t"`
-	Event   string `json:"event"`
-	Path    string `json:"path"`
-	Tag     string `json:"tag"`
-	Key     string `json:"key,omitempty"`
-	Front   string `json:"front"`
-	Status  int    `json:"status"`
-	Ran     string `json:"ran,omitempty"`
-	TookMs  int64  `json:"took_ms"`
-	ShotMs  int64  `json:"shot_ms"`
-	FirstMs int64  `json:"first_ms,omitempty"`
-	Pieces  int64  `json:"pieces,omitempty"`
-	Shot    int    `json:"shot"`
-	Whole   bool   `json:"whole"`
-	Bad     string `json:"bad,omitempty"`
-	Why     string `json:"why,omitempty"`
+	TimeMs    int64  `json:"t"`
+	Event     string `json:"event"`
+	Path      string `json:"path"`
+	Tag       string `json:"tag"`
+	Key       string `json:"key,omitempty"`
+	Front     string `json:"front"`
+	Status    int    `json:"status"`
+	Ran       string `json:"ran,omitempty"`
+	TookMs    int64  `json:"took_ms"`
+	AttemptMs int64  `json:"shot_ms"`
+	FirstMs   int64  `json:"first_ms,omitempty"`
+	Pieces    int64  `json:"pieces,omitempty"`
+	Attempt   int    `json:"shot"`
+	Whole     bool   `json:"whole"`
+	Bad       string `json:"bad,omitempty"`
+	Why       string `json:"why,omitempty"`
 }
 
 type callers struct {
--- a/internal/configuration/rollout.go
+++ b/internal/configuration/rollout.go
@@ -152,7 +152,7 @@
 // Halt makes the body of a roll-out that was stopped: all fronts go by the old
 // policy again, and the next one is kept to be looked at.
 //
-//	body, err := configuration.Halt(current, "shots break off")
+//	body, err := configuration.Halt(current, "attempts break off")
 func Halt(current []byte, why string) ([]byte, error) { return edit(current, "halted", why) }
 
 func edit(current []byte, field string, value any) ([]byte, error) {
--- a/internal/controlplane/health/traffic.go
+++ b/internal/controlplane/health/traffic.go
@@ -11,7 +11,7 @@
 	g.Count("requests_shed_total", "requests shed for lack of slots", func() float64 { return float64(counts.Shed.Load()) })
 	g.Count("requests_held_total", "requests held for a model", func() float64 { return float64(counts.Held.Load()) })
 	g.Count("requests_refused_total", "requests given up on", func() float64 { return float64(counts.Refused.Load()) })
-	g.Count("shots_total", "shots at servers", func() float64 { return float64(counts.Shots.Load()) })
+	g.Count("shots_total", "shots at servers", func() float64 { return float64(counts.Attempts.Load()) })
 	g.Count("retries_total", "shots after the first", func() float64 { return float64(counts.Retries.Load()) })
 	g.Count("broken_total", "shots and streams that broke off", func() float64 { return float64(counts.Broken.Load()) })
 	g.Count("pieces_total", "pieces of streams passed on", func() float64 { return float64(counts.Pieces.Load()) })
--- a/internal/dataplane/pipeline/shot.go
+++ b/internal/dataplane/pipeline/attempt.go
@@ -12,7 +12,7 @@
 	"applequay/internal/routing"
 )
 
-// fate is how a shot ended.
+// fate is how an attempt ended.
 type fate int
 
 const (
@@ -30,9 +30,9 @@
 	fateCut
 )
 
-// shoot sends the request to servers until one answers or nothing more may be
-// tried. What may not run twice gets one shot, unless it certainly did not run.
-func (s *Switch) shoot(c *call) {
+// attempt sends the request to servers until one answers or nothing more may be
+// tried. What may not run twice gets one attempt, unless it certainly did not run.
+func (s *Switch) attempt(c *call) {
 	budget := c.current.Budgets[c.service.Name]
 	budget.Earn(s.Now())
 	arrived := int64(0)
@@ -53,7 +53,7 @@
 			}
 			s.Counts.Retries.Add(1)
 		}
-		s.Counts.Shots.Add(1)
+		s.Counts.Attempts.Add(1)
 		end := s.once(c, chosenServer, arrived+1 < s.tries(c) || c.again && c.stream && c.route.TargetMs == 0)
 		if end != fateNoLine {
 			arrived++
@@ -102,10 +102,10 @@
 	if c.route.Tries > 0 {
 		return c.route.Tries
 	}
-	return int64(s.limits.Shots)
+	return int64(s.limits.Attempts)
 }
 
-// slack is this front's part of the shots beyond the share that all fronts
+// slack is this front's part of the attempts beyond the share that all fronts
 // together may make.
 func (s *Switch) slack() int64 {
 	return s.limits.RetrySlack * 3 / 4 / max(s.fronts.Load(), 1)
@@ -149,7 +149,7 @@
 	c.refuse(status, said, retry)
 }
 
-// once makes one shot at one server.
+// once makes one attempt at one server.
 func (s *Switch) once(c *call, chosenServer *routing.Server, further bool) fate {
 	load := chosenServer.Load
 	load.InWork.Add(1)
@@ -159,7 +159,7 @@
 	look := s.watch(c, chosenServer, further)
 	defer look.end()
 	sent := s.Now()
-	answer, err := s.lines.Shoot(look.ctx, &load.Plug, s.shotFor(c, chosenServer))
+	answer, err := s.lines.Do(look.ctx, &load.Plug, s.attemptFor(c, chosenServer))
 	if err != nil {
 		if errors.Is(err, upstream.ErrNoLine) {
 			return fateNoLine
@@ -176,8 +176,8 @@
 	return s.relay(c, answer, look, chosenServer, sent)
 }
 
-// shotFor is the request as it is sent to a server.
-func (*Switch) shotFor(c *call, chosenServer *routing.Server) *upstream.Shot {
+// attemptFor is the request as it is sent to a server.
+func (*Switch) attemptFor(c *call, chosenServer *routing.Server) *upstream.Attempt {
 	header := http.Header{}
 	protocol.CopyHead(header, c.r.Header)
 	header.Del("Expect")
@@ -187,11 +187,11 @@
 		_, told.Run, _ = protocol.CutRun(c.ask.Run)
 	}
 	c.speech.Put(header, c.ask, told)
-	shot := &upstream.Shot{Addr: chosenServer.Addr, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, Fresh: !c.again || c.fresh}
+	attempt := &upstream.Attempt{Addr: chosenServer.Addr, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, Fresh: !c.again || c.fresh}
 	if !c.again {
-		shot.Until, _ = c.ctx.Deadline()
+		attempt.Until, _ = c.ctx.Deadline()
 	}
-	return shot
+	return attempt
 }
 
 // relay does what an answer's head asks for.
--- a/internal/dataplane/pipeline/call.go
+++ b/internal/dataplane/pipeline/call.go
@@ -41,7 +41,7 @@
 	// go on after it at another server.
 	passed int64
 	cut    bool
-	// paid says that the next shot was taken from the budget already.
+	// paid says that the next attempt was taken from the budget already.
 	paid atomic.Bool
 	// fresh asks for a line of its own.
 	fresh bool
--- a/internal/dataplane/pipeline/other_test.go
+++ b/internal/dataplane/pipeline/other_test.go
@@ -8,7 +8,7 @@
 	"applequay/internal/routing"
 )
 
-// A shot is given up on only where another server would do better and one more
+// An attempt is given up on only where another server would do better and one more
 // may be tried.
 func TestOther(t *testing.T) {
 	c := qt.New(t)
--- a/internal/dataplane/pipeline/pipeline_test.go
+++ b/internal/dataplane/pipeline/pipeline_test.go
@@ -161,8 +161,8 @@
 	}
 }
 
-// What is not a model gets one shot; ran is no only if no byte was written.
-func TestOneShot(t *testing.T) {
+// What is not a model gets one attempt; ran is no only if no byte was written.
+func TestOneAttempt(t *testing.T) {
 	c := qt.New(t)
 	breaks := func(count *atomic.Int64) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/switch.go
@@ -14,18 +14,18 @@
 
 // Limits are what one proxy allows itself.
 type Limits struct {
-	Slots int64
-	Body  int64
-	Hold  time.Duration
-	Retry time.Duration
-	Avoid time.Duration
-	Shots int
+	Slots    int64
+	Body     int64
+	Hold     time.Duration
+	Retry    time.Duration
+	Avoid    time.Duration
+	Attempts int
 	// First is how long a model may take to its first piece, Silent to the next.
 	First, Silent time.Duration
 	// Answer bounds what is kept of an application's answer before it is
 	// passed on whole.
 	Answer int64
-	// RetrySlack is how many shots beyond the share all fronts together may make
+	// RetrySlack is how many attempts beyond the share all fronts together may make
 	// over the short window.
 	RetrySlack int64
 }
@@ -34,7 +34,7 @@
 //
 //	limits := pipeline.LimitsFor(512, 1<<20, 20*time.Second)
 func LimitsFor(slots, body int64, hold time.Duration) Limits {
-	return Limits{Slots: slots, Body: body, Hold: hold, Retry: hold / 10, Avoid: hold / 20, Shots: 3, First: hold / 2, Silent: hold / 4, Answer: 16 * body}
+	return Limits{Slots: slots, Body: body, Hold: hold, Retry: hold / 10, Avoid: hold / 20, Attempts: 3, First: hold / 2, Silent: hold / 4, Answer: 16 * body}
 }
 
 // Ledger hears what requests are held, asked for and in work.
@@ -54,7 +54,7 @@
 
 // Counts are what a proxy did; they only rise.
 type Counts struct {
-	Came, Shed, Held, Shots, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late atomic.Int64
+	Came, Shed, Held, Attempts, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late atomic.Int64
 }
 
 // Switch is the chain of filters with what it works on.
@@ -85,7 +85,7 @@
 func New(limits Limits, lines *upstream.Lines, ledger Ledger, spoken protocol.Speech, epoch time.Time) *Switch {
 	s := &Switch{limits: limits, lines: lines, ledger: ledger, speech: spoken, epoch: epoch, leaves: make(chan struct{})}
 	s.table.Store(routing.Empty())
-	s.run = chain([]filter{s.deadline, s.findRoute, s.admit, s.hold}, s.shoot)
+	s.run = chain([]filter{s.deadline, s.findRoute, s.admit, s.hold}, s.attempt)
 	return s
 }
 
--- a/internal/dataplane/pipeline/watch.go
+++ b/internal/dataplane/pipeline/watch.go
@@ -12,7 +12,7 @@
 
 var errSilent = errors.New("the server is silent")
 
-// watcher ends a shot at a server that is silent for too long: for the time of a
+// watcher ends an attempt at a server that is silent for too long: for the time of a
 // first piece, then of the next, and for a small share of that where the server
 // is known to be dark. The caller's own deadline is no measure: nobody is to
 // wait for it in vain.
@@ -32,14 +32,14 @@
 	begun               atomic.Bool
 	cut                 bool
 	timer               *time.Timer
-	// follows takes the place of one more shot, if there can be one; nil where
+	// follows takes the place of one more attempt, if there can be one; nil where
 	// that is not asked.
 	follows func() bool
 }
 
-// watch begins to look after a shot.
+// watch begins to look after an attempt.
 //
-// A shot is ended only where another may follow: what is late there is still
+// An attempt is ended only where another may follow: what is late there is still
 // worth something, what is begun anew elsewhere must be read again.
 func (s *Switch) watch(c *call, chosenServer *routing.Server, further bool) *watcher {
 	w := &watcher{s: s, server: chosenServer, sentMs: s.Now()}
@@ -78,7 +78,7 @@
 	}
 }
 
-// pay takes one more shot from the budget, unless it was taken before.
+// pay takes one more attempt from the budget, unless it was taken before.
 func (s *Switch) pay(c *call, budget *routing.Budget) bool {
 	return c.paid.Swap(false) || budget.Spend(s.Now(), c.service.RetryPercent, s.slack())
 }
@@ -119,7 +119,7 @@
 	} else {
 		w.darkMs.Store(0)
 	}
-	// Before its first piece a shot ends only where another server would do better,
+	// Before its first piece an attempt ends only where another server would do better,
 	// after it only where another may go on.
 	begun := w.begun.Load() || w.cut
 	may := now-since >= allowed && ((begun && (w.follows == nil || w.follows())) || (!begun && (w.other == nil || w.other(now))))
@@ -144,7 +144,7 @@
 	}
 }
 
-// otherFor tells of a shot whether it may go elsewhere: another server that has
+// otherFor tells of an attempt whether it may go elsewhere: another server that has
 // the item was not tried, is not avoided and has less to do, and the budget has
 // a retry left. What is given up on without that is only read again, or lost.
 func (s *Switch) otherFor(c *call, chosenServer *routing.Server) func(nowMs int64) bool {
--- a/internal/dataplane/protocol/own.go
+++ b/internal/dataplane/protocol/own.go
@@ -18,7 +18,7 @@
 	HeaderFrom     = "Applequay-From"
 	HeaderKey      = "Idempotency-Key"
 	HeaderServer   = "Applequay-Server"
-	HeaderShot     = "Applequay-Shot"
+	HeaderAttempt  = "Applequay-Shot"
 )
 
 // Ran says whether a request may have been carried out.
--- a/internal/dataplane/protocol/protocol.go
+++ b/internal/dataplane/protocol/protocol.go
@@ -117,7 +117,7 @@
 	Wait(r *http.Request) (time.Duration, *Refusal)
 	// Ask reads what a request asks for; model tells whether its service has models.
 	Ask(r *http.Request, body []byte, model bool) (Ask, *Refusal)
-	// Put writes what the server is told into the head of a shot.
+	// Put writes what the server is told into the head of an attempt.
 	Put(header http.Header, ask Ask, told Told)
 	// Hear understands the head of an answer.
 	Hear(answer *http.Response, ask Ask, server string, stream bool) Heard
--- a/internal/dataplane/upstream/fuzz_test.go
+++ b/internal/dataplane/upstream/fuzz_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// FuzzAnswers has a server answer with any bytes and close. The shot ends; its
+// FuzzAnswers has a server answer with any bytes and close. The attempt ends; its
 // connection is kept only where the bytes are interim heads and one whole answer,
 // with nothing behind it.
 func FuzzAnswers(f *testing.F) {
@@ -56,7 +56,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
 		scripts <- answer
-		got, err := New(5*time.Second).Shoot(ctx, &plug, &Shot{Addr: listener.Addr().String(), Method: method, Target: "/", Host: "x"})
+		got, err := New(5*time.Second).Do(ctx, &plug, &Attempt{Addr: listener.Addr().String(), Method: method, Target: "/", Host: "x"})
 		if err != nil {
 			c.Assert(errors.Is(err, ErrNoLine), qt.IsFalse)
 			c.Assert(errors.Is(err, ErrStale), qt.IsFalse)
@@ -110,7 +110,7 @@
 		for _, name := range []string{"Connection", "Content-Length", "Transfer-Encoding", "Trailer", "Expect"} {
 			header.Del(name)
 		}
-		sent := head(&Shot{Method: came.Method, Target: came.RequestURI, Host: came.Host, Header: header, Body: body, Fresh: fresh})
+		sent := head(&Attempt{Method: came.Method, Target: came.RequestURI, Host: came.Host, Header: header, Body: body, Fresh: fresh})
 		reader := bufio.NewReader(bytes.NewReader(sent))
 		got, err := http.ReadRequest(reader)
 		c.Assert(err, qt.IsNil, qt.Commentf("%q", sent))
--- a/internal/dataplane/upstream/plug.go
+++ b/internal/dataplane/upstream/plug.go
@@ -90,8 +90,8 @@
 }
 
 // take finds a connection that is still good, or makes one.
-func (l *Lines) take(ctx context.Context, plug *Plug, shot *Shot) (*conn, error) {
-	for !shot.Fresh {
+func (l *Lines) take(ctx context.Context, plug *Plug, attempt *Attempt) (*conn, error) {
+	for !attempt.Fresh {
 		one := plug.pop(time.Now())
 		if one == nil {
 			break
@@ -101,7 +101,7 @@
 		}
 		_ = one.Close()
 	}
-	made, err := l.dialer.DialContext(ctx, "tcp", shot.Addr)
+	made, err := l.dialer.DialContext(ctx, "tcp", attempt.Addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dataplane/upstream/upstream.go
+++ b/internal/dataplane/upstream/upstream.go
@@ -33,7 +33,7 @@
 // them: a server that sends no end of them fills no memory.
 const mostHead = 64 << 10
 
-// Lines makes shots at servers.
+// Lines makes attempts at servers.
 type Lines struct {
 	dialer *net.Dialer
 	idle   time.Duration
@@ -47,8 +47,8 @@
 	return &Lines{dialer: &net.Dialer{Timeout: wait, KeepAlive: -1}, idle: 10 * time.Second, most: 8}
 }
 
-// Shot is one request for one server.
-type Shot struct {
+// Attempt is one request for one server.
+type Attempt struct {
 	Addr, Method, Target, Host string
 	Header                     http.Header
 	Body                       []byte
@@ -99,21 +99,21 @@
 //	answer.Spoil()
 func (a *Answer) Spoil() { a.spoilt = true }
 
-// Close ends the shot. The connection is kept only if the answer was read whole.
+// Close ends the attempt. The connection is kept only if the answer was read whole.
 //
 //	defer answer.Close()
 func (a *Answer) Close() { a.end() }
 
-// Shoot sends a request and reads the head of its answer. The error is
+// Do sends a request and reads the head of its answer. The error is
 // ErrNoLine where no byte can have left.
 //
-//	answer, err := lines.Shoot(ctx, &server.Load.Plug, &upstream.Shot{Addr: server.Addr, Method: "POST", Target: "/v1/hints"})
-func (l *Lines) Shoot(ctx context.Context, plug *Plug, shot *Shot) (*Answer, error) {
-	if late(shot) {
+//	answer, err := lines.Do(ctx, &server.Load.Plug, &upstream.Attempt{Addr: server.Addr, Method: "POST", Target: "/v1/hints"})
+func (l *Lines) Do(ctx context.Context, plug *Plug, attempt *Attempt) (*Answer, error) {
+	if late(attempt) {
 		return nil, errors.Join(ErrNoLine, errTooLate)
 	}
 	plug.used.Add(1)
-	taken, err := l.take(ctx, plug, shot)
+	taken, err := l.take(ctx, plug, attempt)
 	if err != nil {
 		plug.used.Add(-1)
 		return nil, errors.Join(ErrNoLine, err)
@@ -124,12 +124,12 @@
 		_ = taken.Close()
 		plug.used.Add(-1)
 	}
-	if late(shot) {
+	if late(attempt) {
 		// The connection took its time, or this process was frozen meanwhile.
 		drop()
 		return nil, errors.Join(ErrNoLine, errTooLate)
 	}
-	wrote, err := taken.Write(head(shot))
+	wrote, err := taken.Write(head(attempt))
 	if err != nil {
 		drop()
 		if wrote == 0 {
@@ -144,7 +144,7 @@
 		}
 		return nil, err
 	}
-	answer, err := readHead(taken, shot)
+	answer, err := readHead(taken, attempt)
 	if err != nil {
 		drop()
 		return nil, err
@@ -153,7 +153,7 @@
 	out := &Answer{Response: answer, Reader: bufio.NewReaderSize(whole, 2048)}
 	out.end = func() {
 		out.end = func() {}
-		if out.spoilt || !whole.whole || answer.Close || shot.Fresh || !stop() || taken.reader.Buffered() > 0 {
+		if out.spoilt || !whole.whole || answer.Close || attempt.Fresh || !stop() || taken.reader.Buffered() > 0 {
 			drop()
 			return
 		}
@@ -163,15 +163,15 @@
 	return out, nil
 }
 
-func late(shot *Shot) bool { return !shot.Until.IsZero() && time.Now().After(shot.Until) }
+func late(attempt *Attempt) bool { return !attempt.Until.IsZero() && time.Now().After(attempt.Until) }
 
 // readHead reads a head, and goes past those that only say to wait. Nobody asked
 // for another protocol, so an answer that changes to one is none.
-func readHead(taken *conn, shot *Shot) (*http.Response, error) {
+func readHead(taken *conn, attempt *Attempt) (*http.Response, error) {
 	taken.inHead, taken.headLeft = true, mostHead
 	defer func() { taken.inHead = false }()
 	for {
-		answer, err := http.ReadResponse(taken.reader, &http.Request{Method: shot.Method})
+		answer, err := http.ReadResponse(taken.reader, &http.Request{Method: attempt.Method})
 		if err != nil {
 			return nil, err
 		}
@@ -198,19 +198,19 @@
 }
 
 // head writes a request in one piece.
-func head(shot *Shot) []byte {
+func head(attempt *Attempt) []byte {
 	var out bytes.Buffer
-	out.Grow(512 + len(shot.Body))
-	out.WriteString(shot.Method + " " + shot.Target + " HTTP/1.1\r\nHost: " + shot.Host + "\r\n")
-	_ = shot.Header.Write(&out)
-	if len(shot.Body) > 0 || (shot.Method != http.MethodGet && shot.Method != http.MethodHead) {
-		out.WriteString("Content-Length: " + strconv.Itoa(len(shot.Body)) + "\r\n")
+	out.Grow(512 + len(attempt.Body))
+	out.WriteString(attempt.Method + " " + attempt.Target + " HTTP/1.1\r\nHost: " + attempt.Host + "\r\n")
+	_ = attempt.Header.Write(&out)
+	if len(attempt.Body) > 0 || (attempt.Method != http.MethodGet && attempt.Method != http.MethodHead) {
+		out.WriteString("Content-Length: " + strconv.Itoa(len(attempt.Body)) + "\r\n")
 	}
-	if shot.Fresh {
+	if attempt.Fresh {
 		out.WriteString("Connection: close\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(shot.Body)
+	out.Write(attempt.Body)
 	return out.Bytes()
 }
 
--- a/internal/dataplane/upstream/upstream_test.go
+++ b/internal/dataplane/upstream/upstream_test.go
@@ -67,13 +67,13 @@
 	}
 }
 
-// ask makes one shot and reads its body, whole or not.
-func (s *scripted) ask(ctx context.Context, shot Shot, read bool) (string, error) {
-	shot.Addr, shot.Host = s.addr, "x"
-	if shot.Method == "" {
-		shot.Method, shot.Target = http.MethodPost, "/a"
+// ask makes one attempt and reads its body, whole or not.
+func (s *scripted) ask(ctx context.Context, attempt Attempt, read bool) (string, error) {
+	attempt.Addr, attempt.Host = s.addr, "x"
+	if attempt.Method == "" {
+		attempt.Method, attempt.Target = http.MethodPost, "/a"
 	}
-	answer, err := s.lines.Shoot(ctx, &s.plug, &shot)
+	answer, err := s.lines.Do(ctx, &s.plug, &attempt)
 	if err != nil {
 		return "", err
 	}
@@ -119,7 +119,7 @@
 		c.Run(one.name, func(c *qt.C) {
 			s := newScripted(c, answers(one.answer))
 			for range 3 {
-				_, err := s.ask(context.Background(), Shot{Method: one.method, Target: "/a"}, one.read)
+				_, err := s.ask(context.Background(), Attempt{Method: one.method, Target: "/a"}, one.read)
 				c.Assert(err, qt.IsNil)
 			}
 			want := int64(3)
@@ -144,7 +144,7 @@
 		return true
 	})
 	for range 4 {
-		got, err := s.ask(context.Background(), Shot{}, true)
+		got, err := s.ask(context.Background(), Attempt{}, true)
 		c.Assert(err, qt.IsNil)
 		c.Check(got, qt.Equals, "200 ok")
 		let <- true
@@ -171,10 +171,10 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := s.ask(ctx, Shot{}, true)
+	_, err := s.ask(ctx, Attempt{}, true)
 	c.Assert(err, qt.IsNotNil)
 	let <- true
-	got, err := s.ask(context.Background(), Shot{}, true)
+	got, err := s.ask(context.Background(), Attempt{}, true)
 	c.Assert(err, qt.IsNil)
 	c.Check(got, qt.Equals, "200 ok")
 	c.Check(s.conns.Load(), qt.Equals, int64(2))
@@ -202,7 +202,7 @@
 			s := newScripted(c, answers(one.answer))
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
-			got, err := s.ask(ctx, Shot{}, true)
+			got, err := s.ask(ctx, Attempt{}, true)
 			c.Check(got, qt.Equals, one.got)
 			c.Check(err == nil, qt.Equals, one.got != "")
 			c.Check(ctx.Err(), qt.IsNil, qt.Commentf("it is known at once"))
@@ -219,7 +219,7 @@
 		<-time.After(60 * time.Millisecond)
 		return nil
 	}
-	_, err := s.ask(context.Background(), Shot{Fresh: true, Until: time.Now().Add(20 * time.Millisecond)}, true)
+	_, err := s.ask(context.Background(), Attempt{Fresh: true, Until: time.Now().Add(20 * time.Millisecond)}, true)
 	c.Check(errors.Is(err, ErrNoLine), qt.IsTrue)
 	c.Check(s.asked.Load(), qt.Equals, int64(0))
 }
@@ -237,13 +237,13 @@
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return false
 	})
-	_, err := s.ask(context.Background(), Shot{}, true)
+	_, err := s.ask(context.Background(), Attempt{}, true)
 	c.Assert(err, qt.IsNil)
-	_, err = s.ask(context.Background(), Shot{}, true)
+	_, err = s.ask(context.Background(), Attempt{}, true)
 	c.Check(errors.Is(err, ErrStale), qt.IsTrue, qt.Commentf("%v", err))
 	c.Check(s.asked.Load(), qt.Equals, int64(2))
 	c.Check(s.conns.Load(), qt.Equals, int64(1))
-	_, err = s.ask(context.Background(), Shot{Fresh: true}, true)
+	_, err = s.ask(context.Background(), Attempt{Fresh: true}, true)
 	c.Check(err, qt.IsNotNil)
 	c.Check(errors.Is(err, ErrStale), qt.IsFalse, qt.Commentf("a new connection is no kept one"))
 }
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -14,7 +14,7 @@
 // of the last seconds. What was not spent then is gone: a share saved up would
 // all be spent at once, on the day that everything breaks.
 type Budget struct {
-	// Each slot packs the second it counts, its normal shots and its retries.
+	// Each slot packs the second it counts, its normal attempts and its retries.
 	slots           [longSeconds]atomic.Uint64
 	Normal, Retries atomic.Int64
 }
--- a/internal/testbed/fleet/checks.go
+++ b/internal/testbed/fleet/checks.go
@@ -30,7 +30,7 @@
 		{"the store gives no more than its rate", Rate},
 		{"retries stay within a fifth of normal traffic", Retries},
 		{"half and more is served 12 s after the machines come back", func(_ Shape, s *Records) []string { return ServesAgain(s, 12000, 6000) }},
-		{"no try of a booking reaches applications twice", func(shape Shape, s *Records) []string { return OneShot(shape, s) }},
+		{"no try of a booking reaches applications twice", func(shape Shape, s *Records) []string { return OneAttempt(shape, s) }},
 		{"an acknowledged policy is in force in 2 s, and stays", func(shape Shape, s *Records) []string { return InForce(s, cmp.Or(shape.LateMs, 2000)) }},
 		{"racing operators see one register", func(_ Shape, s *Records) []string { return Raced(s) }},
 	}
@@ -55,7 +55,7 @@
 	return breaches
 }
 
-// Promises checks that no shot that was answered with ran "no" was carried out.
+// Promises checks that no attempt that was answered with ran "no" was carried out.
 //
 //	breaches := fleet.Promises(seen)
 func Promises(seen *Records) []string {
--- a/internal/testbed/fleet/rates.go
+++ b/internal/testbed/fleet/rates.go
@@ -100,11 +100,11 @@
 	return breaches
 }
 
-// OneShot checks that no try of a caller's booking or check reaches applications twice,
+// OneAttempt checks that no try of a caller's booking or check reaches applications twice,
 // whether or not they would have known it again.
 //
-//	breaches := fleet.OneShot(shape, seen)
-func OneShot(shape Shape, seen *Records) []string {
+//	breaches := fleet.OneAttempt(shape, seen)
+func OneAttempt(shape Shape, seen *Records) []string {
 	var breaches []string
 	came := map[string]Served{}
 	for _, one := range seen.Served {
--- a/internal/testbed/fleet/records.go
+++ b/internal/testbed/fleet/records.go
@@ -31,22 +31,22 @@
 
 // Called is one line of a loadgen's record.
 type Called struct {
-	TimeMs  int64  `json:"t"`
-	Event   string `json:"event"`
-	Path    string `json:"path"`
-	Tag     string `json:"tag"`
-	Key     string `json:"key"`
-	Front   string `json:"front"`
-	Status  int    `json:"status"`
-	Ran     string `json:"ran"`
-	TookMs  int64  `json:"took_ms"`
-	ShotMs  int64  `json:"shot_ms"`
-	FirstMs int64  `json:"first_ms"`
-	Pieces  int64  `json:"pieces"`
-	Shot    int    `json:"shot"`
-	Whole   bool   `json:"whole"`
-	Bad     string `json:"bad"`
-	Why     string `json:"why"`
+	TimeMs    int64  `json:"t"`
+	Event     string `json:"event"`
+	Path      string `json:"path"`
+	Tag       string `json:"tag"`
+	Key       string `json:"key"`
+	Front     string `json:"front"`
+	Status    int    `json:"status"`
+	Ran       string `json:"ran"`
+	TookMs    int64  `json:"took_ms"`
+	AttemptMs int64  `json:"shot_ms"`
+	FirstMs   int64  `json:"first_ms"`
+	Pieces    int64  `json:"pieces"`
+	Attempt   int    `json:"shot"`
+	Whole     bool   `json:"whole"`
+	Bad       string `json:"bad"`
+	Why       string `json:"why"`
 }
 
 // Records are what callers, back ends and the desk saw.
--- a/internal/testbed/fleet/report.go
+++ b/internal/testbed/fleet/report.go
@@ -43,7 +43,7 @@
 		switch {
 		case call.Whole && call.Event == "book":
 			figures.BookMs = append(figures.BookMs, call.TookMs)
-		case call.Whole && call.Shot == 1:
+		case call.Whole && call.Attempt == 1:
 			figures.FirstMs = append(figures.FirstMs, call.FirstMs)
 		}
 		switch {
@@ -92,7 +92,7 @@
 		}
 		refused[name] = call.Ran == "no" && (strings.Contains(call.Why, "up") || strings.Contains(call.Why, "room"))
 		if refused[name] {
-			f.VainMs = append(f.VainMs, call.ShotMs)
+			f.VainMs = append(f.VainMs, call.AttemptMs)
 		}
 	}
 }
