--- a/coordination/lease/example_test.go
+++ b/coordination/lease/example_test.go
@@ -10,15 +10,15 @@
 func Example() {
 	limits := lease.LimitsFor(3200)
 	voters := []lease.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
-	granters := map[string]*lease.Granter{}
+	grantors := map[string]*lease.Grantor{}
 	for _, voter := range voters {
-		granters[voter.ID] = lease.NewGranter(limits, -limits.LeaseMs)
+		grantors[voter.ID] = lease.NewGrantor(limits, -limits.LeaseMs)
 	}
 	holder := lease.NewHolder(limits)
 	round := func(now int64) {
 		moves, out := holder.Tick(now, voters, "")
 		for _, send := range out.Sends {
-			told := granters[send.To].Ask(now, "me", send.Body.(*lease.Ask))
+			told := grantors[send.To].Ask(now, "me", send.Body.(*lease.Ask))
 			moves = append(moves, holder.Told(now, send.To, told, voters)...)
 		}
 		for _, move := range moves {
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -1,5 +1,5 @@
 // Package lease gives one of several nodes the right to a duty for a time that
-// a majority granted, as pure state machines. Grants are volatile: a granter
+// a majority granted, as pure state machines. Grants are volatile: a grantor
 // that starts anew grants nothing for one lease. Fences come from elsewhere, a
 // register say: see Holder.Settled.
 //
@@ -13,8 +13,8 @@
 
 // The machines and what they speak in.
 type (
-	// Granter is one node's vote.
-	Granter = lease.Granter
+	// Grantor is one node's vote.
+	Grantor = lease.Grantor
 	// Holder is a node's side of its grants.
 	Holder = lease.Holder
 	// Limits are the times of grants.
@@ -23,15 +23,15 @@
 	Move = lease.Move
 	// Change says what changed.
 	Change = lease.Change
-	// Ask is what a holder sends to granters.
+	// Ask is what a holder sends to grantors.
 	Ask = wire.GrantAsk
-	// Told is a granter's answer.
+	// Told is a grantor's answer.
 	Told = wire.GrantTold
 	// Back is a holder's word that it stopped.
 	Back = wire.GrantBack
 	// Hold is a duty with its fence.
 	Hold = wire.Hold
-	// Voter is a granter by its id.
+	// Voter is a grantor by its id.
 	Voter = wire.Voter
 )
 
@@ -48,10 +48,10 @@
 //	limits := lease.LimitsFor(3200)
 func LimitsFor(leaseMs int64) Limits { return lease.LimitsFor(leaseMs) }
 
-// NewGranter makes a granter that begins at a moment of the monotonic clock.
+// NewGrantor makes a grantor that begins at a moment of the monotonic clock.
 //
-//	granter := lease.NewGranter(limits, now)
-func NewGranter(limits Limits, now int64) *Granter { return lease.NewGranter(limits, now) }
+//	grantor := lease.NewGrantor(limits, now)
+func NewGrantor(limits Limits, now int64) *Grantor { return lease.NewGrantor(limits, now) }
 
 // NewHolder makes a holder that has nothing.
 //
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -53,7 +53,7 @@
 	proposer *register.Proposer
 	// core is the newest core set that this machine took up.
 	core         wire.CoreSet
-	granter      *lease.Granter
+	grantor      *lease.Grantor
 	holder       *lease.Holder
 	members      *membership.Members
 	board        *distribution.Board
@@ -95,8 +95,8 @@
 func New(now int64, boot Boot, random *rand.Rand, snapshot *wire.Snapshot, writes []wire.Write) *Frame {
 	// Turns of two owners are a lease apart by what partitions wait; the grants
 	// themselves may be shorter, so that a dead owner's end soon.
-	grants := lease.LimitsFor(boot.LeaseMs / 2)
-	grants.RenewMs = boot.LeaseMs / 8
+	leaseLimits := lease.LimitsFor(boot.LeaseMs / 2)
+	leaseLimits.RenewMs = boot.LeaseMs / 8
 	if boot.Form == nil {
 		boot.Form = configuration.Native
 	}
@@ -108,8 +108,8 @@
 		boot: boot, random: random, StartedMs: now,
 		acceptor: register.NewAcceptor(),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: LineageLen}),
-		granter:  lease.NewGranter(grants, now),
-		holder:   lease.NewHolder(grants),
+		grantor:  lease.NewGrantor(leaseLimits, now),
+		holder:   lease.NewHolder(leaseLimits),
 		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		board:    distribution.NewBoard(),
 		view:     &partition.View{Policy: configuration.Empty(), Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Owners: map[int64]wire.Owner{}, Count: boot.Partitions},
@@ -169,11 +169,11 @@
 	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
 		out = f.members.Hear(now, from, body)
 	case *wire.GrantAsk:
-		out = f.grantAsked(now, from, told)
+		out = f.leaseRequested(now, from, told)
 	case *wire.GrantTold:
 		f.moves(now, &out, f.holder.Told(now, from, told, f.proposer.Core().Voters))
 	case *wire.GrantBack:
-		f.granter.Back(now, from, told)
+		f.grantor.Back(now, from, told)
 	case *wire.Post:
 		if owned := f.mine(now, told.Partition); owned != nil {
 			out = owned.Post(now, from, told)
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -84,7 +84,7 @@
 	// was cut off may not have heard.
 	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+regained
 	if core.Epoch > 1 && voterOf(core.Voters, f.boot.ID) && (missed || !voterOf(known.Voters, f.boot.ID)) {
-		f.granter.Quiet(now)
+		f.grantor.Quiet(now)
 	}
 	f.core = core
 	f.noteSize(now, known, core)
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -64,7 +64,7 @@
 		wishes := f.wish(now)
 		for number := range f.boot.Partitions {
 			_, held := f.holder.Mine(now, number)
-			if id, _ := f.granter.Holder(now, number); id != "" || held {
+			if id, _ := f.grantor.Holder(now, number); id != "" || held {
 				f.unheld[number] = 0
 			} else if f.unheld[number] == 0 {
 				f.unheld[number] = now
@@ -96,17 +96,17 @@
 // regained is how many changes of the set it takes to lose a vote and get one again.
 const regained = 3
 
-// grantAsked votes on grants. Who goes by a set older than this node knows may
+// leaseRequested votes on grants. Who goes by a set older than this node knows may
 // count others than those who count now, and gets none. Nor does anybody from a
 // node that may have got its vote since: it must keep quiet first.
-func (f *Frame) grantAsked(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
+func (f *Frame) leaseRequested(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
 	var out wire.Outputs
 	core := f.proposer.Core()
 	switch {
 	case asked.Epoch < core.Epoch:
 		out.Send(from, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
 	case voterOf(core.Voters, f.boot.ID) && asked.Epoch < core.Epoch+regained:
-		out.Send(from, wire.KindGrantTold, f.granter.Ask(now, from, asked))
+		out.Send(from, wire.KindGrantTold, f.grantor.Ask(now, from, asked))
 	case asked.Epoch > core.Epoch:
 		f.askSet(&out, from)
 	}
--- a/internal/controlplane/controller/voters.go
+++ b/internal/controlplane/controller/voters.go
@@ -154,20 +154,20 @@
 	whole             bool
 }
 
-// grantMs is how long what a node granted lasts, with what its holder's clock may
+// grantedMs is how long what a node granted lasts, with what its holder's clock may
 // be off.
-func (f *Frame) grantMs() int64 { return f.boot.LeaseMs/2 + f.boot.LeaseMs/16 }
+func (f *Frame) grantedMs() int64 { return f.boot.LeaseMs/2 + f.boot.LeaseMs/16 }
 
 // mayShrink: within one lease the set loses no more than one voter of all it had.
 // Majorities before and after then meet, so that a grant given by the one is
 // known to the other; who is newly admitted grants nothing for a lease.
 func (f *Frame) mayShrink(now int64, core wire.CoreSet) bool {
-	if now-f.StartedMs < f.grantMs() {
+	if now-f.StartedMs < f.grantedMs() {
 		return false
 	}
 	most := int64(len(core.Voters))
 	for _, before := range f.coordinator.sizes {
-		if !before.whole || now-before.at <= f.grantMs() {
+		if !before.whole || now-before.at <= f.grantedMs() {
 			most = max(most, before.voters)
 		}
 	}
@@ -191,5 +191,5 @@
 	if missed {
 		before.voters = mostVoters + 1
 	}
-	f.coordinator.sizes = append(slices.DeleteFunc(sizes, func(s sized) bool { return s.whole && now-s.at > f.grantMs() }), before)
+	f.coordinator.sizes = append(slices.DeleteFunc(sizes, func(s sized) bool { return s.whole && now-s.at > f.grantedMs() }), before)
 }
--- a/internal/controlplane/lease/granter.go
+++ b/internal/controlplane/lease/grantor.go
@@ -1,5 +1,5 @@
 // Package lease gives out the right to a partition for LeaseMs at a time. The
-// granter's side is volatile; the fence comes from a register.
+// grantor's side is volatile; the fence comes from a register.
 package lease
 
 import (
@@ -28,31 +28,31 @@
 	op     int64 // of the ask that it answers
 }
 
-// Granter is one controller's vote on who may own a partition.
-type Granter struct {
+// Grantor is one controller's vote on who may own a partition.
+type Grantor struct {
 	limits  Limits
 	quietTo int64
 	table   map[int64]given
 }
 
-// NewGranter makes a granter that grants nothing for one lease, so that what it
+// NewGrantor makes a grantor that grants nothing for one lease, so that what it
 // gave before a restart has run out.
 //
-//	granter := lease.NewGranter(limits, now)
-func NewGranter(limits Limits, now int64) *Granter {
-	return &Granter{limits: limits, quietTo: now + limits.LeaseMs, table: map[int64]given{}}
+//	grantor := lease.NewGrantor(limits, now)
+func NewGrantor(limits Limits, now int64) *Grantor {
+	return &Grantor{limits: limits, quietTo: now + limits.LeaseMs, table: map[int64]given{}}
 }
 
-// Quiet begins the time without grants anew: a granter that was just admitted does
+// Quiet begins the time without grants anew: a grantor that was just admitted does
 // not know what the one before it in that place had granted.
 //
-//	granter.Quiet(now)
-func (g *Granter) Quiet(now int64) { g.quietTo = max(g.quietTo, now+g.limits.LeaseMs) }
+//	grantor.Quiet(now)
+func (g *Grantor) Quiet(now int64) { g.quietTo = max(g.quietTo, now+g.limits.LeaseMs) }
 
 // Ask answers a holder's renewals, or a candidate's claims.
 //
-//	told := granter.Ask(now, "c1~7f", &wire.GrantAsk{Op: 4, Holds: holds})
-func (g *Granter) Ask(now int64, from string, asked *wire.GrantAsk) *wire.GrantTold {
+//	told := grantor.Ask(now, "c1~7f", &wire.GrantAsk{Op: 4, Holds: holds})
+func (g *Grantor) Ask(now int64, from string, asked *wire.GrantAsk) *wire.GrantTold {
 	told := &wire.GrantTold{Op: asked.Op}
 	if now < g.quietTo {
 		told.QuietMs = g.quietTo - now
@@ -75,8 +75,8 @@
 // one of the asks given back: a word that comes late says nothing of a grant that
 // the same holder got since.
 //
-//	granter.Back(now, "c1~7f", &wire.GrantBack{Holds: holds})
-func (g *Granter) Back(now int64, from string, back *wire.GrantBack) {
+//	grantor.Back(now, "c1~7f", &wire.GrantBack{Holds: holds})
+func (g *Grantor) Back(now int64, from string, back *wire.GrantBack) {
 	for at, hold := range back.Holds {
 		if at >= len(back.Asks) {
 			return
@@ -89,10 +89,10 @@
 	}
 }
 
-// Holder returns who this granter thinks holds a partition now.
+// Holder returns who this grantor thinks holds a partition now.
 //
-//	id, fence := granter.Holder(now, 3)
-func (g *Granter) Holder(now, partition int64) (string, int64) {
+//	id, fence := grantor.Holder(now, 3)
+func (g *Grantor) Holder(now, partition int64) (string, int64) {
 	if kept, ok := g.table[partition]; ok && kept.until > now {
 		return kept.holder, kept.fence
 	}
--- a/internal/controlplane/lease/holder.go
+++ b/internal/controlplane/lease/holder.go
@@ -60,8 +60,8 @@
 	renewed int64
 	soon    int64 // when a partition that was refused may be free
 	waits   map[int64]wait
-	quietTo int64 // until when some granter said that it grants nothing
-	// Seen is who the granters last said holds a partition.
+	quietTo int64 // until when some grantor said that it grants nothing
+	// Seen is who the grantors last said holds a partition.
 	Seen map[int64]wire.Refusal
 }
 
@@ -73,7 +73,7 @@
 }
 
 // NumberFrom has the rounds numbered from somewhere that no earlier life of this
-// node, of the same identity, was at: what granters told that life, and what
+// node, of the same identity, was at: what grantors told that life, and what
 // comes late, then counts for no round of this one.
 //
 //	holder.NumberFrom(random.Int63n(1 << 31))
@@ -103,7 +103,7 @@
 	}
 }
 
-// Drop gives a claim up without a word to the granters.
+// Drop gives a claim up without a word to the grantors.
 //
 //	holder.Drop(3)
 func (h *Holder) Drop(partition int64) { delete(h.claims, partition) }
@@ -184,7 +184,7 @@
 	return asked
 }
 
-// Told counts a granter's answer; the grant runs from when it was asked for.
+// Told counts a grantor's answer; the grant runs from when it was asked for.
 //
 //	moves := holder.Told(now, "c2~51", told, voters)
 func (h *Holder) Told(now int64, from string, told *wire.GrantTold, voters []wire.Voter) []Move {
--- a/internal/controlplane/lease/late_test.go
+++ b/internal/controlplane/lease/late_test.go
@@ -13,7 +13,7 @@
 func TestLateGiveBack(t *testing.T) {
 	c := qt.New(t)
 	limits := LimitsFor(3200)
-	holder, granter := NewHolder(limits), NewGranter(limits, 0)
+	holder, grantor := NewHolder(limits), NewGrantor(limits, 0)
 	var now int64 = 4000
 	asks := func() *wire.GrantAsk {
 		_, out := holder.Tick(now, voters, "a:1")
@@ -22,15 +22,15 @@
 	}
 	holder.Claim(now, 3)
 	first := asks()
-	c.Assert(granter.Ask(now, "a", first).Granted, qt.HasLen, 1)
+	c.Assert(grantor.Ask(now, "a", first).Granted, qt.HasLen, 1)
 	late := holder.Release([]int64{3})
 	now += 1000
 	holder.Claim(now, 3)
-	c.Assert(granter.Ask(now, "a", asks()).Granted, qt.HasLen, 1)
-	granter.Back(now+10, "a", late)
-	id, _ := granter.Holder(now+10, 3)
+	c.Assert(grantor.Ask(now, "a", asks()).Granted, qt.HasLen, 1)
+	grantor.Back(now+10, "a", late)
+	id, _ := grantor.Holder(now+10, 3)
 	c.Check(id, qt.Equals, "a")
-	granter.Back(now+20, "a", holder.Release([]int64{3}))
-	id, _ = granter.Holder(now+20, 3)
+	grantor.Back(now+20, "a", holder.Release([]int64{3}))
+	id, _ = grantor.Holder(now+20, 3)
 	c.Check(id, qt.Equals, "", qt.Commentf("given back in time it is free"))
 }
--- a/internal/controlplane/lease/lease_test.go
+++ b/internal/controlplane/lease/lease_test.go
@@ -8,20 +8,20 @@
 	"applequay/internal/transport/wire"
 )
 
-// A granter that is admitted in another's place grants nothing for a lease.
+// A grantor that is admitted in another's place grants nothing for a lease.
 func TestAdmittedLateIsQuiet(t *testing.T) {
 	c := qt.New(t)
-	granter := NewGranter(LimitsFor(3200), 0)
-	granter.Quiet(10000)
-	c.Check(granter.Ask(13199, "b", ask(1, 3, 1)).Granted, qt.HasLen, 0)
-	c.Check(granter.Ask(13200, "b", ask(2, 3, 1)).Granted, qt.HasLen, 1)
+	grantor := NewGrantor(LimitsFor(3200), 0)
+	grantor.Quiet(10000)
+	c.Check(grantor.Ask(13199, "b", ask(1, 3, 1)).Granted, qt.HasLen, 0)
+	c.Check(grantor.Ask(13200, "b", ask(2, 3, 1)).Granted, qt.HasLen, 1)
 }
 
 func ask(op int64, partition, fence int64) *wire.GrantAsk {
 	return &wire.GrantAsk{Op: op, Holds: []wire.Hold{{Partition: partition, Fence: fence}}}
 }
 
-func TestGranter(t *testing.T) {
+func TestGrantor(t *testing.T) {
 	c := qt.New(t)
 	type step struct {
 		at    int64
@@ -44,13 +44,13 @@
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
-			granter := NewGranter(LimitsFor(3200), 0)
+			grantor := NewGrantor(LimitsFor(3200), 0)
 			for at, step := range one.steps {
 				if step.back {
-					granter.Back(step.at, step.from, &wire.GrantBack{Holds: []wire.Hold{{Partition: 3, Fence: step.fence}}, Asks: []wire.AskRange{{First: 1, Last: 1}}})
+					grantor.Back(step.at, step.from, &wire.GrantBack{Holds: []wire.Hold{{Partition: 3, Fence: step.fence}}, Asks: []wire.AskRange{{First: 1, Last: 1}}})
 					continue
 				}
-				told := granter.Ask(step.at, step.from, ask(1, 3, step.fence))
+				told := grantor.Ask(step.at, step.from, ask(1, 3, step.fence))
 				c.Check(len(told.Granted) == 1, qt.Equals, step.yes, qt.Commentf("step %d", at))
 				c.Check(told.QuietMs > 0, qt.Equals, step.quiet, qt.Commentf("step %d", at))
 			}
--- a/internal/controlplane/lease/lives_test.go
+++ b/internal/controlplane/lease/lives_test.go
@@ -10,7 +10,7 @@
 
 // What was granted to the life before this one does not count for a later ask
 // of this life, which would outlast the grant.
-func TestGrantsOfTheLifeBefore(t *testing.T) {
+func TestLeasesOfTheLifeBefore(t *testing.T) {
 	c := qt.New(t)
 	voters := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	before := NewHolder(LimitsFor(3200))
--- a/internal/controlplane/lease/split_test.go
+++ b/internal/controlplane/lease/split_test.go
@@ -14,9 +14,9 @@
 	c := qt.New(t)
 	limits := LimitsFor(3200)
 	four := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
-	granters := map[string]*Granter{}
+	grantors := map[string]*Grantor{}
 	for _, voter := range four {
-		granters[voter.ID] = NewGranter(limits, -limits.LeaseMs)
+		grantors[voter.ID] = NewGrantor(limits, -limits.LeaseMs)
 	}
 	names := []string{"x:1", "y:1"}
 	holders := map[string]*Holder{}
@@ -30,14 +30,14 @@
 			_, out := holders[name].Tick(now, four, name)
 			for _, send := range out.Sends {
 				if back, ok := send.Body.(*wire.GrantBack); ok {
-					granters[send.To].Back(now, name, back)
+					grantors[send.To].Back(now, name, back)
 					continue
 				}
 				// The first messages of each reach only its own half.
 				if now < 1025 && (send.To < "c") != (at == 0) {
 					continue
 				}
-				told := granters[send.To].Ask(now, name, send.Body.(*wire.GrantAsk))
+				told := grantors[send.To].Ask(now, name, send.Body.(*wire.GrantAsk))
 				for _, move := range holders[name].Told(now, send.To, told, four) {
 					if move.Change == Reserved {
 						won = name
@@ -49,13 +49,13 @@
 	c.Check(won != "", qt.IsTrue, qt.Commentf("nobody got the duty in 8 s"))
 }
 
-// Granters that start one after the other give their votes one after the other:
+// Grantors that start one after the other give their votes one after the other:
 // the only node that claims keeps its first vote until the rest come.
 func TestQuietVotesAreNoSplit(t *testing.T) {
 	c := qt.New(t)
 	limits := LimitsFor(1600)
 	three := []wire.Voter{{ID: "a"}, {ID: "b"}, {ID: "c"}}
-	granters := map[string]*Granter{"a": NewGranter(limits, 0), "b": NewGranter(limits, 400), "c": NewGranter(limits, 400)}
+	grantors := map[string]*Grantor{"a": NewGrantor(limits, 0), "b": NewGrantor(limits, 400), "c": NewGrantor(limits, 400)}
 	holder := NewHolder(limits)
 	reservedMs := int64(0)
 	for now := int64(500); now < 4000 && reservedMs == 0; now += 25 {
@@ -67,7 +67,7 @@
 			if !ok {
 				continue
 			}
-			for _, move := range holder.Told(now, send.To, granters[send.To].Ask(now, "x", asked), three) {
+			for _, move := range holder.Told(now, send.To, grantors[send.To].Ask(now, "x", asked), three) {
 				if move.Change == Reserved {
 					reservedMs = now
 				}
--- a/internal/controlplane/lease/yield.go
+++ b/internal/controlplane/lease/yield.go
@@ -16,7 +16,7 @@
 
 // yield gives up claims that got some votes and no majority for some rounds:
 // another node has the rest, and both would keep each other out. Each then
-// waits a time of its own. Votes that lack because a granter is quiet yet are
+// waits a time of its own. Votes that lack because a grantor is quiet yet are
 // nobody else's.
 func (h *Holder) yield(now int64, voters []wire.Voter, addr string, out *wire.Outputs) {
 	back := &wire.GrantBack{}
@@ -73,7 +73,7 @@
 	return out
 }
 
-// Release stops at once and returns what to tell the granters.
+// Release stops at once and returns what to tell the grantors.
 //
 //	back := holder.Release([]int64{3})
 func (h *Holder) Release(partitions []int64) *wire.GrantBack {
@@ -97,7 +97,7 @@
 	return 0
 }
 
-// giveBack adds a claim to what the granters are told, with the asks that named it.
+// giveBack adds a claim to what the grantors are told, with the asks that named it.
 func giveBack(back *wire.GrantBack, partition int64, kept *claim) {
 	back.Holds = append(back.Holds, wire.Hold{Partition: partition, Fence: kept.fence})
 	back.Asks = append(back.Asks, kept.asks)
--- a/internal/simulation/explorer/model.go
+++ b/internal/simulation/explorer/model.go
@@ -131,7 +131,7 @@
 	return Model{}, false
 }
 
-// takeover leads to a holder whose asks have not reached one granter for a lease.
+// takeover leads to a holder whose asks have not reached one grantor for a lease.
 func takeover() []Step {
 	steps := []Step{{Do: Slow, From: "c3", Node: "c1"}}
 	for range 36 {
