--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -57,7 +57,7 @@
 	start.Desk(operators, control, settings.Ms(given.CallMs)*2, stop)
 	go start.Watch(work, log, func(next *settings.Boot) { control.Seeds(work, next.Seeds) })
 	go func() {
-		// SIGTERM: the proxy beside is fed while it takes callers' leave.
+		// SIGTERM: the proxy beside is fed while it takes clients' leave.
 		<-ctx.Done()
 		settings.Beside(given)
 		control.Do(work, line.Leave)
--- a/cmd/applequayctl/doctor.go
+++ b/cmd/applequayctl/doctor.go
@@ -15,7 +15,7 @@
 
 // doctorCommand asks a node for common faults. It ends with 0 if there are
 // none, 1 if there are, 2 if no node could be asked.
-func (c *caller) doctorCommand() *ffcli.Command {
+func (c *client) doctorCommand() *ffcli.Command {
 	set := flag.NewFlagSet("doctor", flag.ContinueOnError)
 	asJSON := set.Bool("json", false, "answer in JSON")
 	return &ffcli.Command{Name: "doctor", ShortHelp: "look for common faults", FlagSet: set, Exec: func(ctx context.Context, _ []string) error {
@@ -42,7 +42,7 @@
 	}}
 }
 
-func (c *caller) print(node string, findings []adminapi.Finding) {
+func (c *client) print(node string, findings []adminapi.Finding) {
 	if len(findings) == 0 {
 		_, _ = fmt.Fprintf(c.out, "%s finds nothing wrong\n", node)
 		return
@@ -53,7 +53,7 @@
 }
 
 // fetch reads a page from the first node that answers.
-func (c *caller) fetch(ctx context.Context, path string, into any) error {
+func (c *client) fetch(ctx context.Context, path string, into any) error {
 	var last error
 	for _, node := range strings.Split(c.nodes, ",") {
 		status, body, err := c.one(ctx, strings.TrimSpace(node), http.MethodGet, path, nil)
--- a/cmd/applequayctl/main.go
+++ b/cmd/applequayctl/main.go
@@ -30,7 +30,7 @@
 // refused is a node's own "no"; its body was printed.
 var errRefused = errors.New("refused")
 
-type caller struct {
+type client struct {
 	nodes  string
 	wait   time.Duration
 	client *http.Client
@@ -38,7 +38,7 @@
 }
 
 func main() {
-	c := &caller{client: &http.Client{}, out: os.Stdout}
+	c := &client{client: &http.Client{}, out: os.Stdout}
 	root := c.commands()
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
 	switch {
@@ -51,7 +51,7 @@
 	}
 }
 
-func (c *caller) commands() *ffcli.Command {
+func (c *client) commands() *ffcli.Command {
 	set := flag.NewFlagSet("applequayctl", flag.ContinueOnError)
 	set.StringVar(&c.nodes, "nodes", "127.0.0.1:7100", "addresses of nodes, with commas: the first that answers is asked")
 	set.DurationVar(&c.wait, "wait", 10*time.Second, "how long a node may take")
@@ -73,7 +73,7 @@
 	return root
 }
 
-func (c *caller) policyCommands() *ffcli.Command {
+func (c *client) policyCommands() *ffcli.Command {
 	change := func(name, method, help string) *ffcli.Command {
 		set := flag.NewFlagSet(name, flag.ContinueOnError)
 		file := set.String("file", "-", "file with the JSON, - for standard input")
@@ -127,7 +127,7 @@
 
 // ask goes through the nodes until one answers. A change that may have reached
 // a node is not sent to another.
-func (c *caller) ask(ctx context.Context, method, path string, body []byte) error {
+func (c *client) ask(ctx context.Context, method, path string, body []byte) error {
 	var last error
 	for _, node := range strings.Split(c.nodes, ",") {
 		status, answer, err := c.one(ctx, strings.TrimSpace(node), method, path, body)
@@ -147,7 +147,7 @@
 	return fmt.Errorf("no node answers: %w", last)
 }
 
-func (c *caller) one(ctx context.Context, node, method, path string, body []byte) (int, []byte, error) {
+func (c *client) one(ctx context.Context, node, method, path string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, bytes.NewReader(body))
--- a/cmd/loadgen/calls.go
+++ b/cmd/loadgen/calls.go
@@ -20,13 +20,13 @@
 	mostAttempts = 4
 	callWait     = 30 * time.Second
 	mostResume   = 6
-	// mostPatience is how much later a caller still comes back.
+	// mostPatience is how much later a client still comes back.
 	mostPatience = 40 * time.Second
 )
 
-func (c *callers) front() string { return c.plan.Fronts[rand.Intn(len(c.plan.Fronts))] }
+func (c *clients) front() string { return c.plan.Fronts[rand.Intn(len(c.plan.Fronts))] }
 
-func (c *callers) note(line Line, came, tried time.Time) {
+func (c *clients) note(line Line, came, tried time.Time) {
 	line.AttemptMs = time.Since(tried).Milliseconds()
 	line.TimeMs, line.TookMs = time.Now().UnixMilli(), time.Since(came).Milliseconds()
 	c.lines <- line
@@ -34,7 +34,7 @@
 
 // book makes a booking or a check. It is repeated under the same key where the
 // answer says that it did not run or may not have.
-func (c *callers) book(calls *Calls, key string) {
+func (c *clients) book(calls *Calls, key string) {
 	for attempt := 1; attempt <= mostAttempts; attempt++ {
 		came := time.Now()
 		line := Line{Event: "book", Path: calls.Path, Key: key, Tag: fmt.Sprintf("%s#%d", key, attempt), Front: c.front(), Attempt: attempt}
@@ -47,7 +47,7 @@
 	}
 }
 
-func (c *callers) bookOnce(line *Line) time.Duration {
+func (c *clients) bookOnce(line *Line) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), callWait)
 	defer cancel()
 	body, _ := json.Marshal(map[string]string{"tag": line.Tag})
@@ -118,7 +118,7 @@
 }
 
 // stream asks for pieces, checks each, and goes on with a broken run.
-func (c *callers) stream(calls *Calls, tag string) {
+func (c *clients) stream(calls *Calls, tag string) {
 	skew := rand.Float64()
 	if calls.Cold {
 		skew = 1
@@ -163,7 +163,7 @@
 	Next   int64  `json:"next"`
 }
 
-func (c *callers) streamOnce(line *Line, body []byte, tag string, run *string, next *int64, want int64) time.Duration {
+func (c *clients) streamOnce(line *Line, body []byte, tag string, run *string, next *int64, want int64) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), callWait)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+line.Front+line.Path, bytes.NewReader(body))
@@ -206,7 +206,7 @@
 }
 
 // onePiece checks a line of a stream; true says that it was the last.
-func (c *callers) onePiece(line *Line, one *told, tag string, run *string, next *int64, want int64) bool {
+func (c *clients) onePiece(line *Line, one *told, tag string, run *string, next *int64, want int64) bool {
 	if *run == "" {
 		*run = one.Run
 	}
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Command loadgen stands in for callers: tills, shops, solvers and editors.
+// Command loadgen stands in for clients: tills, shops, solvers and editors.
 // It checks every answer and records it.
 package main
 
@@ -18,12 +18,12 @@
 	"applequay/internal/settings"
 )
 
-// Plan is what callers ask for.
+// Plan is what clients ask for.
 type Plan struct {
 	Name    string   `json:"name"`
 	Fronts  []string `json:"fronts"`
 	Seconds int64    `json:"seconds"`
-	// Careful callers repeat only what certainly did not run.
+	// Careful clients repeat only what certainly did not run.
 	Careful bool    `json:"careful"`
 	Calls   []Calls `json:"calls"`
 }
@@ -59,7 +59,7 @@
 	Why       string `json:"why,omitempty"`
 }
 
-type callers struct {
+type clients struct {
 	plan   Plan
 	client *http.Client
 	lines  chan Line
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	c := &callers{lines: make(chan Line, 1024), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	c := &clients{lines: make(chan Line, 1024), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 	if err = json.Unmarshal(body, &c.plan); err != nil {
 		return err
 	}
@@ -121,7 +121,7 @@
 
 // keepCalling makes calls at their rate, evenly spread with some chance in it,
 // and waits for the last ones.
-func (c *callers) keepCalling(ctx context.Context, calls *Calls) {
+func (c *clients) keepCalling(ctx context.Context, calls *Calls) {
 	ends, open, number := make(chan struct{}, 4096), 0, 0
 	gap := func() time.Duration { return time.Duration(rand.ExpFloat64() / calls.PerS * float64(time.Second)) }
 	next := time.NewTimer(gap())
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -1,4 +1,4 @@
-// Command proxy runs on each front: it takes callers' requests
+// Command proxy runs on each front: it takes clients' requests
 // and relays them where the newest versions say.
 package main
 
@@ -22,7 +22,7 @@
 )
 
 func main() {
-	start := platform.Start("proxy", settings.PartCallers)
+	start := platform.Start("proxy", settings.PartClients)
 	log := settings.Log("proxy", start.Settings.Name)
 	ctx, stop := settings.Signals()
 	defer stop()
@@ -54,16 +54,16 @@
 	health.Trunk(gauges, cable.Counts)
 	health.Traffic(gauges, board)
 	gauges.Routes(router)
-	// All that callers ask goes through the chain as it came: the paths are the
+	// All that clients ask goes through the chain as it came: the paths are the
 	// policy's, and nothing is cleaned or redirected.
 	front := mux.NewRouter().SkipClean(true)
 	front.PathPrefix("/").Handler(board)
-	side := given.CallersSide(front)
+	side := given.ClientsSide(front)
 	side.Leave = board.Leave
 	side.IdleTold = func() time.Duration { return settings.Ms(board.Table().Policy.Limits.IdleMs) }
 	go start.Watch(work, log, func(*settings.Boot) {})
-	callers := func(context.Context) error {
-		// The callers' side drains at SIGTERM; all else goes on until it has.
+	clients := func(context.Context) error {
+		// The clients' side drains at SIGTERM; all else goes on until it has.
 		err := side.Run(ctx)
 		if ctx.Err() != nil {
 			cancel()
@@ -73,7 +73,7 @@
 	}
 	children := append(start.Served(nil, gauges.Standing(start.ReadyPath)),
 		supervisor.Child{Name: "plugs", Run: plugs.Run, Vital: true},
-		supervisor.Child{Name: "callers", Run: callers},
+		supervisor.Child{Name: "callers", Run: clients},
 		supervisor.Child{Name: "pages", Run: settings.Serve(given.Listen, router, time.Second)},
 	)
 	err := supervisor.Run(work, log, settings.Patience, children...)
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -1,5 +1,5 @@
 // Command testbed runs whole deployments on one machine, brings their
-// failures about and checks what callers and back ends saw; it also replays
+// failures about and checks what clients and back ends saw; it also replays
 // seeds of the simulator.
 package main
 
--- a/coordination/partition/partition.go
+++ b/coordination/partition/partition.go
@@ -35,7 +35,7 @@
 	Post = wire.Post
 	// Want says that a front holds requests for an item.
 	Want = wire.Want
-	// Tally is what a front's callers ask for, for View.Demands.
+	// Tally is what a front's clients ask for, for View.Demands.
 	Tally = wire.Tally
 	// Demand is one item's part of a tally.
 	Demand = wire.Demand
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -69,7 +69,7 @@
 	Weight  int64
 }
 
-// Limits bound what callers may send and how long they may take.
+// Limits bound what clients may send and how long they may take.
 type Limits struct {
 	HeaderBytes, BodyBytes, HeaderMs, IdleMs int64
 }
@@ -106,7 +106,7 @@
 	TargetMs, PauseMs, Rank int64
 	// Sticky requests come in sessions that gain by going to the same worker.
 	Sticky bool
-	// PatienceMs is after how long a silence callers give up; nought: not said.
+	// PatienceMs is after how long a silence clients give up; nought: not said.
 	PatienceMs int64
 }
 
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -35,7 +35,7 @@
 	l.newestOf = l.members.Version()
 }
 
-// begin makes sure, after a start, of the policy that callers get first: one
+// begin makes sure, after a start, of the policy that clients get first: one
 // read at a majority, or, where the core cannot be reached, none older than any
 // that the other fronts have heard of.
 func (l *Line) begin(now int64, out *wire.Outputs) {
@@ -82,7 +82,7 @@
 }
 
 // withheld tells whether the proxy is not to get the policy kept here: it
-// might be older than the one that callers here were served by before.
+// might be older than the one that clients here were served by before.
 func (l *Line) withheld(topic wire.Topic) bool {
 	if topic.Name != controller.PolicyKey || l.fedVersion > 0 {
 		return false
--- a/internal/controlplane/agent/tallies.go
+++ b/internal/controlplane/agent/tallies.go
@@ -8,7 +8,7 @@
 )
 
 // tallyEvery is how often, in milliseconds, the owners hear what this front's
-// callers ask for; as long as nothing changes much they hear it so many times
+// clients ask for; as long as nothing changes much they hear it so many times
 // more seldom.
 const (
 	tallyEvery = 400
--- a/internal/controlplane/agent/tallies_test.go
+++ b/internal/controlplane/agent/tallies_test.go
@@ -9,7 +9,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// What callers ask for reaches each owner once, no more often than need be, and
+// What clients ask for reaches each owner once, no more often than need be, and
 // wants are posted only for what stands nowhere.
 func TestTalliesAreSoft(t *testing.T) {
 	c := qt.New(t)
--- a/internal/controlplane/eventloop/writer.go
+++ b/internal/controlplane/eventloop/writer.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// Write is one compare-and-set as callers ask for it; without a name it gets a
+// Write is one compare-and-set as clients ask for it; without a name it gets a
 // fresh one, so that it is another write than all before.
 type Write = register.Write
 
--- a/internal/controlplane/partition/demand.go
+++ b/internal/controlplane/partition/demand.go
@@ -45,7 +45,7 @@
 	tally *wire.Tally
 }
 
-// Note takes what a front tells of its callers.
+// Note takes what a front tells of its clients.
 //
 //	view.Demands.Note(now, &wire.Tally{Front: "l1", Demands: []wire.Demand{{Item: "m1", Rate: 500, Live: 2}}})
 func (d *Demands) Note(now int64, tally *wire.Tally) {
@@ -132,7 +132,7 @@
 	return Demand{}
 }
 
-// Known tells whether any front said what its callers ask for.
+// Known tells whether any front said what its clients ask for.
 //
 //	if view.Demands.Known() { ... }
 func (d *Demands) Known() bool { return len(d.items) > 0 }
--- a/internal/controlplane/partition/items.go
+++ b/internal/controlplane/partition/items.go
@@ -41,7 +41,7 @@
 	return item.OpenMs > now || (item.WantedMs > 0 && now-item.WantedMs < p.limits.WantMs) || p.demanded(now, item.Name)
 }
 
-// demanded tells whether callers ask for an item now.
+// demanded tells whether clients ask for an item now.
 func (p *Partition) demanded(now int64, name string) bool {
 	asked := p.view.Demands.Of(name)
 	return asked.LastMs > 0 && now-asked.LastMs < p.limits.IdleMs
--- a/internal/controlplane/partition/partition.go
+++ b/internal/controlplane/partition/partition.go
@@ -34,7 +34,7 @@
 	Owners  map[int64]wire.Owner
 	WallMs  int64
 	Count   int64
-	// Demands is what fronts say of their callers, which no log holds.
+	// Demands is what fronts say of their clients, which no log holds.
 	Demands Demands
 }
 
--- a/internal/controlplane/partition/room.go
+++ b/internal/controlplane/partition/room.go
@@ -192,7 +192,7 @@
 }
 
 // fresh tells whether something came too lately to make way: before it was used
-// at all, or, while callers use it or nothing is known of them, for longer.
+// at all, or, while clients use it or nothing is known of them, for longer.
 func (p *Partition) fresh(now int64, kept wire.Resident) bool {
 	asked := p.view.Demands.Of(kept.Item)
 	if p.view.Demands.Known() && asked.Live+asked.Held == 0 {
--- a/internal/controlplane/partition/single_test.go
+++ b/internal/controlplane/partition/single_test.go
@@ -183,7 +183,7 @@
 	})
 }
 
-// tick runs to a moment: callers' demand is told, what is held is wanted.
+// tick runs to a moment: clients' demand is told, what is held is wanted.
 func (w *pool) tick(to int64) {
 	for ; w.now < to; w.now += 10 {
 		due := w.later
--- a/internal/controlplane/register/writes.go
+++ b/internal/controlplane/register/writes.go
@@ -6,7 +6,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// Write is one compare-and-set as callers ask for it. Expected is the version that
+// Write is one compare-and-set as clients ask for it. Expected is the version that
 // must stand, -1 for any; Next is the version it shall get, 0 for the one after.
 // Name tells it from all others: a write with a name that the value remembers is
 // acknowledged again. Again says that it may have been sent before, here or at
@@ -19,7 +19,7 @@
 	Again          bool
 }
 
-// write is one caller's write within an operation; those on one register go
+// write is one client's write within an operation; those on one register go
 // together.
 type write struct {
 	Write
--- a/internal/dataplane/feed/holds.go
+++ b/internal/dataplane/feed/holds.go
@@ -17,7 +17,7 @@
 //	plugs.Hold("lens-7b", 5, 1)
 func (p *Plugboard) Hold(item string, weight, change int64) { p.holds <- held{item, weight, change} }
 
-// Come notes that a caller was told to come back for an item at a moment: it
+// Come notes that a client was told to come back for an item at a moment: it
 // goes on being wanted until then and a little longer.
 //
 //	plugs.Come("lens-7b", 5, nowMs+8000)
--- a/internal/dataplane/pipeline/choose.go
+++ b/internal/dataplane/pipeline/choose.go
@@ -64,7 +64,7 @@
 
 // sticky finds the one server of an idempotency key. No other may take the key
 // over unless it is certain that no front sent it to the first; where that is
-// not known the answer is a refusal, and the caller cannot tell whether the
+// not known the answer is a refusal, and the client cannot tell whether the
 // request of an earlier try ran.
 func (s *Switch) sticky(c *call) *routing.Server {
 	decision := s.ledger.Ticket(c.ctx, c.current.Call(c.service.Pool, c.ask.Key))
--- a/internal/dataplane/pipeline/contact.go
+++ b/internal/dataplane/pipeline/contact.go
@@ -10,7 +10,7 @@
 
 // unknown refuses what the configuration here does not have. Where this front
 // was cut off, it may have been added since: then it says that it does not know,
-// so that callers go on elsewhere. One that was never in contact has no others.
+// so that clients go on elsewhere. One that was never in contact has no others.
 func (s *Switch) unknown(c *call, why string) {
 	if to := s.contactTo.Load(); to > 0 && s.Now() > to {
 		c.refuse(http.StatusServiceUnavailable, "out of contact: "+why, s.limits.Retry)
--- a/internal/dataplane/pipeline/filters.go
+++ b/internal/dataplane/pipeline/filters.go
@@ -11,7 +11,7 @@
 	"applequay/internal/routing"
 )
 
-// deadline reads how long the caller will wait.
+// deadline reads how long the client will wait.
 func (s *Switch) deadline(c *call, next func(*call)) {
 	c.ctx, c.cancel = context.WithCancel(c.r.Context())
 	defer c.cancel()
@@ -78,7 +78,7 @@
 	bounded = bounded && control.SetReadDeadline(until) == nil
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, most))
 	if bounded && err == nil {
-		// What the caller sends next has its own times. Where the body broke off
+		// What the client sends next has its own times. Where the body broke off
 		// nothing more is read, and the connection ends with the answer.
 		_ = control.SetReadDeadline(time.Time{})
 	}
--- a/internal/dataplane/pipeline/hold.go
+++ b/internal/dataplane/pipeline/hold.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// holdMost is how long a call may be held: no longer than callers wait in
+// holdMost is how long a call may be held: no longer than clients wait in
 // silence, less what the answer then still takes.
 func (s *Switch) holdMost(c *call) time.Duration {
 	most := s.limits.Hold
@@ -68,14 +68,14 @@
 	}
 }
 
-// back is when a caller who was refused a model should come again: when it can
+// back is when a client who was refused a model should come again: when it can
 // be up, where that is known.
 func (s *Switch) back(c *call) time.Duration {
 	at := c.current.Expected(c.service.Pool, c.item, s.Now())
 	return max(time.Duration(at-s.Now())*time.Millisecond, s.retryAfter(c))
 }
 
-// retryAfter is when a caller should come again where nothing better is known:
+// retryAfter is when a client should come again where nothing better is known:
 // soon enough that the answer may still be in time.
 func (s *Switch) retryAfter(c *call) time.Duration {
 	if c.route.TargetMs > 0 {
@@ -85,7 +85,7 @@
 }
 
 // awaitHolder waits, after all holders were tried, for one more, as long as the
-// caller is patient; what has begun to be passed on is not held.
+// client is patient; what has begun to be passed on is not held.
 func (s *Switch) awaitHolder(c *call) bool {
 	if !c.service.Model || c.runAt != nil || c.answered || c.ask.Key != "" || (c.wrote && !c.again) || c.route.PatienceMs == 0 {
 		return false
--- a/internal/dataplane/pipeline/silence_test.go
+++ b/internal/dataplane/pipeline/silence_test.go
@@ -39,7 +39,7 @@
 	c.Check(b.board.Counts.Early.Load(), qt.Equals, int64(1))
 }
 
-// A server that is silent does not hold its callers to their deadline.
+// A server that is silent does not hold its clients to their deadline.
 func TestSilence(t *testing.T) {
 	c := qt.New(t)
 	hush := func(before ...int) http.HandlerFunc {
--- a/internal/dataplane/pipeline/smuggled_test.go
+++ b/internal/dataplane/pipeline/smuggled_test.go
@@ -16,7 +16,7 @@
 const hidden = "POST /v1/book?hidden HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
 
 // A request that stands in another's body, or behind a head that can be read in
-// two ways, is never run; what the caller sent reaches the server as it was.
+// two ways, is never run; what the client sent reaches the server as it was.
 func TestNothingIsSmuggled(t *testing.T) {
 	c := qt.New(t)
 	cases := []struct{ name, head, body string }{
--- a/internal/dataplane/pipeline/stream.go
+++ b/internal/dataplane/pipeline/stream.go
@@ -21,7 +21,7 @@
 }
 
 // relayStream passes pieces on one by one. A stream that breaks off before its
-// first piece was never begun, as the caller sees it; one that may be resumed
+// first piece was never begun, as the client sees it; one that may be resumed
 // goes on at another server after the last piece passed on.
 func (s *Switch) relayStream(c *call, answer *upstream.Answer, look *watcher, chosenServer *routing.Server, sent int64) fate {
 	stream := c.speech.Open(answer.Response, answer.Reader, c.ask, chosenServer.Name)
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/switch.go
@@ -46,7 +46,7 @@
 	Work(item string, weight, change int64)
 	// Read hears how long a request's first piece took, in milliseconds.
 	Read(item string, tookMs int64)
-	// Come hears of callers who were told to come back for an item.
+	// Come hears of clients who were told to come back for an item.
 	Come(item string, weight, untilMs int64)
 	// Ticket tells to which server a call with a key goes, and notes it.
 	Ticket(ctx context.Context, call idempotency.Call) idempotency.Decision
@@ -128,7 +128,7 @@
 // that it did not run, while there is time to ask elsewhere; what is at a server
 // goes on.
 //
-//	callers.Leave = board.Leave
+//	clients.Leave = board.Leave
 func (s *Switch) Leave() {
 	if s.left.CompareAndSwap(false, true) {
 		close(s.leaves)
@@ -142,7 +142,7 @@
 	return ""
 }
 
-// ServeHTTP takes a caller's request through the chain.
+// ServeHTTP takes a client's request through the chain.
 //
 //	http.Handle("/", board)
 func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/dataplane/pipeline/watch.go
+++ b/internal/dataplane/pipeline/watch.go
@@ -14,7 +14,7 @@
 
 // watcher ends an attempt at a server that is silent for too long: for the time of a
 // first piece, then of the next, and for a small share of that where the server
-// is known to be dark. The caller's own deadline is no measure: nobody is to
+// is known to be dark. The client's own deadline is no measure: nobody is to
 // wait for it in vain.
 type watcher struct {
 	ctx    context.Context
@@ -63,7 +63,7 @@
 	return w
 }
 
-// follows says whether a stream of which the caller has a part could go on at
+// follows says whether a stream of which the client has a part could go on at
 // another server, and pays for that at once: where it could not, silence is no
 // reason to end it.
 func (s *Switch) follows(c *call, chosenServer *routing.Server) func() bool {
--- a/internal/dataplane/protocol/fuzz_test.go
+++ b/internal/dataplane/protocol/fuzz_test.go
@@ -49,7 +49,7 @@
 	})
 }
 
-// FuzzAsk gives any body of a caller's request.
+// FuzzAsk gives any body of a client's request.
 func FuzzAsk(f *testing.F) {
 	f.Add([]byte(`{"model":"m1","adapter":"a1","prompt":"once"}`), true)
 	f.Add([]byte(`[]`), true)
--- a/internal/dataplane/protocol/own.go
+++ b/internal/dataplane/protocol/own.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fastjson"
 )
 
-// Headers that callers send and get.
+// Headers that clients send and get.
 const (
 	HeaderDeadline = "Applequay-Deadline-Ms"
 	HeaderRun      = "Applequay-Run"
@@ -41,7 +41,7 @@
 // have it.
 type Own struct{}
 
-// Wait reads how long the caller will wait.
+// Wait reads how long the client will wait.
 //
 //	wait, refusal := protocol.Own{}.Wait(request)
 func (Own) Wait(r *http.Request) (time.Duration, *Refusal) {
@@ -56,7 +56,7 @@
 	return Milliseconds(wait), nil
 }
 
-// longest is how long a caller may say that it waits.
+// longest is how long a client may say that it waits.
 const longest = 24 * time.Hour
 
 // Milliseconds is a time of so many, bounded so that it holds.
--- a/internal/dataplane/protocol/protocol.go
+++ b/internal/dataplane/protocol/protocol.go
@@ -1,5 +1,5 @@
 // Package protocol is the seam between a proxy and those it speaks to: how
-// callers ask, how servers are told and how their answers are read. The
+// clients ask, how servers are told and how their answers are read. The
 // product's own interface is the first way, see Own.
 package protocol
 
@@ -30,12 +30,12 @@
 	// Key names a booking that must go to one server only.
 	Key string
 	// Run names a run to go on with, at the server that it is bound to; From is
-	// the number of the last piece that the caller has, or of the next (own form).
+	// the number of the last piece that the client has, or of the next (own form).
 	Run  string
 	From int64
 }
 
-// Told is what a server is told beside what the caller said.
+// Told is what a server is told beside what the client said.
 type Told struct {
 	// Server is the server's name: another one at its address turns it away.
 	Server string
@@ -91,7 +91,7 @@
 	Run, Wait, Places int64
 }
 
-// Piece is one piece of a stream, in the bytes that the caller gets.
+// Piece is one piece of a stream, in the bytes that the client gets.
 type Piece struct {
 	Bytes  []byte
 	Number int64
@@ -104,16 +104,16 @@
 	// Next is the next whole piece; io.EOF says that a stream without an end
 	// marker is complete, any other error that it broke off.
 	Next() (Piece, error)
-	// Head sets the caller's head, once the first piece is there.
+	// Head sets the client's head, once the first piece is there.
 	Head(into http.Header)
 	// Broken is what ends an answer that cannot go on, next being the number of
 	// the piece that is missing; nil: the connection is cut.
 	Broken(next int64) []byte
 }
 
-// Speech is one way to speak to callers and servers. It decides nothing.
+// Speech is one way to speak to clients and servers. It decides nothing.
 type Speech interface {
-	// Wait is how long the caller will wait; nought if it does not say.
+	// Wait is how long the client will wait; nought if it does not say.
 	Wait(r *http.Request) (time.Duration, *Refusal)
 	// Ask reads what a request asks for; model tells whether its service has models.
 	Ask(r *http.Request, body []byte, model bool) (Ask, *Refusal)
--- a/internal/settings/conns.go
+++ b/internal/settings/conns.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// States of a caller's connection. From the first byte of a request that was
+// States of a client's connection. From the first byte of a request that was
 // read until its answer is out, it is busy and nothing closes it.
 const (
 	connFresh int32 = iota
@@ -24,7 +24,7 @@
 // freshFor is how long a new connection is waited for that sent nothing yet.
 const freshFor = time.Second
 
-// conns are the callers' open connections. Of most there are no more at a time,
+// conns are the clients' open connections. Of most there are no more at a time,
 // unless it is nought; idle is how long one may rest.
 type conns struct {
 	open  sync.Map // *conn to true
@@ -47,7 +47,7 @@
 }
 
 // Accept notes the connection. One for which there is no room, though no other
-// rests, is closed unread: its caller may go elsewhere with anything.
+// rests, is closed unread: its client may go elsewhere with anything.
 //
 //	conn, err := listener.Accept()
 func (l *listener) Accept() (net.Conn, error) {
--- a/internal/settings/conns_test.go
+++ b/internal/settings/conns_test.go
@@ -14,9 +14,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// echo is a callers' side that answers at once, or waits to be let on where a
+// echo is a clients' side that answers at once, or waits to be let on where a
 // path says so.
-func echo(c *qt.C, side *Callers) *drained {
+func echo(c *qt.C, side *Clients) *drained {
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	d := &drained{addr: plain.Addr().String(), came: make(chan struct{}, 16), let: make(chan struct{}, 16), served: make(chan error, 1)}
@@ -40,7 +40,7 @@
 }
 
 // ends tells whether a connection is closed before long.
-func (one *caller) ends(c *qt.C, within time.Duration) bool {
+func (one *client) ends(c *qt.C, within time.Duration) bool {
 	c.Assert(one.SetReadDeadline(time.Now().Add(within)), qt.IsNil)
 	_, err := one.answers.ReadByte()
 	c.Assert(err, qt.IsNotNil)
@@ -48,13 +48,13 @@
 	return !ok || !late.Timeout()
 }
 
-// Of callers' connections there are never more than may be: the one that rested
+// Of clients' connections there are never more than may be: the one that rested
 // longest makes room, and where none rests the newcomer is closed unread.
 func TestConnectionsAreBounded(t *testing.T) {
 	c := qt.New(t)
-	d := echo(c, &Callers{Idle: time.Minute, Most: 2})
+	d := echo(c, &Clients{Idle: time.Minute, Most: 2})
 	oldest, newer := d.call(c), d.call(c)
-	for _, one := range []*caller{oldest, newer} {
+	for _, one := range []*client{oldest, newer} {
 		one.ask(c)
 		one.answer(c)
 	}
@@ -62,7 +62,7 @@
 	third.ask(c)
 	third.answer(c)
 	c.Check(oldest.ends(c, 5*time.Second), qt.IsTrue)
-	for _, one := range []*caller{newer, third} {
+	for _, one := range []*client{newer, third} {
 		_, err := fmt.Fprint(one, "GET /waits HTTP/1.1\r\nHost: x\r\n\r\n")
 		c.Assert(err, qt.IsNil)
 		<-d.came
@@ -81,7 +81,7 @@
 	c := qt.New(t)
 	var told atomic.Int64
 	told.Store(int64(100 * time.Millisecond))
-	d := echo(c, &Callers{Idle: time.Minute, IdleTold: func() time.Duration { return time.Duration(told.Load()) }})
+	d := echo(c, &Clients{Idle: time.Minute, IdleTold: func() time.Duration { return time.Duration(told.Load()) }})
 	short := d.call(c)
 	short.ask(c)
 	short.answer(c)
@@ -104,7 +104,7 @@
 // though no byte of it is read after the first was answered.
 func TestPipelinedRequestIsAtWork(t *testing.T) {
 	c := qt.New(t)
-	d := echo(c, &Callers{Idle: time.Minute})
+	d := echo(c, &Clients{Idle: time.Minute})
 	one := d.call(c)
 	_, err := fmt.Fprint(one, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /waits HTTP/1.1\r\nHost: x\r\n\r\n")
 	c.Assert(err, qt.IsNil)
--- a/internal/settings/numbers.go
+++ b/internal/settings/numbers.go
@@ -12,7 +12,7 @@
 }
 
 // PartAll are the settings that every program takes.
-const PartAll = PartNode | PartDisk | PartLine | PartCallers
+const PartAll = PartNode | PartDisk | PartLine | PartClients
 
 func (b *Boot) numbers(parts Part) []check {
 	var out []check
@@ -57,16 +57,16 @@
 		{PartDisk, "disk-mb", &b.DiskMb, 0, 1 << 30, "room of the data folder; nought if unknown", 0},
 		{PartDisk, "sync-floor-ms", &b.SyncFloorMs, 0, 10000, "least time of a sync: stands for a slow disk in tests", 0},
 		{PartDisk, "log-kb", &b.LogKb, 4, 1 << 20, "how long the log grows between checkpoints", 4096},
-		{PartCallers, "hold-ms", &b.HoldMs, 100, longest, "how long a request may be held while its model comes up", 20000},
-		{PartCallers, "body-kb", &b.BodyKb, 1, 1 << 20, "largest request body", 1024},
-		{PartCallers, "slots", &b.Slots, 1, 1 << 20, "requests in work at once before low weights are shed", 512},
-		{PartCallers, "idle-ms", &b.IdleMs, 1000, 3600000, "callers' connections are not closed sooner than this after their last request", 120000},
-		{PartCallers, "head-ms", &b.HeadMs, 100, longest, "how long a caller may take to send the head of a request", 5000},
-		{PartCallers, "head-kb", &b.HeadKb, 1, 1 << 14, "largest head of a request", 1024},
-		{PartCallers, "retry-percent", &b.RetryPercent, 0, 100, "requests sent to a further worker, in percent of a service's requests", 20},
-		{PartCallers, "retry-window-ms", &b.RetryWindowMs, 100, longest, "window in which further tries are counted", 10000},
-		{PartCallers, "retry-slack", &b.RetrySlack, 0, 1 << 20, "further tries that a window may see beyond that, on all fronts together", 1},
-		{PartCallers, "pass-ms", &b.PassMs, 1, longest, "within this a piece of a stream is passed on", 120},
+		{PartClients, "hold-ms", &b.HoldMs, 100, longest, "how long a request may be held while its model comes up", 20000},
+		{PartClients, "body-kb", &b.BodyKb, 1, 1 << 20, "largest request body", 1024},
+		{PartClients, "slots", &b.Slots, 1, 1 << 20, "requests in work at once before low weights are shed", 512},
+		{PartClients, "idle-ms", &b.IdleMs, 1000, 3600000, "callers' connections are not closed sooner than this after their last request", 120000},
+		{PartClients, "head-ms", &b.HeadMs, 100, longest, "how long a caller may take to send the head of a request", 5000},
+		{PartClients, "head-kb", &b.HeadKb, 1, 1 << 14, "largest head of a request", 1024},
+		{PartClients, "retry-percent", &b.RetryPercent, 0, 100, "requests sent to a further worker, in percent of a service's requests", 20},
+		{PartClients, "retry-window-ms", &b.RetryWindowMs, 100, longest, "window in which further tries are counted", 10000},
+		{PartClients, "retry-slack", &b.RetrySlack, 0, 1 << 20, "further tries that a window may see beyond that, on all fronts together", 1},
+		{PartClients, "pass-ms", &b.PassMs, 1, longest, "within this a piece of a stream is passed on", 120},
 	}
 }
 
@@ -86,8 +86,8 @@
 		{PartNode, "operators", &b.Operators, false, "address for operators, besides listen"},
 		{PartDisk, "directory", &b.Directory, true, "address of the platform's worker list, IP:port"},
 		{PartLine, "proxy", &b.Proxy, true, "address of the proxy beside this agent"},
-		{PartCallers, "callers", &b.Callers, true, "address for callers, IP:port"},
-		{PartCallers, "agent", &b.Agent, true, "address of the agent beside this proxy"},
+		{PartClients, "callers", &b.Clients, true, "address for callers, IP:port"},
+		{PartClients, "agent", &b.Agent, true, "address of the agent beside this proxy"},
 	}
 	var out []address
 	for _, one := range every {
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -58,13 +58,13 @@
 	return out
 }
 
-// Callers serves callers, and lets them go in order: from the end of its
+// Clients serves clients, and lets them go in order: from the end of its
 // context it goes on taking new ones for Notice, with answers that say that the
 // connection closes; then it takes no more and ends when no request is in work,
 // or after Drain from the beginning. Leave is called three quarters on, for those
 // who only wait; shortly before the end the contexts of all requests end, so
 // that what is still in work gets an answer and no connection is just closed.
-type Callers struct {
+type Clients struct {
 	Addr       string
 	Handler    http.Handler
 	Head, Idle time.Duration
@@ -80,16 +80,16 @@
 	leaving       atomic.Bool
 }
 
-// callersFiles is the part of a process's descriptors that callers may take:
+// clientsFiles is the part of a process's descriptors that clients may take:
 // requests in work take one more each, and connections to servers wait idle.
-const callersFiles = 2
+const clientsFiles = 2
 
-// CallersSide is the callers' side as the settings have it.
+// ClientsSide is the clients' side as the settings have it.
 //
-//	callers := settings.CallersSide(board)
-func (b *Boot) CallersSide(handler http.Handler) *Callers {
+//	clients := settings.ClientsSide(board)
+func (b *Boot) ClientsSide(handler http.Handler) *Clients {
 	drain := Ms(b.DrainMs)
-	return &Callers{Addr: b.Callers, Handler: handler, Head: Ms(b.HeadMs), Idle: Ms(b.IdleMs), HeadBytes: int(b.HeadKb) << 10, Most: b.Files / callersFiles, Notice: drain * time.Duration(b.NoticePercent) / 100, Drain: drain}
+	return &Clients{Addr: b.Clients, Handler: handler, Head: Ms(b.HeadMs), Idle: Ms(b.IdleMs), HeadBytes: int(b.HeadKb) << 10, Most: b.Files / clientsFiles, Notice: drain * time.Duration(b.NoticePercent) / 100, Drain: drain}
 }
 
 // Ms is a time of so many milliseconds.
@@ -106,8 +106,8 @@
 
 // Run serves until the context ends and the drain is over.
 //
-//	err := callers.Run(ctx)
-func (s *Callers) Run(ctx context.Context) error {
+//	err := clients.Run(ctx)
+func (s *Clients) Run(ctx context.Context) error {
 	plain, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", s.Addr)
 	if err != nil {
 		return err
@@ -115,7 +115,7 @@
 	return s.serve(ctx, plain)
 }
 
-func (s *Callers) serve(ctx context.Context, plain net.Listener) error {
+func (s *Clients) serve(ctx context.Context, plain net.Listener) error {
 	s.conns.most, s.conns.idle = s.Most, s.idle
 	listener := &listener{Listener: plain, conns: &s.conns}
 	asked, end := context.WithCancel(context.WithoutCancel(ctx))
@@ -152,7 +152,7 @@
 }
 
 // idle is how long a connection may rest.
-func (s *Callers) idle() time.Duration {
+func (s *Clients) idle() time.Duration {
 	if s.IdleTold != nil {
 		if told := s.IdleTold(); told > 0 {
 			return told
@@ -161,13 +161,13 @@
 	return s.Idle
 }
 
-func (s *Callers) goes() {
+func (s *Clients) goes() {
 	if s.Leave != nil {
 		s.Leave()
 	}
 }
 
-func (s *Callers) handle(w http.ResponseWriter, r *http.Request) {
+func (s *Clients) handle(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/settings/serve_test.go
+++ b/internal/settings/serve_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// drained is a callers' side on loopback whose handler waits to be let on.
+// drained is a clients' side on loopback whose handler waits to be let on.
 type drained struct {
 	addr   string
 	came   chan struct{}
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.leave = cancel
 	c.Cleanup(cancel)
-	side := &Callers{Notice: notice, Drain: 20 * time.Second, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14,
+	side := &Clients{Notice: notice, Drain: 20 * time.Second, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			d.came <- struct{}{}
 			<-d.let
@@ -38,24 +38,24 @@
 	return d
 }
 
-type caller struct {
+type client struct {
 	net.Conn
 	answers *bufio.Reader
 }
 
-func (d *drained) call(c *qt.C) *caller {
+func (d *drained) call(c *qt.C) *client {
 	conn, err := net.Dial("tcp", d.addr)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
-	return &caller{Conn: conn, answers: bufio.NewReader(conn)}
+	return &client{Conn: conn, answers: bufio.NewReader(conn)}
 }
 
-func (one *caller) ask(c *qt.C) {
+func (one *client) ask(c *qt.C) {
 	_, err := fmt.Fprint(one, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	c.Assert(err, qt.IsNil)
 }
 
-func (one *caller) answer(c *qt.C) *http.Response {
+func (one *client) answer(c *qt.C) *http.Response {
 	answer, err := http.ReadResponse(one.answers, nil)
 	c.Assert(err, qt.IsNil)
 	body := make([]byte, 5)
@@ -89,7 +89,7 @@
 	c.Check(<-d.served, qt.IsNil)
 }
 
-// New callers are served while not everybody has noticed, and are told to close.
+// New clients are served while not everybody has noticed, and are told to close.
 func TestDrainGivesNotice(t *testing.T) {
 	c := qt.New(t)
 	d := drain(c, 300*time.Millisecond)
@@ -136,7 +136,7 @@
 	c.Check(plain.past, qt.IsTrue)
 }
 
-// What cannot be ended gets an answer before the drain is over: a caller whose
+// What cannot be ended gets an answer before the drain is over: a client whose
 // request was read whole is never left with a closed connection.
 func TestDrainAnswersWhatIsLeft(t *testing.T) {
 	c := qt.New(t)
@@ -145,7 +145,7 @@
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	came, goes := make(chan struct{}), make(chan struct{})
-	side := &Callers{Drain: time.Second, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14, Leave: func() { close(goes) },
+	side := &Clients{Drain: time.Second, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14, Leave: func() { close(goes) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			came <- struct{}{}
 			<-r.Context().Done()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,7 +16,7 @@
 
 // Boot holds the settings of every program; each asks for those it needs.
 type Boot struct {
-	Name, Zone, Listen, Advertise, Ready, Operators, Callers, Agent, Proxy, Data, Directory, Settings, DiskTrial, ClockTrial string
+	Name, Zone, Listen, Advertise, Ready, Operators, Clients, Agent, Proxy, Data, Directory, Settings, DiskTrial, ClockTrial string
 
 	Seeds, Core []string
 	// Bootstrap is true at the very first start of the whole system; Fenced
@@ -40,7 +40,7 @@
 	PartNode Part = 1 << iota
 	PartDisk
 	PartLine
-	PartCallers
+	PartClients
 )
 
 // Fault is one thing wrong with one setting.
@@ -55,7 +55,7 @@
 
 // Defaults are the settings where nothing was said.
 //
-//	settings := settings.Defaults(settings.PartCallers)
+//	settings := settings.Defaults(settings.PartClients)
 func Defaults(parts Part) *Boot {
 	b := &Boot{Fenced: true}
 	for _, one := range b.numbers(parts) {
@@ -186,7 +186,7 @@
 // Differences names the settings that another reading has otherwise, apart from
 // those that may change while a process runs, and those of the founding.
 //
-//	names := old.Differences(next, settings.PartCallers) // "slots", "idle-ms"
+//	names := old.Differences(next, settings.PartClients) // "slots", "idle-ms"
 func (b *Boot) Differences(next *Boot, parts Part) []string {
 	mine, others := b.texts(parts), next.texts(parts)
 	var out []string
--- a/internal/settings/start.go
+++ b/internal/settings/start.go
@@ -45,7 +45,7 @@
 	Form configuration.Form
 	// Desk adds the operators' pages to a router; see adminapi.Routes.
 	Desk func(router *mux.Router, control *eventloop.Position, wait time.Duration, drain func())
-	// Speech is how callers and servers speak.
+	// Speech is how clients and servers speak.
 	Speech protocol.Speech
 	// Workers is how workers and the list of them are spoken to; holder names who
 	// gives the orders.
--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -73,7 +73,7 @@
 // SIGHUP ends no process, even before anyone watches.
 func TestSignalEndsNothing(t *testing.T) {
 	c := qt.New(t)
-	start := Must("proxy", PartCallers, fixed{})
+	start := Must("proxy", PartClients, fixed{})
 	c.Assert(syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
 	c.Check(<-start.hup, qt.Equals, os.Signal(syscall.SIGHUP))
 	c.Check(start.ReadyPath, qt.Equals, "/standing")
@@ -81,4 +81,4 @@
 
 type fixed struct{}
 
-func (fixed) Read(string, Part) (*Boot, []string) { return Defaults(PartCallers), nil }
+func (fixed) Read(string, Part) (*Boot, []string) { return Defaults(PartClients), nil }
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -190,7 +190,7 @@
 	}
 }
 
-// Ask makes callers at a front ask for an item; a request that finds no holder
+// Ask makes clients at a front ask for an item; a request that finds no holder
 // is held there.
 //
 //	world.Ask(0, "m7")
--- a/internal/simulation/keys.go
+++ b/internal/simulation/keys.go
@@ -25,14 +25,14 @@
 	Front       string
 }
 
-// Tried is what a caller with a key was told.
+// Tried is what a client with a key was told.
 type Tried struct {
 	At       int64
 	Key, Why string
 	First    bool
 }
 
-// tills are the callers with keys: new ones, and repeats at any front.
+// tills are the clients with keys: new ones, and repeats at any front.
 type tills struct {
 	Random *rand.Rand
 	keys   []string
@@ -69,7 +69,7 @@
 	w.listed = slices.DeleteFunc(slices.Clone(w.listed), func(one wire.Worker) bool { return one.Name == name })
 }
 
-// Call makes a caller try a key at a front, a new key if none is named.
+// Call makes a client try a key at a front, a new key if none is named.
 //
 //	world.Call(2, "")
 func (w *World) Call(front int, key string) {
--- a/internal/simulation/keysplan.go
+++ b/internal/simulation/keysplan.go
@@ -3,7 +3,7 @@
 import "fmt"
 
 // Keys is a run in which the list of application servers changes while fronts
-// die, freeze and are cut off, and callers repeat their keys everywhere.
+// die, freeze and are cut off, and clients repeat their keys everywhere.
 //
 //	world := simulation.Keys(simulation.Krizanka(), 7)
 func Keys(shape Shape, seed int64) *World {
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -56,27 +56,27 @@
 	return body
 }
 
-// caller is a node that takes operators' calls.
-type caller struct {
+// client is a node that takes operators' calls.
+type client struct {
 	change func(asked register.Write, done func(register.Outcome))
 	read   func(key string, done func(register.Outcome))
 }
 
 // at picks a node that is up, a front or a core machine; nil if the one it
 // picked is not.
-func (o *Operator) at() *caller {
+func (o *Operator) at() *client {
 	w := o.world
 	pick := w.Random.Intn(len(w.fronts) + len(w.cores))
 	if len(o.only) > 0 {
 		pick = o.only[w.Random.Intn(len(o.only))]
 	}
 	if pick < len(w.fronts) {
-		return w.fronts[pick].caller()
+		return w.fronts[pick].client()
 	}
-	return w.cores[pick-len(w.fronts)].caller()
+	return w.cores[pick-len(w.fronts)].client()
 }
 
-func (f *front) caller() *caller {
+func (f *front) client() *client {
 	if !f.Up {
 		return nil
 	}
@@ -87,7 +87,7 @@
 			f.perform(start(f.Clock(), f.nextAsk))
 		})
 	}
-	return &caller{
+	return &client{
 		change: func(asked register.Write, done func(register.Outcome)) {
 			ask(done, func(now, call int64) wire.Outputs { return f.line.Change(now, call, asked) })
 		},
@@ -97,7 +97,7 @@
 	}
 }
 
-func (e *controllerNode) caller() *caller {
+func (e *controllerNode) client() *client {
 	if !e.Up {
 		return nil
 	}
@@ -108,7 +108,7 @@
 			e.perform(start(e.Clock(), e.nextAsk))
 		})
 	}
-	return &caller{
+	return &client{
 		change: func(asked register.Write, done func(register.Outcome)) {
 			ask(done, func(now, call int64) wire.Outputs { return e.core.Change(now, call, asked) })
 		},
--- a/internal/simulation/orders.go
+++ b/internal/simulation/orders.go
@@ -48,7 +48,7 @@
 		}
 	}
 	// On the platform operators call core machines alone.
-	node := w.cores[w.Random.Intn(len(w.cores))].caller()
+	node := w.cores[w.Random.Intn(len(w.cores))].client()
 	if node == nil {
 		again()
 		return
--- a/internal/testbed/fleet/checks.go
+++ b/internal/testbed/fleet/checks.go
@@ -74,7 +74,7 @@
 	return breaches
 }
 
-// BadAnswers lists what callers themselves found wrong.
+// BadAnswers lists what clients themselves found wrong.
 //
 //	breaches := fleet.BadAnswers(seen)
 func BadAnswers(seen *Records) []string {
--- a/internal/testbed/fleet/callers.go
+++ b/internal/testbed/fleet/clients.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// Callers starts callers at all fronts for some seconds; the function returned
+// Clients starts clients at all fronts for some seconds; the function returned
 // waits for their last answers.
 //
-//	wait, err := world.Callers(scenario, 1)
-func (w *World) Callers(scenario Scenario, factor float64) (func() bool, error) {
+//	wait, err := world.Clients(scenario, 1)
+func (w *World) Clients(scenario Scenario, factor float64) (func() bool, error) {
 	seconds := scenario.Seconds
 	w.subs++
 	name := fmt.Sprintf("sub%d", w.subs)
--- a/internal/testbed/fleet/proxy.go
+++ b/internal/testbed/fleet/proxy.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return
 	}
-	// Dialling may fail: then the caller's connection ends, as if refused.
+	// Dialling may fail: then the client's connection ends, as if refused.
 	onward, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", private)
 	if err != nil {
 		return
--- a/internal/testbed/fleet/rates.go
+++ b/internal/testbed/fleet/rates.go
@@ -57,7 +57,7 @@
 const retriesWindowMs = 10000
 
 // Retries checks that what the system sent again by itself, over any ten seconds, is no more
-// than a fifth of what callers sent to the service then. Each try of a caller
+// than a fifth of what clients sent to the service then. Each try of a client
 // has its own tag, so a tag that comes to back ends again is a retry. Every
 // front may make one at any time, which services of little traffic live on.
 //
@@ -100,7 +100,7 @@
 	return breaches
 }
 
-// OneAttempt checks that no try of a caller's booking or check reaches applications twice,
+// OneAttempt checks that no try of a client's booking or check reaches applications twice,
 // whether or not they would have known it again.
 //
 //	breaches := fleet.OneAttempt(shape, seen)
--- a/internal/testbed/fleet/records.go
+++ b/internal/testbed/fleet/records.go
@@ -49,12 +49,12 @@
 	Why       string `json:"why"`
 }
 
-// Records are what callers, back ends and the desk saw.
+// Records are what clients, back ends and the desk saw.
 type Records struct {
 	Served []Served
 	Called []Called
 	Notes  []Note
-	// Watched is what callers got at each front for the newest policy's sake.
+	// Watched is what clients got at each front for the newest policy's sake.
 	Watched []Watched
 }
 
--- a/internal/testbed/fleet/report.go
+++ b/internal/testbed/fleet/report.go
@@ -75,7 +75,7 @@
 }
 
 // comeBack follows streams that were refused since their model was not up to
-// their callers' next try.
+// their clients' next try.
 func (f *Figures) comeBack(seen *Records, from, to int64) {
 	refused := map[string]bool{}
 	for _, call := range seen.Called {
--- a/internal/testbed/fleet/scenarios.go
+++ b/internal/testbed/fleet/scenarios.go
@@ -13,11 +13,11 @@
 	Seconds int64
 	Run     func(w *World) error
 	// Setup changes the world before anything runs; Before is done once it is
-	// open and before callers come.
+	// open and before clients come.
 	Setup, Before func(w *World) error
-	// Careful callers repeat only what certainly did not run.
+	// Careful clients repeat only what certainly did not run.
 	Careful bool
-	// Cold callers ask for every model and adapter alike often.
+	// Cold clients ask for every model and adapter alike often.
 	Cold bool
 }
 
@@ -105,7 +105,7 @@
 			return nil, oops.Wrapf(err, "before %s", scenario.Name)
 		}
 	}
-	wait, err := w.Callers(scenario, factor)
+	wait, err := w.Clients(scenario, factor)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testbed/fleet/shape.go
+++ b/internal/testbed/fleet/shape.go
@@ -63,7 +63,7 @@
 	return shape
 }
 
-// Items lists models, and adapters with their models, as callers name them.
+// Items lists models, and adapters with their models, as clients name them.
 //
 //	for _, item := range shape.Items() { ... }
 func (s Shape) Items() [][2]string {
--- a/internal/testbed/fleet/watch.go
+++ b/internal/testbed/fleet/watch.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Watched is what one caller at a front got for the route of a policy, which
+// Watched is what one client at a front got for the route of a policy, which
 // no earlier policy has: the only way to see from outside what is in force.
 type Watched struct {
 	TimeMs int64
@@ -171,7 +171,7 @@
 }
 
 // Delivery is how long each acknowledged policy took to each front that had
-// nothing against it, as callers there saw it, sorted; looks are 100 ms apart.
+// nothing against it, as clients there saw it, sorted; looks are 100 ms apart.
 //
 //	median := fleet.At(fleet.Delivery(seen), 50)
 func Delivery(seen *Records) []int64 {
--- a/internal/testbed/knownred/judge.go
+++ b/internal/testbed/knownred/judge.go
@@ -10,7 +10,7 @@
 	"strings"
 )
 
-// event is one line of "go test -json", or the line that the caller adds at the
+// event is one line of "go test -json", or the line that the client adds at the
 // end to tell the exit status of go test.
 type event struct {
 	Action, Package, Test, Output, FailedBuild string
--- a/internal/workermodel/workermodel.go
+++ b/internal/workermodel/workermodel.go
@@ -103,7 +103,7 @@
 	return sum
 }
 
-// Drop ends a request whose caller has gone.
+// Drop ends a request whose client has gone.
 //
 //	worker.Drop(now, "r1")
 func (e *Engine) Drop(nowMs float64, name string) {
