--- a/internal/controlplane/eventloop/writer.go
+++ b/internal/controlplane/eventloop/writer.go
@@ -51,7 +51,7 @@
 func (w *Writer) Due() bool { return w.logBytes.Load() > w.limit }
 
 // Run writes batches until the context ends. A full disk is tried again; any
-// other breakdown ends the process.
+// other fault ends the process.
 //
 //	err := writer.Run(ctx)
 func (w *Writer) Run(ctx context.Context) error {
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Patience is how a program takes breakdowns of what it serves: it tries again
+// Patience is how a program takes faults of what it serves: it tries again
 // for good, ever more slowly, and never ends by itself for that.
 var Patience = supervisor.Limits{Most: 1000, Window: time.Minute, Pause: 200 * time.Millisecond}
 
--- a/internal/simulation/ordersplan.go
+++ b/internal/simulation/ordersplan.go
@@ -2,7 +2,7 @@
 
 import "applequay/internal/controlplane/register"
 
-// Orders is a run full of breakdowns, as Harder, in which eight operators send
+// Orders is a run full of faults, as Harder, in which eight operators send
 // named orders as they do on the platform: several on one version, with one
 // number for different changes, through any node; a third of the answers is
 // lost; and orders of all times are sent again.
--- a/internal/simulation/plan.go
+++ b/internal/simulation/plan.go
@@ -2,14 +2,14 @@
 
 import "fmt"
 
-// Faults is a run full of breakdowns, drawn from the seed; it ends calm, and
+// Faults is a run full of faults, drawn from the seed; it ends calm, and
 // then everything must be served again.
 //
 //	world := simulation.Faults(simulation.Brilleverk(), 7)
 func Faults(shape Shape, seed int64) *World { return run(shape, seed, (*World).fault) }
 
 // Harder is Faults with disks that fill up or are lost, whole groups of
-// machines that go together, and one last breakdown after all was healed.
+// machines that go together, and one last fault after all was healed.
 //
 //	world := simulation.Harder(simulation.Krizanka(), 7)
 func Harder(shape Shape, seed int64) *World {
@@ -72,7 +72,7 @@
 	}
 }
 
-// fault causes one breakdown. No more than one core machine's disk is lost in
+// fault causes one fault. No more than one core machine's disk is lost in
 // a run, since more is beyond what the core is meant to bear.
 func (w *World) fault() {
 	core := w.Random.Intn(len(w.cores))
@@ -137,7 +137,7 @@
 	})
 }
 
-// harder causes breakdowns that fault does not, and those it does.
+// harder causes faults that fault does not, and those it does.
 func (w *World) harder() {
 	core := w.Random.Intn(len(w.cores))
 	e := w.cores[core]
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -20,7 +20,7 @@
 }
 
 // Limits say how often a child may break down: more than Most times within
-// Window ends the tree. Pause grows with each breakdown in the window.
+// Window ends the tree. Pause grows with each fault in the window.
 type Limits struct {
 	Most   int
 	Window time.Duration
@@ -59,7 +59,7 @@
 	for at := range children {
 		start(at, 0)
 	}
-	breakdowns := make([][]time.Time, len(children))
+	faults := make([][]time.Time, len(children))
 	var verdict error
 	for running := len(children); running > 0; {
 		end := <-ends
@@ -78,13 +78,13 @@
 			continue
 		}
 		now := time.Now()
-		recent := breakdowns[end.at][:0:0]
-		for _, past := range breakdowns[end.at] {
+		recent := faults[end.at][:0:0]
+		for _, past := range faults[end.at] {
 			if now.Sub(past) < limits.Window {
 				recent = append(recent, past)
 			}
 		}
-		breakdowns[end.at] = append(recent, now)
+		faults[end.at] = append(recent, now)
 		log.Warn("child ended", zap.String("child", child.Name), zap.Error(end.err), zap.Int("breakdowns", len(recent)+1))
 		if len(recent)+1 > limits.Most {
 			running--
--- a/internal/testbed/fleet/breakdowns.go
+++ b/internal/testbed/fleet/breakdowns.go
@@ -142,7 +142,7 @@
 	return total
 }
 
-// long is a day of breakdowns with one last fault.
+// long is a day of faults with one last fault.
 func long(w *World) error {
 	for _, step := range []func(*World) error{killCore, split, freezeOwner, fronts, apps, workers, power} {
 		if err := step(w); err != nil {
--- a/internal/testbed/fleet/random.go
+++ b/internal/testbed/fleet/random.go
@@ -13,7 +13,7 @@
 	}
 }
 
-// random draws breakdowns from the world's seed, heals all, and ends with one
+// random draws faults from the world's seed, heals all, and ends with one
 // last fault.
 func random(w *World) error {
 	drawn := rand.New(rand.NewSource(w.Seed))
@@ -32,7 +32,7 @@
 	return killCore(w)
 }
 
-// breakDown causes one breakdown and mends it.
+// breakDown causes one fault and mends it.
 func (w *World) breakDown(drawn *rand.Rand) error {
 	core := w.Cores[drawn.Intn(len(w.Cores))]
 	front := 1 + drawn.Intn(w.Shape.Fronts)
