--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -50,7 +50,7 @@
 	router.Handle("/trunk", cable.Handler(control.Deliver)).Methods("POST")
 	adminapi.Routes(router, control, start.Form, settings.Ms(given.CallMs)*2, stop)
 	gauges := health.New("agent", given.Name)
-	health.Trunk(gauges, cable.Counts)
+	health.Transport(gauges, cable.Counts)
 	health.Control(gauges, control.Page)
 	gauges.Routes(router)
 	operators := mux.NewRouter()
--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -53,10 +53,10 @@
 	given   *settings.Boot
 	log     *zap.Logger
 	folder  *journal.Folder
-	core    *controller.Frame
-	cable   *transport.Trunk
+	core    *controller.Controller
+	cable   *transport.Transport
 	writer  *eventloop.Writer
-	control *eventloop.Position
+	control *eventloop.Loop
 	// unread is the fault of the platform's list that was logged last.
 	unread string
 }
@@ -112,7 +112,7 @@
 
 // giveOrders ties the clerk, who speaks to workers and reads their list, to the
 // state machine.
-func (n *node) giveOrders(work context.Context, clerk *orders.Clerk) {
+func (n *node) giveOrders(work context.Context, clerk *orders.Dispatcher) {
 	clerk.Saw = func(seen *wire.Seen) {
 		n.control.Deliver(transport.Arrived{From: "worker", Kind: wire.KindSeen, Body: seen})
 	}
@@ -164,7 +164,7 @@
 	router.Handle("/trunk", n.cable.Handler(n.control.Deliver)).Methods("POST")
 	adminapi.Routes(router, n.control, n.start.Form, patience, stop)
 	gauges := health.New("controller", n.given.Name)
-	health.Trunk(gauges, n.cable.Counts)
+	health.Transport(gauges, n.cable.Counts)
 	health.Control(gauges, n.control.Page)
 	health.Journal(gauges, n.writer)
 	gauges.Routes(router)
@@ -221,13 +221,13 @@
 }
 
 // moved tells whether all partitions are with their next owners.
-func moved(control *eventloop.Position) bool {
+func moved(control *eventloop.Loop) bool {
 	page := control.Page.Load()
 	return page == nil || page.Moving == 0
 }
 
 // needed tells whether the core set cannot do without this node yet.
-func needed(control *eventloop.Position) bool {
+func needed(control *eventloop.Loop) bool {
 	page := control.Page.Load()
 	return page != nil && page.Needed
 }
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -51,7 +51,7 @@
 		known := board.Table()
 		return known.Known && len(known.Servers) > 0 && ctx.Err() == nil
 	})
-	health.Trunk(gauges, cable.Counts)
+	health.Transport(gauges, cable.Counts)
 	health.Traffic(gauges, board)
 	gauges.Routes(router)
 	// All that clients ask goes through the chain as it came: the paths are the
--- a/internal/controlplane/adminapi/adminapi.go
+++ b/internal/controlplane/adminapi/adminapi.go
@@ -22,7 +22,7 @@
 
 // Desk answers operators from one node's control thread.
 type Desk struct {
-	control *eventloop.Position
+	control *eventloop.Loop
 	form    configuration.Form
 	wait    time.Duration
 	drain   func()
@@ -33,7 +33,7 @@
 // this process.
 //
 //	adminapi.Routes(router, control, configuration.Native, 3*time.Second, stop)
-func Routes(router *mux.Router, control *eventloop.Position, form configuration.Form, wait time.Duration, drain func()) {
+func Routes(router *mux.Router, control *eventloop.Loop, form configuration.Form, wait time.Duration, drain func()) {
 	if form == nil {
 		form = configuration.Native
 	}
--- a/internal/controlplane/adminapi/policies.go
+++ b/internal/controlplane/adminapi/policies.go
@@ -10,7 +10,7 @@
 
 // Policies is the register of the policy, for those who serve operators in
 // another way than this package.
-type Policies struct{ Control *eventloop.Position }
+type Policies struct{ Control *eventloop.Loop }
 
 // Read reads the newest policy at a majority.
 //
--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -29,8 +29,8 @@
 	Form configuration.Form
 }
 
-// Line is the control state of one agent.
-type Line struct {
+// Agent is the control state of one agent.
+type Agent struct {
 	boot     Boot
 	random   *rand.Rand
 	members  *membership.Members
@@ -81,12 +81,12 @@
 // New makes an agent that knows nothing but its seeds.
 //
 //	line := agent.New(now, boot, random)
-func New(now int64, boot Boot, random *rand.Rand) *Line {
+func New(now int64, boot Boot, random *rand.Rand) *Agent {
 	if boot.Form == nil {
 		boot.Form = configuration.Native
 	}
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "agent", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": controller.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
-	l := &Line{
+	l := &Agent{
 		boot: boot, random: random, now: now, startMs: now, listToldMs: now - boot.LeaseMs, fronts: map[string]*otherFront{}, asking: map[int64]*asking{}, passing: map[string]wire.Topic{},
 		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: controller.LineageLen}),
@@ -101,7 +101,7 @@
 // Hear takes a message from another process.
 //
 //	out := upstream.Hear(now, "c2~51", body)
-func (l *Line) Hear(now int64, from string, body wire.Record) wire.Outputs {
+func (l *Agent) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
 	l.now = now
 	switch told := body.(type) {
@@ -145,14 +145,14 @@
 	return out
 }
 
-func (l *Line) learnCore(core wire.CoreSet) {
+func (l *Agent) learnCore(core wire.CoreSet) {
 	l.proposer.Learn(core)
 	l.SetSeeds(l.boot.Seeds)
 	l.board.Put(register.CoreTopic(core))
 }
 
 // take puts a topic on the board and learns from it; false if it did not rise.
-func (l *Line) take(topic wire.Topic) bool {
+func (l *Agent) take(topic wire.Topic) bool {
 	if topic.Name == zoneTopic || !l.board.Put(topic) {
 		return false
 	}
@@ -199,7 +199,7 @@
 
 // feedWaits tells the proxy when loads will be done, and how long ago
 // that was said by the clocks; what is old is of no use.
-func (l *Line) feedWaits(out *wire.Outputs, topic wire.Topic) {
+func (l *Agent) feedWaits(out *wire.Outputs, topic wire.Topic) {
 	var told wire.Waits
 	if told.Unmarshal(topic.Body) != nil {
 		return
@@ -211,7 +211,7 @@
 	}
 }
 
-func (l *Line) due(now int64, name string, everyMs int64) bool {
+func (l *Agent) due(now int64, name string, everyMs int64) bool {
 	if last, ok := l.timers[name]; ok && now-last < everyMs {
 		return false
 	}
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -17,7 +17,7 @@
 
 // noteNewest gathers the newest policy version known to anyone, also to those that
 // went: a front that comes back must not fall behind what it went by before.
-func (l *Line) noteNewest() {
+func (l *Agent) noteNewest() {
 	if version := l.members.Version(); version == l.newestOf {
 		return
 	}
@@ -38,7 +38,7 @@
 // begin makes sure, after a start, of the policy that clients get first: one
 // read at a majority, or, where the core cannot be reached, none older than any
 // that the other fronts have heard of.
-func (l *Line) begin(now int64, out *wire.Outputs) {
+func (l *Agent) begin(now int64, out *wire.Outputs) {
 	if l.fedVersion == 0 || l.due(now, "newest", l.boot.ProbeMs) {
 		l.noteNewest()
 	}
@@ -60,7 +60,7 @@
 }
 
 // settleFirst takes the outcome of the first read out of what is to be answered.
-func (l *Line) settleFirst(out wire.Outputs) wire.Outputs {
+func (l *Agent) settleFirst(out wire.Outputs) wire.Outputs {
 	answers := out.Answers
 	out.Answers = nil
 	for _, answer := range answers {
@@ -83,7 +83,7 @@
 
 // withheld tells whether the proxy is not to get the policy kept here: it
 // might be older than the one that clients here were served by before.
-func (l *Line) withheld(topic wire.Topic) bool {
+func (l *Agent) withheld(topic wire.Topic) bool {
 	if topic.Name != controller.PolicyKey || l.fedVersion > 0 {
 		return false
 	}
@@ -92,7 +92,7 @@
 
 // fed is what of some topics the proxy may get now; what is withheld
 // stays on the board, and goes with a later feed.
-func (l *Line) fed(topics []wire.Topic) []wire.Topic {
+func (l *Agent) fed(topics []wire.Topic) []wire.Topic {
 	var out []wire.Topic
 	for _, topic := range topics {
 		if l.withheld(topic) {
--- a/internal/controlplane/agent/first_test.go
+++ b/internal/controlplane/agent/first_test.go
@@ -16,38 +16,38 @@
 // that it may have gone by before.
 func TestFirstPolicy(t *testing.T) {
 	c := qt.New(t)
-	news := func(version int64) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs {
+	news := func(version int64) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs {
 			return l.Hear(10, "l2~b", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: version, Body: []byte("{}")}}})
 		}
 	}
-	read := func(fate register.Fate, version int64) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs {
+	read := func(fate register.Fate, version int64) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs {
 			return l.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: version > 0, Value: wire.Value{Version: version, Body: []byte("{}")}}}}})
 		}
 	}
-	heard := func(version int) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs {
+	heard := func(version int) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs {
 			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "agent", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(version)}}}})
 			return l.Tick(11, 11)
 		}
 	}
-	subscribe := func(from string) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs { return l.Hear(10, from, &wire.Subscribe{}) }
+	subscribe := func(from string) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs { return l.Hear(10, from, &wire.Subscribe{}) }
 	}
 	cases := []struct {
 		name  string
-		steps []func(*Line) wire.Outputs
+		steps []func(*Agent) wire.Outputs
 		fed   []int64
 	}{
-		{"nothing before the first read", []func(*Line) wire.Outputs{news(4), subscribe("s1~x")}, nil},
-		{"what the read found", []func(*Line) wire.Outputs{read(register.FateDone, 5)}, []int64{5}},
-		{"older news after it", []func(*Line) wire.Outputs{read(register.FateDone, 5), news(4)}, []int64{5}},
-		{"no core, and the peers have the newest", []func(*Line) wire.Outputs{heard(4), news(4), read(register.FateNone, 0)}, []int64{4}},
-		{"no core, and somebody has heard of a newer one", []func(*Line) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), subscribe("s1~x")}, nil},
-		{"and then it comes", []func(*Line) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), news(5)}, []int64{5}},
-		{"a front that has begun goes on with what it has", []func(*Line) wire.Outputs{read(register.FateDone, 4), heard(6), news(5)}, []int64{4, 5}},
-		{"peers get all there is", []func(*Line) wire.Outputs{heard(5), news(4), subscribe("l2~b")}, []int64{4}},
+		{"nothing before the first read", []func(*Agent) wire.Outputs{news(4), subscribe("s1~x")}, nil},
+		{"what the read found", []func(*Agent) wire.Outputs{read(register.FateDone, 5)}, []int64{5}},
+		{"older news after it", []func(*Agent) wire.Outputs{read(register.FateDone, 5), news(4)}, []int64{5}},
+		{"no core, and the peers have the newest", []func(*Agent) wire.Outputs{heard(4), news(4), read(register.FateNone, 0)}, []int64{4}},
+		{"no core, and somebody has heard of a newer one", []func(*Agent) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), subscribe("s1~x")}, nil},
+		{"and then it comes", []func(*Agent) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), news(5)}, []int64{5}},
+		{"a front that has begun goes on with what it has", []func(*Agent) wire.Outputs{read(register.FateDone, 4), heard(6), news(5)}, []int64{4, 5}},
+		{"peers get all there is", []func(*Agent) wire.Outputs{heard(5), news(4), subscribe("l2~b")}, []int64{4}},
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -34,11 +34,11 @@
 const mostProbes = 16
 
 // graceMs is for how long a front that lost sight of the others sends no keys.
-func (l *Line) graceMs() int64 { return 2 * l.boot.LeaseMs }
+func (l *Agent) graceMs() int64 { return 2 * l.boot.LeaseMs }
 
 // learntList notes when this front's list changed. The first of a life counts
 // as known for ever: this front never went by an older one.
-func (l *Line) learntList(version int64) {
+func (l *Agent) learntList(version int64) {
 	if l.versions[controller.DirectoryKey] == 0 {
 		l.listAt = 0
 	} else {
@@ -51,7 +51,7 @@
 // tellList tells the others by which list this front goes: at once, but where lists
 // follow one another soon only the last of them. Until then this front passes for
 // one that goes by an older list, which refuses keys and sends none.
-func (l *Line) tellList() {
+func (l *Agent) tellList() {
 	if l.list != "" && l.now-l.listToldMs >= l.boot.LeaseMs/2 {
 		l.listToldMs = l.now
 		l.members.Set(listFact, l.list)
@@ -59,7 +59,7 @@
 }
 
 // watchFronts keeps account of the other fronts, those that went among them.
-func (l *Line) watchFronts(now int64) {
+func (l *Agent) watchFronts(now int64) {
 	wall := l.members.Wall(now)
 	if version := l.members.Version(); version != l.frontsOf {
 		l.frontsOf = version
@@ -80,7 +80,7 @@
 }
 
 // sawFront takes what is new of another front.
-func (l *Line) sawFront(now, wall int64, member wire.Member) {
+func (l *Agent) sawFront(now, wall int64, member wire.Member) {
 	kept, known := l.fronts[member.ID]
 	if !known {
 		kept = &otherFront{name: member.Name, stoodMs: now, stoodAt: wall, seenAt: wall}
@@ -99,7 +99,7 @@
 // inTouch tells whether this front would hear of a new list: it knows the
 // others, is not behind them, and reaches a majority of the core or of the
 // fronts. A front that does not for long sends no keys anywhere.
-func (l *Line) inTouch() bool {
+func (l *Agent) inTouch() bool {
 	if len(l.members.All()) == 1 || l.versions[controller.DirectoryKey] == 0 {
 		return false
 	}
@@ -119,7 +119,7 @@
 // settle raises the version up to which lists that were replaced do not matter any
 // more: every front has gone by a newer one for longer than a key may be
 // repeated. It never falls.
-func (l *Line) settle(now int64) {
+func (l *Agent) settle(now int64) {
 	wall, keyMs := l.members.Wall(now), l.boot.KeyMs
 	for _, roster := range l.rosters {
 		if roster.UntilMs == 0 || roster.Version <= l.settled {
@@ -141,7 +141,7 @@
 
 // contact tells the proxy that keys may be sent, and which old lists
 // still matter for them.
-func (l *Line) contact(now int64, out *wire.Outputs) {
+func (l *Agent) contact(now int64, out *wire.Outputs) {
 	l.tellList()
 	l.watchFronts(now)
 	l.settle(now)
@@ -167,7 +167,7 @@
 // judge works out which fronts lost their memory of keys sent by a list that was
 // in force from a moment on, until the one with a version: those that went since.
 // A reason says that one of them may have sent keys that nobody else knows of.
-func (l *Line) judge(fromMs, version int64) (lost []string, bad string) {
+func (l *Agent) judge(fromMs, version int64) (lost []string, bad string) {
 	for _, id := range slices.Sorted(maps.Keys(l.fronts)) {
 		front := l.fronts[id]
 		last := front.stoodAt + l.boot.LeaseMs
@@ -193,7 +193,7 @@
 
 // cameBack tells whether a front that went was started again so soon that it
 // cannot have sent keys out of sight of the others in between.
-func (l *Line) cameBack(gone *otherFront) bool {
+func (l *Agent) cameBack(gone *otherFront) bool {
 	for _, front := range l.fronts {
 		soon := gone.stoodAt - mostProbes*l.boot.ProbeMs + l.graceMs()
 		if front.name == gone.name && front != gone && front.seenAt >= gone.stoodAt-l.boot.LeaseMs && front.seenAt <= soon {
--- a/internal/controlplane/agent/posts.go
+++ b/internal/controlplane/agent/posts.go
@@ -21,9 +21,9 @@
 // anyway, and uses only age.
 const mostUnsent = 64
 
-func (l *Line) sender() string { return "front/" + l.boot.ID }
+func (l *Agent) sender() string { return "front/" + l.boot.ID }
 
-func (l *Line) post(kind wire.Kind, key string, body wire.Record) {
+func (l *Agent) post(kind wire.Kind, key string, body wire.Record) {
 	number := partition.Of(key, l.boot.Partitions)
 	kept := l.boxes[number]
 	if kept == nil {
@@ -40,7 +40,7 @@
 
 // reported takes what the proxy saw: models it holds requests for, and
 // what it used.
-func (l *Line) reported(now int64, out *wire.Outputs, told *wire.Report) {
+func (l *Agent) reported(now int64, out *wire.Outputs, told *wire.Report) {
 	if l.policy.Rollout != nil && l.due(now, "calls", l.boot.LeaseMs/4) {
 		l.members.Set(controller.CallsFact, fmt.Sprintf("%d/%d", told.Bad, told.Came))
 	}
@@ -63,7 +63,7 @@
 	l.resend(now, out)
 }
 
-func (l *Line) wantsTick(now int64, _ *wire.Outputs) {
+func (l *Agent) wantsTick(now int64, _ *wire.Outputs) {
 	for item, since := range l.wanted {
 		if now-since > 4*l.boot.LeaseMs {
 			delete(l.wanted, item)
@@ -72,7 +72,7 @@
 	}
 }
 
-func (l *Line) resend(now int64, out *wire.Outputs) {
+func (l *Agent) resend(now int64, out *wire.Outputs) {
 	numbers := make([]int64, 0, len(l.boxes))
 	for number := range l.boxes {
 		numbers = append(numbers, number)
@@ -97,7 +97,7 @@
 	}
 }
 
-func (l *Line) acked(ack *wire.PostAck) {
+func (l *Agent) acked(ack *wire.PostAck) {
 	kept := l.boxes[ack.Partition]
 	if kept == nil || ack.Refused || ack.Fence != kept.fence || ack.Sender != l.sender() {
 		return
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -17,7 +17,7 @@
 
 // rested is a front among others, long after its start, with nothing under way; a
 // controller told it of a policy. It is its zone's home of control and of a pool.
-func rested(fronts int) *Line {
+func rested(fronts int) *Agent {
 	var self string
 	for at := 0; ; at++ {
 		self = fmt.Sprintf("l1~a%d", at)
@@ -44,7 +44,7 @@
 }
 
 // answerAll lets all who are probed answer.
-func (l *Line) answerAll(now int64, out wire.Outputs) {
+func (l *Agent) answerAll(now int64, out wire.Outputs) {
 	for _, send := range out.Sends {
 		if probe, is := send.Body.(*wire.Probe); is {
 			l.Hear(now, send.To, &wire.ProbeAck{Seq: probe.Seq})
@@ -59,14 +59,14 @@
 	}
 	cases := []struct {
 		name  string
-		then  func(l *Line, now int64)
+		then  func(l *Agent, now int64)
 		rests bool
 	}{
-		{"nothing happens", func(*Line, int64) {}, true},
-		{"the first news goes on at once", func(l *Line, now int64) { l.Hear(now, "c1~z", homes(1)) }, true},
-		{"the second soon after it waits", func(l *Line, now int64) { l.Hear(now, "c1~z", homes(1)); l.Hear(now+1, "c1~z", homes(2)) }, false},
-		{"an operator's call", func(l *Line, now int64) { l.Change(now, 1, register.Write{Key: controller.PolicyKey}) }, false},
-		{"a key asked for", func(l *Line, now int64) { l.Hear(now, "s1~x", &wire.TicketWish{Op: 1, Key: "k"}) }, false},
+		{"nothing happens", func(*Agent, int64) {}, true},
+		{"the first news goes on at once", func(l *Agent, now int64) { l.Hear(now, "c1~z", homes(1)) }, true},
+		{"the second soon after it waits", func(l *Agent, now int64) { l.Hear(now, "c1~z", homes(1)); l.Hear(now+1, "c1~z", homes(2)) }, false},
+		{"an operator's call", func(l *Agent, now int64) { l.Change(now, 1, register.Write{Key: controller.PolicyKey}) }, false},
+		{"a key asked for", func(l *Agent, now int64) { l.Hear(now, "s1~x", &wire.TicketWish{Op: 1, Key: "k"}) }, false},
 	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
@@ -185,7 +185,7 @@
 	c.Check(line.self().Fact[listFact], qt.Matches, "20@.*")
 }
 
-func (l *Line) self() wire.Member {
+func (l *Agent) self() wire.Member {
 	for _, member := range l.members.All() {
 		if member.ID == l.boot.ID {
 			return member
--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -10,7 +10,7 @@
 )
 
 // services lists all that a zone has homes for.
-func (l *Line) services() []string {
+func (l *Agent) services() []string {
 	out := []string{distribution.ControlService}
 	for _, service := range l.policy.Services {
 		if name := "homes/" + service.Pool; !slices.Contains(out, name) {
@@ -29,14 +29,14 @@
 // SetSeeds takes the seeds of settings that were read again.
 //
 //	upstream.SetSeeds([]string{"10.0.0.7:7100"})
-func (l *Line) SetSeeds(seeds []string) {
+func (l *Agent) SetSeeds(seeds []string) {
 	l.boot.Seeds = seeds
 	l.members.SetSeeds(controller.SeedsWith(seeds, l.proposer.Core()))
 }
 
 // heardNews passes on and feeds what rose: to the zone's peers what a controller
 // told this front as their home. News of homes that comes in a burst goes together.
-func (l *Line) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
+func (l *Agent) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
 	told.Topics = slices.DeleteFunc(told.Topics, func(topic wire.Topic) bool { return !l.take(topic) })
 	if l.members.Role(from) == "controller" {
 		agents := l.members.Alive("agent")
@@ -54,7 +54,7 @@
 }
 
 // newsOut passes on and feeds what rose, unless something went out just before.
-func (l *Line) newsOut(now int64, out *wire.Outputs) {
+func (l *Agent) newsOut(now int64, out *wire.Outputs) {
 	if now-l.newsMs < l.boot.ProbeMs/newsPerProbe {
 		return
 	}
@@ -82,7 +82,7 @@
 
 // subscribed answers one that asks for what it lacks. The proxy beside gets only
 // what it may.
-func (l *Line) subscribed(out *wire.Outputs, from string, asked *wire.Subscribe) {
+func (l *Agent) subscribed(out *wire.Outputs, from string, asked *wire.Subscribe) {
 	kind, body := l.board.Answers(asked)
 	if told, is := body.(*wire.News); is {
 		if _, peer := l.members.Addr(from); !peer {
@@ -98,7 +98,7 @@
 }
 
 // feed gives the proxy beside this agent what rose; false if nothing did.
-func (l *Line) feed(out *wire.Outputs) bool {
+func (l *Agent) feed(out *wire.Outputs) bool {
 	fresh := l.board.Fresh()
 	some := len(fresh) > 0
 	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == distribution.WaitsTopic }); at >= 0 {
--- a/internal/controlplane/agent/tallies.go
+++ b/internal/controlplane/agent/tallies.go
@@ -18,7 +18,7 @@
 // tallied takes what the proxy counted, and now and then passes it on to
 // all who own a partition: which item stays, and which has to make way, is
 // worked out from all that is asked for. It is soft and in no log.
-func (l *Line) tallied(now int64, out *wire.Outputs, told *wire.Tally) {
+func (l *Agent) tallied(now int64, out *wire.Outputs, told *wire.Tally) {
 	l.tallyMs = now
 	if now-l.toldMs < tallyEvery || len(l.told)+len(told.Demands) == 0 {
 		return
@@ -63,7 +63,7 @@
 
 // talliedUses makes demands of uses alone, for a proxy that counts no more:
 // they were counted since the report before.
-func (l *Line) talliedUses(now int64, out *wire.Outputs, uses []wire.Use) {
+func (l *Agent) talliedUses(now int64, out *wire.Outputs, uses []wire.Use) {
 	past := now - l.usesMs
 	if len(uses) == 0 || now-l.tallyMs < tallyCalm*tallyEvery*2 {
 		return
@@ -87,7 +87,7 @@
 }
 
 // stands tells whether some worker has an item ready.
-func (l *Line) stands(item string) bool {
+func (l *Agent) stands(item string) bool {
 	for _, room := range l.rooms {
 		if room.Dark || room.Leaving || l.workers[room.Worker].Leaving {
 			continue
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -13,7 +13,7 @@
 // Tick does all that time brings.
 //
 //	out := upstream.Tick(now, wallMs)
-func (l *Line) Tick(now, wallMs int64) wire.Outputs {
+func (l *Agent) Tick(now, wallMs int64) wire.Outputs {
 	var out wire.Outputs
 	l.now = now
 	l.members.Clock(now, wallMs)
@@ -39,7 +39,7 @@
 
 // fleet tells the proxy how many fronts there are: when that changes, and now and
 // then in case it missed it.
-func (l *Line) fleet(now int64, out *wire.Outputs) {
+func (l *Agent) fleet(now int64, out *wire.Outputs) {
 	fronts := int64(max(len(l.members.Alive("agent")), 1))
 	if fronts != l.toldFronts || l.due(now, "fleet", 4*l.boot.ProbeMs) {
 		l.toldFronts, l.timers["fleet"] = fronts, now
@@ -51,7 +51,7 @@
 // before: at the next probe where nothing is under way.
 //
 //	if line.DueMs(now) <= now { out := line.Tick(now, wallMs) }
-func (l *Line) DueMs(now int64) int64 {
+func (l *Agent) DueMs(now int64) int64 {
 	busy := !l.begun || l.young(now) || l.proposer.Busy() || len(l.asking) > 0 || len(l.passing) > 0 || l.board.HasFresh()
 	for _, kept := range l.boxes {
 		busy = busy || len(kept.msgs) > 0
@@ -65,7 +65,7 @@
 // subscribe asks the zone's home of each service for what is past the versions
 // here, which is little: homes pass on what they are told; a home asks a controller. Once in a while, and while the core is deaf to
 // it, a home asks its zone's peers too, and a front that knows nothing asks all.
-func (l *Line) subscribe(now int64, out *wire.Outputs) {
+func (l *Agent) subscribe(now int64, out *wire.Outputs) {
 	if l.young(now) {
 		if voters := l.proposer.Core().Voters; len(voters) > 0 && l.due(now, "young", l.boot.ProbeMs/2) {
 			// One after the other: each is asked for what those before lacked.
@@ -104,14 +104,14 @@
 // askController asks a controller itself what must be in force everywhere in time
 // (configuration, worker list): the zone's home may be cut off from the
 // controllers while it stands well among the fronts. A question holds a sum.
-func (l *Line) askController(now int64, out *wire.Outputs) {
+func (l *Agent) askController(now int64, out *wire.Outputs) {
 	if !l.young(now) && l.due(now, "controller", 3*l.boot.ProbeMs) {
 		l.askAnyController(out, distribution.ControlService)
 	}
 }
 
 // askAnyController asks one of the controllers that stand, or any if none does.
-func (l *Line) askAnyController(out *wire.Outputs, service string) {
+func (l *Agent) askAnyController(out *wire.Outputs, service string) {
 	voters := slices.Clone(l.proposer.Core().Voters)
 	well := slices.DeleteFunc(slices.Clone(voters), func(voter wire.Voter) bool {
 		standing, _ := l.members.Standing(voter.ID)
@@ -127,9 +127,9 @@
 
 // young tells whether this front started so lately that it may lack what others
 // know, and what all controllers have is worth asking for.
-func (l *Line) young(now int64) bool { return now-l.startMs < 8*l.boot.ProbeMs }
+func (l *Agent) young(now int64) bool { return now-l.startMs < 8*l.boot.ProbeMs }
 
-func (l *Line) peer(agents []wire.Member, inZone bool) string {
+func (l *Agent) peer(agents []wire.Member, inZone bool) string {
 	var peers []string
 	for _, member := range agents {
 		if member.ID != l.boot.ID && (!inZone || member.Zone == l.boot.Zone) {
@@ -145,7 +145,7 @@
 // Change runs an operator's compare-and-set; the outcome answers the call.
 //
 //	out := upstream.Change(now, call, register.Write{Key: controller.PolicyKey, Expected: 7, Body: body})
-func (l *Line) Change(now, call int64, asked register.Write) wire.Outputs {
+func (l *Agent) Change(now, call int64, asked register.Write) wire.Outputs {
 	if !l.members.Majority(l.proposer.Core().Voters) {
 		return register.Hopeless(call, asked.Key)
 	}
@@ -158,7 +158,7 @@
 // Read runs a read at a majority; the outcome answers the call.
 //
 //	out := upstream.Read(now, call, controller.PolicyKey)
-func (l *Line) Read(now, call int64, key string) wire.Outputs {
+func (l *Agent) Read(now, call int64, key string) wire.Outputs {
 	if !l.members.Majority(l.proposer.Core().Voters) {
 		return register.Hopeless(call, key)
 	}
@@ -168,7 +168,7 @@
 // Learnt tells this machine what an operator's call found, at once.
 //
 //	out := upstream.Learnt(now, controller.PolicyKey, value)
-func (l *Line) Learnt(_ int64, key string, value wire.Value) wire.Outputs {
+func (l *Agent) Learnt(_ int64, key string, value wire.Value) wire.Outputs {
 	var out wire.Outputs
 	value = register.Standing(value)
 	l.take(wire.Topic{Name: key, Step: value.Version, Body: value.Body})
@@ -179,7 +179,7 @@
 // Leave tells the others that this node goes.
 //
 //	out := upstream.Leave(now)
-func (l *Line) Leave(now int64) wire.Outputs {
+func (l *Agent) Leave(now int64) wire.Outputs {
 	l.members.Leave()
 	return l.members.Tick(now)
 }
@@ -187,7 +187,7 @@
 // Addr returns where a member is reached.
 //
 //	addr, ok := upstream.Addr("c2~51")
-func (l *Line) Addr(id string) (string, bool) {
+func (l *Agent) Addr(id string) (string, bool) {
 	if addr, ok := l.members.Addr(id); ok {
 		return addr, true
 	}
@@ -202,7 +202,7 @@
 // Page copies what operators may be shown.
 //
 //	page := upstream.Page(now)
-func (l *Line) Page(int64) controller.Page {
+func (l *Agent) Page(int64) controller.Page {
 	page := controller.Page{ID: l.boot.ID, Role: "agent", Core: l.proposer.Core(), Policy: l.policy, Versions: map[string]int64{}, Members: l.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Rounds: l.proposer.Rounds, Seeds: l.boot.Seeds, Partitions: l.boot.Partitions}
 	for key, version := range l.versions {
@@ -223,9 +223,9 @@
 // Board shows the news kept here.
 //
 //	topic, ok := upstream.Board().Get("policy")
-func (l *Line) Board() *distribution.Board { return l.board }
+func (l *Agent) Board() *distribution.Board { return l.board }
 
 // Fact notes a fact about this node that all others hear.
 //
 //	upstream.Fact("clock_jump_ms", "3600000")
-func (l *Line) Fact(name, fact string) { l.members.Set(name, fact) }
+func (l *Agent) Fact(name, fact string) { l.members.Set(name, fact) }
--- a/internal/controlplane/agent/tickets.go
+++ b/internal/controlplane/agent/tickets.go
@@ -31,7 +31,7 @@
 const witnesses = 2
 
 // wished begins to ask the other fronts about a key.
-func (l *Line) wished(now int64, out *wire.Outputs, wish *wire.TicketWish) {
+func (l *Agent) wished(now int64, out *wire.Outputs, wish *wire.TicketWish) {
 	if _, already := l.asking[wish.Op]; already {
 		return
 	}
@@ -70,23 +70,23 @@
 }
 
 // need is how old a process must be to know what was since a moment.
-func (l *Line) need(now, fromMs int64) int64 { return l.members.Wall(now) - fromMs + l.boot.ProbeMs }
+func (l *Agent) need(now, fromMs int64) int64 { return l.members.Wall(now) - fromMs + l.boot.ProbeMs }
 
 // noteBare tells the others that this front sent a key that none of them knows.
-func (l *Line) noteBare(now, ageMs int64) {
+func (l *Agent) noteBare(now, ageMs int64) {
 	if at := l.members.Wall(now) - ageMs; at > l.bareAt+l.boot.LeaseMs {
 		l.bareAt = at
 		l.members.Set(bareFact, strconv.FormatInt(at+l.boot.LeaseMs, 10))
 	}
 }
 
-func (l *Line) tell(out *wire.Outputs, asked *asking, why string) {
+func (l *Agent) tell(out *wire.Outputs, asked *asking, why string) {
 	delete(l.asking, asked.wish.Op)
 	out.Send(l.boot.Proxy, wire.KindTicketDone, &wire.TicketDone{Op: asked.wish.Op, Ok: why == "", Others: asked.others, Why: why, RetryMs: asked.retryMs})
 }
 
 // askOn asks those who have not told yet, or some of them.
-func (l *Line) askOn(now int64, out *wire.Outputs, asked *asking) {
+func (l *Agent) askOn(now int64, out *wire.Outputs, asked *asking) {
 	asked.saidMs = now
 	ids := slices.Sorted(maps.Keys(asked.silent))
 	if asked.wish.Few {
@@ -101,7 +101,7 @@
 // toldTicket takes the word of a proxy. This front's own goes to the front
 // that asked, with what this agent knows of fronts that went; another's counts
 // here.
-func (l *Line) toldTicket(now int64, out *wire.Outputs, from string, told *wire.TicketTold) {
+func (l *Agent) toldTicket(now int64, out *wire.Outputs, from string, told *wire.TicketTold) {
 	if told.Asker != l.boot.ID {
 		l.sawBoard(now, from)
 		told.LineMs = now - l.startMs
@@ -137,7 +137,7 @@
 
 // sawBoard notes when another proxy is beside this agent than before:
 // the memory of the one before is lost.
-func (l *Line) sawBoard(now int64, id string) {
+func (l *Agent) sawBoard(now int64, id string) {
 	if l.boardID == id {
 		return
 	}
@@ -152,7 +152,7 @@
 // weigh takes what another front knows of memories that were lost. Fronts older
 // than what is in question judge those that went; a front that is younger and
 // had none before it lost nothing.
-func (l *Line) weigh(now int64, asked *asking, told *wire.TicketTold) {
+func (l *Agent) weigh(now int64, asked *asking, told *wire.TicketTold) {
 	needMs := l.need(now, asked.fromMs)
 	asked.judged = asked.judged || told.LineMs >= needMs
 	asked.bad = max(asked.bad, told.Bad)
@@ -164,7 +164,7 @@
 // verdict says why a doubtful key must be refused after all others have told.
 // Each key was known to one front more than the one that sent it, so one that
 // lost its memory is made up for by the others.
-func (l *Line) verdict(now int64, asked *asking) string {
+func (l *Agent) verdict(now int64, asked *asking) string {
 	if asked.version == 0 {
 		return ""
 	}
@@ -195,7 +195,7 @@
 
 // ticketsTick asks again where messages were lost, and drops what the
 // proxy has given up.
-func (l *Line) ticketsTick(now int64, out *wire.Outputs) {
+func (l *Agent) ticketsTick(now int64, out *wire.Outputs) {
 	for _, op := range slices.Sorted(maps.Keys(l.asking)) {
 		asked := l.asking[op]
 		if now-asked.sinceMs > l.boot.LeaseMs {
--- a/internal/controlplane/agent/tickets_test.go
+++ b/internal/controlplane/agent/tickets_test.go
@@ -84,7 +84,7 @@
 func TestMemoryLostBeforeAReport(t *testing.T) {
 	c := qt.New(t)
 	now := int64(100000)
-	start := func() *Line {
+	start := func() *Agent {
 		line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000}, rand.New(rand.NewSource(1)))
 		line.members.Clock(now, now)
 		line.rosters = []wire.Roster{{Pool: "app", Version: 7, FromMs: 50000, UntilMs: 90000}}
--- a/internal/controlplane/controller/confirm.go
+++ b/internal/controlplane/controller/confirm.go
@@ -17,7 +17,7 @@
 }
 
 // confirmTick reads the policy once for all who wait.
-func (f *Frame) confirmTick(now int64, out *wire.Outputs) {
+func (f *Controller) confirmTick(now int64, out *wire.Outputs) {
 	if f.confirming.asking || len(f.confirming.waits) == 0 {
 		return
 	}
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -45,8 +45,8 @@
 	Form configuration.Form
 }
 
-// Frame is the control state of one controller.
-type Frame struct {
+// Controller is the control state of one controller.
+type Controller struct {
 	boot     Boot
 	random   *rand.Rand
 	acceptor *register.Acceptor
@@ -92,7 +92,7 @@
 // New makes the control state from what the journal held.
 //
 //	core := controller.New(now, boot, random, snapshot, writes)
-func New(now int64, boot Boot, random *rand.Rand, snapshot *wire.Snapshot, writes []wire.Write) *Frame {
+func New(now int64, boot Boot, random *rand.Rand, snapshot *wire.Snapshot, writes []wire.Write) *Controller {
 	// Turns of two owners are a lease apart by what partitions wait; the grants
 	// themselves may be shorter, so that a dead owner's end soon.
 	leaseLimits := lease.LimitsFor(boot.LeaseMs / 2)
@@ -104,7 +104,7 @@
 		boot.CatchUpMs = 4000
 	}
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "controller", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
-	f := &Frame{
+	f := &Controller{
 		boot: boot, random: random, StartedMs: now,
 		acceptor: register.NewAcceptor(),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, PhaseMs: boot.CallMs / 4, LineageLen: LineageLen}),
@@ -129,7 +129,7 @@
 	return f
 }
 
-func (f *Frame) accepted(key string) []byte {
+func (f *Controller) accepted(key string) []byte {
 	_, value := f.acceptor.Accepted(key)
 	return value
 }
@@ -137,7 +137,7 @@
 // Hear takes a message from another process, or what a worker showed.
 //
 //	out := core.Hear(now, "c2~51", body)
-func (f *Frame) Hear(now int64, from string, body wire.Record) wire.Outputs {
+func (f *Controller) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
 	if voterOf(f.proposer.Core().Voters, from) {
 		f.coordinator.heard[from] = now
@@ -199,7 +199,7 @@
 }
 
 // settle runs the continuations of calls that this machine made to itself.
-func (f *Frame) settle(now int64, out wire.Outputs) wire.Outputs {
+func (f *Controller) settle(now int64, out wire.Outputs) wire.Outputs {
 	for again := true; again; {
 		again = false
 		rest := out.Answers[:0:0]
@@ -221,13 +221,13 @@
 }
 
 // then notes what to do with a call's outcome; such calls have negative numbers.
-func (f *Frame) then(next func(now int64, outcome register.Outcome) wire.Outputs) int64 {
+func (f *Controller) then(next func(now int64, outcome register.Outcome) wire.Outputs) int64 {
 	f.nextCall--
 	f.calls[f.nextCall] = next
 	return f.nextCall
 }
 
-func (f *Frame) acked(now int64, ack *wire.PostAck) wire.Outputs {
+func (f *Controller) acked(now int64, ack *wire.PostAck) wire.Outputs {
 	var out wire.Outputs
 	var number int64
 	if _, err := fmt.Sscanf(ack.Sender, "p%d", &number); err == nil {
@@ -239,7 +239,7 @@
 }
 
 // mine returns a partition if a turn may be taken on it now.
-func (f *Frame) mine(now, number int64) *partition.Partition {
+func (f *Controller) mine(now, number int64) *partition.Partition {
 	if _, ok := f.holder.Mine(now, number); !ok {
 		return nil
 	}
--- a/internal/controlplane/controller/controller_test.go
+++ b/internal/controlplane/controller/controller_test.go
@@ -12,7 +12,7 @@
 
 // alone is one controller that is the whole core; its disk is a list of records.
 type alone struct {
-	f      *Frame
+	f      *Controller
 	gate   Gate
 	now    int64
 	writes []wire.Write
--- a/internal/controlplane/controller/coordinator.go
+++ b/internal/controlplane/controller/coordinator.go
@@ -29,7 +29,7 @@
 	sizes []sized
 }
 
-func (f *Frame) coordinatorTick(now int64, out *wire.Outputs) {
+func (f *Controller) coordinatorTick(now int64, out *wire.Outputs) {
 	core := f.proposer.Core()
 	if !f.founded() || f.leaving || !voterOf(core.Voters, f.boot.ID) || !f.due(now, "steward", f.boot.ProbeMs/4) {
 		return
@@ -67,7 +67,7 @@
 	}
 }
 
-func (f *Frame) changeCore(now int64, out *wire.Outputs, next wire.CoreSet) {
+func (f *Controller) changeCore(now int64, out *wire.Outputs, next wire.CoreSet) {
 	turn, before := f.begin(), f.proposer.Core()
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
@@ -84,13 +84,13 @@
 }
 
 // begin starts a piece of work on the set; one that was under way is given up.
-func (f *Frame) begin() int64 {
+func (f *Controller) begin() int64 {
 	f.coordinator.turn++
 	f.coordinator.busy = true
 	return f.coordinator.turn
 }
 
-func (f *Frame) end(turn int64) bool {
+func (f *Controller) end(turn int64) bool {
 	if turn != f.coordinator.turn {
 		return false
 	}
@@ -100,7 +100,7 @@
 
 // rereplicate writes every register again under this epoch; only when all are
 // through does a newcomer count, and only then may the set change again.
-func (f *Frame) rereplicate(now int64, out *wire.Outputs, core wire.CoreSet) {
+func (f *Controller) rereplicate(now int64, out *wire.Outputs, core wire.CoreSet) {
 	turn := f.begin()
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
@@ -129,7 +129,7 @@
 	out.Add(f.proposer.Keys(now, call, f.settledVoters(now, core)))
 }
 
-func (f *Frame) rereplicationFailed(now, turn int64, core wire.CoreSet) {
+func (f *Controller) rereplicationFailed(now, turn int64, core wire.CoreSet) {
 	if f.end(turn) && len(core.Joining) > 0 {
 		f.coordinator.failed[core.Joining[0].ID] = now
 	}
@@ -137,7 +137,7 @@
 
 // rereplicatedCore is the set that comes once all registers are through: a newcomer
 // gets its vote, or the set is whole and may change again.
-func (f *Frame) rereplicatedCore(now int64, core wire.CoreSet) wire.CoreSet {
+func (f *Controller) rereplicatedCore(now int64, core wire.CoreSet) wire.CoreSet {
 	if len(core.Joining) > 0 {
 		return coreOf(core.Epoch+1, append(slices.Clone(core.Voters), core.Joining...))
 	}
--- a/internal/controlplane/controller/epochs.go
+++ b/internal/controlplane/controller/epochs.go
@@ -26,13 +26,13 @@
 }
 
 // askSet asks a node that goes by a newer set for that set.
-func (f *Frame) askSet(out *wire.Outputs, from string) {
+func (f *Controller) askSet(out *wire.Outputs, from string) {
 	out.Send(from, wire.KindSubscribe, f.board.Asks(distribution.ControlService))
 }
 
 // tellSet tells a new set to those of it who had no vote before: all others hear
 // of it as of any value that was chosen.
-func (f *Frame) tellSet(out *wire.Outputs, before wire.CoreSet) {
+func (f *Controller) tellSet(out *wire.Outputs, before wire.CoreSet) {
 	core := f.proposer.Core()
 	for _, list := range [][]wire.Voter{core.Voters, core.Joining} {
 		for _, voter := range list {
@@ -45,7 +45,7 @@
 
 // admitted tells whether this node's identity is in the core set, or on its way
 // in: only then does it vote or keep copies.
-func (f *Frame) admitted() bool {
+func (f *Controller) admitted() bool {
 	core := f.proposer.Core()
 	return voterOf(core.Voters, f.boot.ID) || voterOf(core.Joining, f.boot.ID)
 }
--- a/internal/controlplane/controller/epochs_test.go
+++ b/internal/controlplane/controller/epochs_test.go
@@ -14,14 +14,14 @@
 // trio is three controllers that exchange messages without a clock; a message to
 // one that is down is lost.
 type trio struct {
-	nodes map[string]*Frame
+	nodes map[string]*Controller
 	down  map[string]bool
 	now   int64
 	drop  func(from string, send wire.Send) bool
 }
 
 func newTrio(voters ...string) *trio {
-	t := &trio{nodes: map[string]*Frame{}, down: map[string]bool{}, now: 20000, drop: func(string, wire.Send) bool { return false }}
+	t := &trio{nodes: map[string]*Controller{}, down: map[string]bool{}, now: 20000, drop: func(string, wire.Send) bool { return false }}
 	first := wire.CoreSet{Epoch: 1, Size: int64(len(voters)), Rereplicated: true}
 	for _, id := range voters {
 		first.Voters = append(first.Voters, wire.Voter{ID: id, Name: id, Addr: id + ":1"})
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -21,7 +21,7 @@
 // been founded before, as far as this node was told at its start. The seeds of
 // the very first start last on disk, for a node that starts again before all
 // were found.
-func (f *Frame) founders() []string {
+func (f *Controller) founders() []string {
 	if len(f.boot.Core) > 0 {
 		return f.boot.Core
 	}
@@ -32,7 +32,7 @@
 }
 
 // noteFounders keeps the seeds of the very first start.
-func (f *Frame) noteFounders(out *wire.Outputs) {
+func (f *Controller) noteFounders(out *wire.Outputs) {
 	if f.boot.Bootstrap && len(f.boot.Core) == 0 && slices.Contains(f.boot.Seeds, f.boot.Addr) && len(f.acceptor.Founders()) == 0 {
 		out.Add(f.acceptor.Found(f.boot.Seeds))
 	}
@@ -40,14 +40,14 @@
 
 func newFounding() founding { return founding{told: map[string]wire.FoundTold{}} }
 
-func (f *Frame) founded() bool { return len(f.accepted(register.CoreKey)) > 0 }
+func (f *Controller) founded() bool { return len(f.accepted(register.CoreKey)) > 0 }
 
-func (f *Frame) voter() wire.Voter {
+func (f *Controller) voter() wire.Voter {
 	return wire.Voter{ID: f.boot.ID, Name: f.boot.Name, Addr: f.boot.Addr}
 }
 
 // foundTick asks the others as long as this node has no core set.
-func (f *Frame) foundTick(now int64, out *wire.Outputs) {
+func (f *Controller) foundTick(now int64, out *wire.Outputs) {
 	if f.founded() || !f.due(now, "found", f.boot.ProbeMs) {
 		return
 	}
@@ -67,7 +67,7 @@
 	}
 }
 
-func (f *Frame) foundHeard(now int64, from string, body wire.Record) wire.Outputs {
+func (f *Controller) foundHeard(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
 	switch told := body.(type) {
 	case *wire.FoundAsk:
@@ -91,7 +91,7 @@
 }
 
 // chosenCore is the core set known to be chosen, as a register's value.
-func (f *Frame) chosenCore() []byte {
+func (f *Controller) chosenCore() []byte {
 	core, ok := f.acceptor.Core()
 	if !ok {
 		return nil
@@ -101,7 +101,7 @@
 
 // found proposes the first core set, once all answered; the machine with the
 // lowest address does it.
-func (f *Frame) found(now int64, out *wire.Outputs) {
+func (f *Controller) found(now int64, out *wire.Outputs) {
 	founders := f.founders()
 	if f.founded() || len(founders) == 0 || slices.Min(founders) != f.boot.Addr {
 		return
@@ -129,7 +129,7 @@
 
 // adopt takes a founding core set that names this identity. One that does not
 // only tells the proposer whom to ask: the coordinators will let this node in.
-func (f *Frame) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte) {
+func (f *Controller) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte) {
 	if core.Epoch == 1 && voterOf(core.Voters, f.boot.ID) && !f.founded() {
 		first := wire.Ballot{N: 1, By: "founding"}
 		record := &wire.AcceptorRecord{Key: register.CoreKey, Promised: first, Accepted: first, Value: value}
@@ -142,7 +142,7 @@
 // SetSeeds takes the seeds of settings that were read again.
 //
 //	core.SetSeeds([]string{"10.0.0.7:7100"})
-func (f *Frame) SetSeeds(seeds []string) {
+func (f *Controller) SetSeeds(seeds []string) {
 	f.boot.Seeds = seeds
 	f.members.SetSeeds(SeedsWith(seeds, f.proposer.Core()))
 }
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -9,7 +9,7 @@
 )
 
 // chosen takes a proposer's word that a ballot was chosen.
-func (f *Frame) chosen(now int64, out *wire.Outputs, told *wire.Chosen) {
+func (f *Controller) chosen(now int64, out *wire.Outputs, told *wire.Chosen) {
 	if f.admitted() {
 		out.Add(f.acceptor.Mend(told))
 	}
@@ -25,7 +25,7 @@
 }
 
 // learn takes a chosen value; versions only rise.
-func (f *Frame) learn(now int64, out *wire.Outputs, key string, value wire.Value) {
+func (f *Controller) learn(now int64, out *wire.Outputs, key string, value wire.Value) {
 	value = register.Standing(value)
 	if key == register.CoreKey {
 		f.coreVersion = max(f.coreVersion, value.Version)
@@ -67,7 +67,7 @@
 
 // noticeCore takes up a core set that the proposer learned by an answer. What
 // goes with a new set is done whichever way it became known.
-func (f *Frame) noticeCore(now int64, out *wire.Outputs) {
+func (f *Controller) noticeCore(now int64, out *wire.Outputs) {
 	if core := f.proposer.Core(); core.Epoch > f.core.Epoch {
 		f.learnCore(now, out, core)
 	}
@@ -75,7 +75,7 @@
 
 // learnCore takes up a core set; it is compared with the one that this machine
 // took up before, since the proposer may already work with the newer one.
-func (f *Frame) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
+func (f *Controller) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
 	known := f.core
 	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Rereplicated) {
 		return
@@ -101,7 +101,7 @@
 	f.board.Put(register.CoreTopic(core))
 }
 
-func (f *Frame) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
+func (f *Controller) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
 	for _, topic := range told.Topics {
 		if !f.board.Put(topic) {
 			continue
@@ -130,7 +130,7 @@
 	}
 }
 
-func (f *Frame) tellVoters(out *wire.Outputs, topic wire.Topic) {
+func (f *Controller) tellVoters(out *wire.Outputs, topic wire.Topic) {
 	for _, voter := range f.proposer.Core().Voters {
 		if voter.ID != f.boot.ID {
 			out.Send(voter.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
@@ -141,7 +141,7 @@
 // readRepairTick reads registers in turn: reads mend the copies they find old, and
 // bring here what this node missed. What is chosen is told at once and asked for
 // as news, so a turn now and then is enough.
-func (f *Frame) readRepairTick(now int64, out *wire.Outputs) {
+func (f *Controller) readRepairTick(now int64, out *wire.Outputs) {
 	if !f.founded() || !f.due(now, "sweep", f.often(now, f.boot.LeaseMs/8)) {
 		return
 	}
--- a/internal/controlplane/controller/listing.go
+++ b/internal/controlplane/controller/listing.go
@@ -15,12 +15,12 @@
 // one for each page. The time between reads follows it.
 //
 //	core.ListCalls(3)
-func (f *Frame) ListCalls(calls int64) { f.listCalls = max(calls, 1) }
+func (f *Controller) ListCalls(calls int64) { f.listCalls = max(calls, 1) }
 
 // listEveryMs is how long the first controller waits between two reads of the
 // worker list: PollMs, or longer where the list's rate (ListPerS, for all nodes
 // together) does not allow that many calls.
-func (f *Frame) listEveryMs() int64 {
+func (f *Controller) listEveryMs() int64 {
 	if f.boot.ListPerS <= 0 {
 		return f.boot.PollMs
 	}
@@ -35,7 +35,7 @@
 
 // platformTick asks for the platform's worker list to be read. The lowest
 // controller that stands asks most often; others too, should it be deaf.
-func (f *Frame) platformTick(now int64, out *wire.Outputs) {
+func (f *Controller) platformTick(now int64, out *wire.Outputs) {
 	if !f.founded() {
 		return
 	}
--- a/internal/controlplane/controller/moves.go
+++ b/internal/controlplane/controller/moves.go
@@ -28,7 +28,7 @@
 }
 
 // startMove seals a partition and begins to hand it to another node.
-func (f *Frame) startMove(now int64, out *wire.Outputs, number int64, to string) {
+func (f *Controller) startMove(now int64, out *wire.Outputs, number int64, to string) {
 	owned := f.mine(now, number)
 	if owned == nil || f.moving[number] != nil {
 		return
@@ -42,14 +42,14 @@
 	f.sendMove(now, out, number)
 }
 
-func (f *Frame) sendMove(now int64, out *wire.Outputs, number int64) {
+func (f *Controller) sendMove(now int64, out *wire.Outputs, number int64) {
 	handed := f.moving[number]
 	handed.sent = now
 	out.After(handed.to, wire.KindHandover, &wire.Handover{Partition: number, Fence: handed.fence, State: wire.Encode(f.kept[number])})
 }
 
 // movesTick repeats what was not taken, and gives up on what takes too long.
-func (f *Frame) movesTick(now int64, out *wire.Outputs) {
+func (f *Controller) movesTick(now int64, out *wire.Outputs) {
 	for number := range f.boot.Partitions {
 		handed := f.moving[number]
 		if handed == nil {
@@ -70,7 +70,7 @@
 	}
 }
 
-func (f *Frame) giveBack(out *wire.Outputs, numbers ...int64) {
+func (f *Controller) giveBack(out *wire.Outputs, numbers ...int64) {
 	back := f.holder.Release(numbers)
 	for _, voter := range f.proposer.Core().Voters {
 		out.Send(voter.ID, wire.KindGrantBack, back)
@@ -79,7 +79,7 @@
 
 // balance moves one partition to the node that owns fewest, where the numbers
 // differ by two or more and all have stood well for a while.
-func (f *Frame) balance(now int64, out *wire.Outputs) {
+func (f *Controller) balance(now int64, out *wire.Outputs) {
 	core := f.proposer.Core()
 	if !core.Rereplicated || len(f.moving) > 0 || f.stalled || now-f.StartedMs < 4*f.boot.LeaseMs {
 		return
@@ -109,7 +109,7 @@
 // lightest is the partition to move to a node that owns so many fewer. One that
 // orders no workers may always go. With the others, workers get no orders for a
 // lease, so those go only to a node that lacks a whole share.
-func (f *Frame) lightest(now int64, fewer, voters int) (int64, bool) {
+func (f *Controller) lightest(now int64, fewer, voters int) (int64, bool) {
 	best, least := int64(0), -1
 	for number := range f.boot.Partitions {
 		owned := f.mine(now, number)
@@ -131,7 +131,7 @@
 }
 
 // handedOver takes a sealed state and says so once it lasts.
-func (f *Frame) handedOver(from string, told *wire.Handover) wire.Outputs {
+func (f *Controller) handedOver(from string, told *wire.Handover) wire.Outputs {
 	var out wire.Outputs
 	if !f.admitted() || f.leaving || f.stalled || told.Fence < f.view.Owners[told.Partition].Fence {
 		return out
@@ -148,7 +148,7 @@
 	return out
 }
 
-func (f *Frame) handoverTaken(now int64, from string, told *wire.HandoverTaken) wire.Outputs {
+func (f *Controller) handoverTaken(now int64, from string, told *wire.HandoverTaken) wire.Outputs {
 	var out wire.Outputs
 	handed := f.moving[told.Partition]
 	if handed == nil || handed.to != from || handed.fence != told.Fence {
@@ -161,7 +161,7 @@
 }
 
 // wishMoved says who should own a partition by a move; false if by none.
-func (f *Frame) wishMoved(now, number int64) (string, bool) {
+func (f *Controller) wishMoved(now, number int64) (string, bool) {
 	if given, ok := f.promised[number]; ok && now < given.until && f.view.Owners[number].ID == f.boot.ID {
 		return given.to, true
 	}
@@ -173,7 +173,7 @@
 
 // source is the sealed state that may go on under the next fence, if the
 // register still names its owner and fence.
-func (f *Frame) source(number int64, owner wire.Owner) *wire.PartitionState {
+func (f *Controller) source(number int64, owner wire.Owner) *wire.PartitionState {
 	for _, state := range []*wire.PartitionState{f.kept[number], f.handed[number]} {
 		if state != nil && state.Sealed && state.Owner == owner.ID && state.Fence == owner.Fence {
 			return state
@@ -183,7 +183,7 @@
 }
 
 // adoptState begins a partition under a new fence, from a sealed state or empty.
-func (f *Frame) adoptState(number, fence int64, owner string, from *wire.PartitionState) {
+func (f *Controller) adoptState(number, fence int64, owner string, from *wire.PartitionState) {
 	if from == nil {
 		f.kept[number] = partition.NewState(number, owner, fence)
 	} else {
@@ -197,7 +197,7 @@
 // this one stops. Moving tells how many are still on their way.
 //
 //	out := core.Leave(now)
-func (f *Frame) Leave(now int64) wire.Outputs {
+func (f *Controller) Leave(now int64) wire.Outputs {
 	var out wire.Outputs
 	f.leaving = true
 	f.members.Leave()
@@ -224,7 +224,7 @@
 // with the others: the set without this node is whole.
 //
 //	if !core.Needed() { ... }
-func (f *Frame) Needed() bool {
+func (f *Controller) Needed() bool {
 	core := f.proposer.Core()
 	switch {
 	case len(f.moving) > 0:
@@ -240,7 +240,7 @@
 // Gone stops all turns that are left and gives their grants back.
 //
 //	out := core.Gone(now)
-func (f *Frame) Gone(now int64) wire.Outputs {
+func (f *Controller) Gone(now int64) wire.Outputs {
 	var out wire.Outputs
 	f.leaving = true
 	f.moving = map[int64]*handing{}
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -18,7 +18,7 @@
 // wish says who should own a partition: its owner while that stands well, else
 // the least laden of the others by rendezvous hash. A suspect one that lives on
 // renews its grants, and whoever claims meanwhile is refused.
-func (f *Frame) wish(now int64) map[int64]string {
+func (f *Controller) wish(now int64) map[int64]string {
 	alive := []string{}
 	for _, voter := range f.proposer.Core().Voters {
 		if standing, _ := f.members.Standing(voter.ID); standing == wire.StandingWell {
@@ -59,7 +59,7 @@
 	return out
 }
 
-func (f *Frame) ownersTick(now int64, out *wire.Outputs) {
+func (f *Controller) ownersTick(now int64, out *wire.Outputs) {
 	if f.founded() && f.admitted() && !f.leaving && !f.stalled {
 		wishes := f.wish(now)
 		for number := range f.boot.Partitions {
@@ -99,7 +99,7 @@
 // leaseRequested votes on grants. Who goes by a set older than this node knows may
 // count others than those who count now, and gets none. Nor does anybody from a
 // node that may have got its vote since: it must keep quiet first.
-func (f *Frame) leaseRequested(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
+func (f *Controller) leaseRequested(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
 	var out wire.Outputs
 	core := f.proposer.Core()
 	switch {
@@ -113,7 +113,7 @@
 	return out
 }
 
-func (f *Frame) moves(now int64, out *wire.Outputs, moves []lease.Move) {
+func (f *Controller) moves(now int64, out *wire.Outputs, moves []lease.Move) {
 	for _, move := range moves {
 		switch move.Change {
 		case lease.Reserved:
@@ -126,7 +126,7 @@
 	}
 }
 
-func (f *Frame) letGo(number int64) {
+func (f *Controller) letGo(number int64) {
 	if owned := f.owned[number]; owned != nil {
 		f.kept[number] = owned.State()
 		f.events += owned.Steps
@@ -137,7 +137,7 @@
 // settleFence reads the ownership register: where it still names this node and
 // the fence of the state kept here, that state goes on; else the fence rises
 // and the state starts empty.
-func (f *Frame) settleFence(now int64, out *wire.Outputs, number int64) {
+func (f *Controller) settleFence(now int64, out *wire.Outputs, number int64) {
 	key := ownerPrefix + strconv.FormatInt(number, 10)
 	call := f.then(func(now int64, read register.Outcome) wire.Outputs {
 		var out wire.Outputs
@@ -181,7 +181,7 @@
 }
 
 // take starts the turns on a partition.
-func (f *Frame) take(now int64, move lease.Move) {
+func (f *Controller) take(now int64, move lease.Move) {
 	state := f.kept[move.Partition]
 	if state == nil || state.Fence != move.Fence {
 		f.holder.Drop(move.Partition)
@@ -201,7 +201,7 @@
 // out while the journal syncs.
 //
 //	if until, ok := core.May(now, order); ok { ... }
-func (f *Frame) May(now int64, order *wire.Order) (int64, bool) {
+func (f *Controller) May(now int64, order *wire.Order) (int64, bool) {
 	fence, ok := f.holder.Mine(now, order.Partition)
 	return f.holder.Until(order.Partition), ok && fence == order.Fence
 }
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -37,7 +37,7 @@
 // Page copies what may be shown; nothing in it is changed later.
 //
 //	page := core.Page(now)
-func (f *Frame) Page(now int64) Page {
+func (f *Controller) Page(now int64) Page {
 	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Versions: map[string]int64{}, Members: f.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
 		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Rereplicated: f.rereplicated, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
@@ -64,7 +64,7 @@
 // Addr returns where a member is reached.
 //
 //	addr, ok := core.Addr("l2~77")
-func (f *Frame) Addr(id string) (string, bool) {
+func (f *Controller) Addr(id string) (string, bool) {
 	if addr, ok := f.members.Addr(id); ok {
 		return addr, true
 	}
@@ -80,15 +80,15 @@
 // Board shows the news kept here.
 //
 //	topic, ok := core.Board().Get("policy")
-func (f *Frame) Board() *distribution.Board { return f.board }
+func (f *Controller) Board() *distribution.Board { return f.board }
 
 // Fact notes a fact about this node that all others hear.
 //
 //	core.Fact("sync_ms", "12")
-func (f *Frame) Fact(name, fact string) { f.members.Set(name, fact) }
+func (f *Controller) Fact(name, fact string) { f.members.Set(name, fact) }
 
 // ownedFact lists the partitions on which this node may take turns.
-func (f *Frame) ownedFact(now int64) string {
+func (f *Controller) ownedFact(now int64) string {
 	var numbers []string
 	for number := range f.boot.Partitions {
 		if f.mine(now, number) != nil {
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -10,7 +10,7 @@
 // push tells each zone's home of a topic that it rose, at once; a home that
 // misses it asks for it a little later. What this node alone knows first goes to
 // all zones; what all controllers hear goes to those that this one looks after.
-func (f *Frame) push(out *wire.Outputs, topic wire.Topic, all bool) {
+func (f *Controller) push(out *wire.Outputs, topic wire.Topic, all bool) {
 	agents := f.members.Alive("agent")
 	var zones []string
 	for _, agent := range agents {
@@ -27,7 +27,7 @@
 
 // looksAfter tells whether this controller tells a zone what all controllers hear:
 // the first that stands there does, or the first of all where none is there.
-func (f *Frame) looksAfter(zone string) bool {
+func (f *Controller) looksAfter(zone string) bool {
 	first, there := "", false
 	for _, voter := range f.members.Alive("controller") {
 		here := voter.Zone == zone
@@ -40,7 +40,7 @@
 
 // tellSubscriber answers with what is past the subscriber's versions, of the service
 // it names or of all; with the policy only once that is known to stand.
-func (f *Frame) tellSubscriber(out *wire.Outputs, from string, asked *wire.Subscribe) {
+func (f *Controller) tellSubscriber(out *wire.Outputs, from string, asked *wire.Subscribe) {
 	kind, body := f.board.Answers(asked)
 	if news, is := body.(*wire.News); is {
 		news.Topics = f.withoutUnconfirmed(from, news.Topics)
@@ -55,7 +55,7 @@
 
 // withoutUnconfirmed leaves the policy out of what a subscriber is told; the
 // subscriber gets it once a majority has confirmed it (confirmTick).
-func (f *Frame) withoutUnconfirmed(subscriber string, topics []wire.Topic) []wire.Topic {
+func (f *Controller) withoutUnconfirmed(subscriber string, topics []wire.Topic) []wire.Topic {
 	at := slices.IndexFunc(topics, func(topic wire.Topic) bool { return topic.Name == PolicyKey })
 	if at < 0 {
 		return topics
--- a/internal/controlplane/controller/recall.go
+++ b/internal/controlplane/controller/recall.go
@@ -17,7 +17,7 @@
 // recallOwners notes whom this node's copies of the registers name as owners.
 // They may not have been chosen, or be old: claims and fences go by reads. They
 // keep nodes that start together from claiming each other's partitions.
-func (f *Frame) recallOwners() {
+func (f *Controller) recallOwners() {
 	f.recalled.owners = map[int64]wire.Owner{}
 	for number := range f.boot.Partitions {
 		var value wire.Value
@@ -30,7 +30,7 @@
 }
 
 // ownerOf is who owns a partition as far as this node knows.
-func (f *Frame) ownerOf(number int64) (wire.Owner, bool) {
+func (f *Controller) ownerOf(number int64) (wire.Owner, bool) {
 	owner, known := f.view.Owners[number]
 	if !known {
 		owner, known = f.recalled.owners[number]
@@ -42,7 +42,7 @@
 // had when this node's journal ended: they serve by that while the partitions
 // have no owners yet. What an owner says later, under this fence or a higher
 // one, takes its place; a worker that has something no more says so itself.
-func (f *Frame) recallTick(now int64, out *wire.Outputs) {
+func (f *Controller) recallTick(now int64, out *wire.Outputs) {
 	if f.recalled.told || !f.founded() || f.versions[DirectoryKey] == 0 {
 		return
 	}
@@ -60,10 +60,10 @@
 
 // young tells whether this node started so lately that it may lack what the
 // others know, and asks more often.
-func (f *Frame) young(now int64) bool { return now-f.StartedMs < 8*f.boot.ProbeMs }
+func (f *Controller) young(now int64) bool { return now-f.StartedMs < 8*f.boot.ProbeMs }
 
 // often is how long to wait between questions that otherwise wait longer.
-func (f *Frame) often(now, everyMs int64) int64 {
+func (f *Controller) often(now, everyMs int64) int64 {
 	if f.young(now) {
 		return min(everyMs, f.boot.ProbeMs/2)
 	}
--- a/internal/controlplane/controller/recovery.go
+++ b/internal/controlplane/controller/recovery.go
@@ -5,7 +5,7 @@
 	"applequay/internal/transport/wire"
 )
 
-func (f *Frame) replay(snapshot *wire.Snapshot, writes []wire.Write) {
+func (f *Controller) replay(snapshot *wire.Snapshot, writes []wire.Write) {
 	for i := range snapshot.Registers {
 		f.acceptor.Replay(&snapshot.Registers[i])
 	}
@@ -59,7 +59,7 @@
 // Snapshot is the whole durable state, for a checkpoint.
 //
 //	body := wire.Encode(core.Snapshot())
-func (f *Frame) Snapshot() *wire.Snapshot {
+func (f *Controller) Snapshot() *wire.Snapshot {
 	snapshot := &wire.Snapshot{Registers: f.acceptor.Snapshot()}
 	for number := range f.boot.Partitions {
 		if owned := f.owned[number]; owned != nil {
@@ -75,7 +75,7 @@
 }
 
 // sealedOwner names the owner of the sealed state that a record took up.
-func (f *Frame) sealedOwner(record *wire.AdoptRecord) wire.Owner {
+func (f *Controller) sealedOwner(record *wire.AdoptRecord) wire.Owner {
 	for _, state := range []*wire.PartitionState{f.kept[record.Partition], f.handed[record.Partition]} {
 		if state != nil && state.Sealed && state.Fence == record.From {
 			return wire.Owner{ID: state.Owner, Fence: state.Fence}
--- a/internal/controlplane/controller/rollout.go
+++ b/internal/controlplane/controller/rollout.go
@@ -36,7 +36,7 @@
 // rolloutTick drives a roll-out: after each pause one zone more, or a halt as
 // soon as calls in the zones that go by the next policy end badly more often than
 // elsewhere.
-func (f *Frame) rolloutTick(now int64, out *wire.Outputs) {
+func (f *Controller) rolloutTick(now int64, out *wire.Outputs) {
 	table := f.view.Policy
 	if table.Rollout == nil || table.Rollout.Halted != "" || f.mine(now, partition.Of(rolloutKey, f.boot.Partitions)) == nil {
 		f.rolling = nil
@@ -63,7 +63,7 @@
 
 // writeStep writes what a step makes of the policy, if it still has the version
 // that the step began with.
-func (f *Frame) writeStep(now int64, out *wire.Outputs, kept wire.Topic, step func([]byte) ([]byte, error)) {
+func (f *Controller) writeStep(now int64, out *wire.Outputs, kept wire.Topic, step func([]byte) ([]byte, error)) {
 	body, err := step(kept.Body)
 	if err != nil || kept.Step != f.rolling.version {
 		return
@@ -82,7 +82,7 @@
 }
 
 // callsTold is what each standing front tells of its calls: bad ones, and all.
-func (f *Frame) callsTold() map[string]tally {
+func (f *Controller) callsTold() map[string]tally {
 	out := map[string]tally{}
 	for _, member := range f.members.Alive("agent") {
 		var bad, came int64
@@ -106,7 +106,7 @@
 // worse says why a roll-out is to be halted, if it is: since this step began,
 // more calls ended badly in the zones that go by the next policy than in the
 // others by so many in a hundred.
-func (f *Frame) worse(rollout *configuration.Rollout) string {
+func (f *Controller) worse(rollout *configuration.Rollout) string {
 	var staged, others tally
 	told := f.callsTold()
 	for _, member := range f.members.Alive("agent") {
--- a/internal/controlplane/controller/rosters.go
+++ b/internal/controlplane/controller/rosters.go
@@ -48,7 +48,7 @@
 // believed tells whether the platform's word may be taken: a list that lost all
 // its workers at once, or that is older than one taken before, comes from a
 // directory that broke down, and the last good list stays.
-func (f *Frame) believed(list *wire.WorkerList) bool {
+func (f *Controller) believed(list *wire.WorkerList) bool {
 	f.unbelieved = ""
 	switch {
 	case len(list.Workers) == 0 && len(f.listed.Workers) > 0:
@@ -62,4 +62,4 @@
 // Unbelieved says why the platform's last list was not taken, if it was not.
 //
 //	if why := core.Unbelieved(); why != "" { ... }
-func (f *Frame) Unbelieved() string { return f.unbelieved }
+func (f *Controller) Unbelieved() string { return f.unbelieved }
--- a/internal/controlplane/controller/rosters_test.go
+++ b/internal/controlplane/controller/rosters_test.go
@@ -67,7 +67,7 @@
 		{"a platform that does not count", good, &wire.WorkerList{Workers: good.Workers}, true},
 	}
 	for _, one := range cases {
-		f := &Frame{listed: one.kept}
+		f := &Controller{listed: one.kept}
 		c.Check(f.believed(one.told), qt.Equals, one.ok, qt.Commentf(one.name))
 		c.Check(f.Unbelieved() == "", qt.Equals, one.ok)
 	}
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -11,7 +11,7 @@
 // for the moments of openings.
 //
 //	out := core.Tick(now, time.Now().UnixMilli())
-func (f *Frame) Tick(now, wallMs int64) wire.Outputs {
+func (f *Controller) Tick(now, wallMs int64) wire.Outputs {
 	var out wire.Outputs
 	f.members.Clock(now, wallMs)
 	f.view.WallMs = f.members.Wall(now)
@@ -34,7 +34,7 @@
 }
 
 // due tells whether a timer has run out, and starts it anew.
-func (f *Frame) due(now int64, name string, everyMs int64) bool {
+func (f *Controller) due(now int64, name string, everyMs int64) bool {
 	if last, ok := f.timers[name]; ok && now-last < everyMs {
 		return false
 	}
@@ -43,7 +43,7 @@
 }
 
 // newsTick fetches from another controller what this one missed.
-func (f *Frame) newsTick(now int64, out *wire.Outputs) {
+func (f *Controller) newsTick(now int64, out *wire.Outputs) {
 	voters := f.proposer.Core().Voters
 	if len(voters) < 2 || !f.due(now, "news", f.often(now, f.boot.LeaseMs/4)) {
 		return
@@ -57,7 +57,7 @@
 // version given; a change since then makes the write stale.
 //
 //	out := core.Platform(now, 4, list)
-func (f *Frame) Platform(now, version int64, list *wire.WorkerList) wire.Outputs {
+func (f *Controller) Platform(now, version int64, list *wire.WorkerList) wire.Outputs {
 	var out wire.Outputs
 	if !f.believed(list) {
 		return out
@@ -82,7 +82,7 @@
 // heed stops orders to workers that are leaving as soon as this node reads so;
 // it does not wait for the register, which slow disks may hold up, and a list
 // that was read before and written later does not undo it.
-func (f *Frame) heed(list *wire.WorkerList) {
+func (f *Controller) heed(list *wire.WorkerList) {
 	f.leavers = map[string]bool{}
 	for _, worker := range list.Workers {
 		f.leavers[worker.Name] = worker.Leaving
@@ -92,7 +92,7 @@
 
 // viewWorkers shows the partitions the list kept in the register, and what was
 // read since of workers that leave.
-func (f *Frame) viewWorkers() {
+func (f *Controller) viewWorkers() {
 	next := map[string]wire.Worker{}
 	for _, worker := range f.listed.Workers {
 		worker.Leaving = worker.Leaving || f.leavers[worker.Name]
@@ -101,12 +101,12 @@
 	f.view.Workers = next
 }
 
-func (f *Frame) writeName() string { return fmt.Sprintf("%s#%x", f.boot.ID, f.random.Int63()) }
+func (f *Controller) writeName() string { return fmt.Sprintf("%s#%x", f.boot.ID, f.random.Int63()) }
 
 // Change runs an operator's compare-and-set; the outcome answers the call.
 //
 //	out := core.Change(now, call, register.Write{Key: controller.PolicyKey, Expected: 7, Body: body})
-func (f *Frame) Change(now, call int64, asked register.Write) wire.Outputs {
+func (f *Controller) Change(now, call int64, asked register.Write) wire.Outputs {
 	if !f.members.Majority(f.proposer.Core().Voters) {
 		return register.Hopeless(call, asked.Key)
 	}
@@ -119,7 +119,7 @@
 // Read runs a read at a majority; the outcome answers the call.
 //
 //	out := core.Read(now, call, controller.PolicyKey)
-func (f *Frame) Read(now, call int64, key string) wire.Outputs {
+func (f *Controller) Read(now, call int64, key string) wire.Outputs {
 	if !f.members.Majority(f.proposer.Core().Voters) {
 		return register.Hopeless(call, key)
 	}
@@ -130,7 +130,7 @@
 // Learnt tells this machine what an operator's call found, at once.
 //
 //	out := core.Learnt(now, controller.PolicyKey, value)
-func (f *Frame) Learnt(now int64, key string, value wire.Value) wire.Outputs {
+func (f *Controller) Learnt(now int64, key string, value wire.Value) wire.Outputs {
 	var out wire.Outputs
 	f.learn(now, &out, key, value)
 	return out
@@ -140,12 +140,12 @@
 // its grants go.
 //
 //	if now-began > core.StallMs() { ... }
-func (f *Frame) StallMs() int64 { return f.boot.LeaseMs / 2 }
+func (f *Controller) StallMs() int64 { return f.boot.LeaseMs / 2 }
 
 // Stall lets all grants go while the journal is stalled.
 //
 //	out := core.Stall(now, true)
-func (f *Frame) Stall(_ int64, stalled bool) wire.Outputs {
+func (f *Controller) Stall(_ int64, stalled bool) wire.Outputs {
 	var out wire.Outputs
 	f.stalled = stalled
 	if stalled {
@@ -154,7 +154,7 @@
 	return out
 }
 
-func (f *Frame) release(out *wire.Outputs) {
+func (f *Controller) release(out *wire.Outputs) {
 	var numbers []int64
 	for number := range f.boot.Partitions {
 		if f.holder.Claims(number) {
--- a/internal/controlplane/controller/voters.go
+++ b/internal/controlplane/controller/voters.go
@@ -17,23 +17,23 @@
 // deputyMs is how long each next coordinator waits for those before it, and goneMs
 // how long a vote stays with one that does not stand and that nobody replaces:
 // all is over before the next machine may go.
-func (f *Frame) deputyMs() int64 { return f.boot.CatchUpMs / 5 }
+func (f *Controller) deputyMs() int64 { return f.boot.CatchUpMs / 5 }
 
-func (f *Frame) goneMs() int64 { return f.boot.CatchUpMs / 8 }
+func (f *Controller) goneMs() int64 { return f.boot.CatchUpMs / 8 }
 
 // heardLately tells whether a voter spoke here itself so lately that it keeps its
 // place: that it is gone may be the word of one who was cut off from it.
-func (f *Frame) heardLately(now int64, id string) bool {
+func (f *Controller) heardLately(now int64, id string) bool {
 	last, heard := f.coordinator.heard[id]
 	return heard && now-last < f.boot.CatchUpMs/4
 }
 
 // heardMs is how long another may take to be heard of.
-func (f *Frame) heardMs() int64 { return f.boot.CatchUpMs / 2 }
+func (f *Controller) heardMs() int64 { return f.boot.CatchUpMs / 2 }
 
 // stands tells how a voter stands, and for how long it has. One of whom nothing
 // was heard yet stands well until it had the time to be heard of.
-func (f *Frame) stands(now int64, id string) (wire.Standing, int64) {
+func (f *Controller) stands(now int64, id string) (wire.Standing, int64) {
 	standing, since := f.members.Standing(id)
 	forMs := now - max(since, f.StartedMs)
 	if _, known := f.members.Addr(id); !known && forMs < f.heardMs() {
@@ -44,7 +44,7 @@
 
 // newcomers are the controllers that stand well without a vote, those first that
 // were not given up lately.
-func (f *Frame) newcomers(core wire.CoreSet) []wire.Voter {
+func (f *Controller) newcomers(core wire.CoreSet) []wire.Voter {
 	var out []wire.Voter
 	for _, member := range f.members.Alive("controller") {
 		if wire.Standing(member.Standing) == wire.StandingWell && !voterOf(core.Voters, member.ID) {
@@ -58,7 +58,7 @@
 // nextCore is the core set that should come after this one, if any should: all
 // controllers that stand have votes. Where a newcomer waits, who does not stand
 // goes first, which leaves majorities small; else only who is gone for good.
-func (f *Frame) nextCore(now int64, core wire.CoreSet) (wire.CoreSet, bool) {
+func (f *Controller) nextCore(now int64, core wire.CoreSet) (wire.CoreSet, bool) {
 	newcomers := f.newcomers(core)
 	if len(core.Joining) > 0 {
 		// A newcomer that goes, or that cannot be given its copies while another waits,
@@ -84,7 +84,7 @@
 }
 
 // leaver picks the voter to be taken out, -1 for none.
-func (f *Frame) leaver(now int64, core wire.CoreSet, newcomers []wire.Voter) int {
+func (f *Controller) leaver(now int64, core wire.CoreSet, newcomers []wire.Voter) int {
 	if !f.mayShrink(now, core) {
 		return -1
 	}
@@ -112,13 +112,13 @@
 // majority of voters that stand and had their time to catch up. Until then such a
 // machine counts as lost, and so does one that is down: both may go, or go again,
 // and leave their votes behind.
-func (f *Frame) mayGrow(now int64, core wire.CoreSet) bool {
+func (f *Controller) mayGrow(now int64, core wire.CoreSet) bool {
 	return len(f.settledVoters(now, core)) >= min((len(core.Voters)+1)/2+1, len(core.Voters))
 }
 
 // settledVoters are those that stand and had their time to catch up; where all
 // started together nobody is older than the others.
-func (f *Frame) settledVoters(now int64, core wire.CoreSet) map[string]bool {
+func (f *Controller) settledVoters(now int64, core wire.CoreSet) map[string]bool {
 	oldest := int64(0)
 	for _, voter := range core.Voters {
 		age, _ := f.ageMs(now, voter.ID)
@@ -137,10 +137,10 @@
 }
 
 // togetherMs is how far apart the starts of machines are that start together.
-func (f *Frame) togetherMs() int64 { return f.boot.CatchUpMs / 4 }
+func (f *Controller) togetherMs() int64 { return f.boot.CatchUpMs / 4 }
 
 // ageMs is how long a process has been up; false if it did not say yet.
-func (f *Frame) ageMs(now int64, id string) (int64, bool) {
+func (f *Controller) ageMs(now int64, id string) (int64, bool) {
 	if id == f.boot.ID {
 		return now - f.StartedMs, true
 	}
@@ -156,12 +156,12 @@
 
 // grantedMs is how long what a node granted lasts, with what its holder's clock may
 // be off.
-func (f *Frame) grantedMs() int64 { return f.boot.LeaseMs/2 + f.boot.LeaseMs/16 }
+func (f *Controller) grantedMs() int64 { return f.boot.LeaseMs/2 + f.boot.LeaseMs/16 }
 
 // mayShrink: within one lease the set loses no more than one voter of all it had.
 // Majorities before and after then meet, so that a grant given by the one is
 // known to the other; who is newly admitted grants nothing for a lease.
-func (f *Frame) mayShrink(now int64, core wire.CoreSet) bool {
+func (f *Controller) mayShrink(now int64, core wire.CoreSet) bool {
 	if now-f.StartedMs < f.grantedMs() {
 		return false
 	}
@@ -176,7 +176,7 @@
 
 // noteSize remembers for a lease how many voters there were. Of sets that were
 // missed in between nothing is known.
-func (f *Frame) noteSize(now int64, core, next wire.CoreSet) {
+func (f *Controller) noteSize(now int64, core, next wire.CoreSet) {
 	sizes := f.coordinator.sizes
 	for at := range sizes {
 		if one := &sizes[at]; !one.whole && (next.Epoch > one.epoch || next.Rereplicated) {
--- a/internal/controlplane/eventloop/eventloop.go
+++ b/internal/controlplane/eventloop/eventloop.go
@@ -28,11 +28,11 @@
 	Fact(name, fact string)
 }
 
-// Position is one machine with its thread.
-type Position struct {
+// Loop is one machine with its thread.
+type Loop struct {
 	machine Machine
 	self    string
-	cable   *transport.Trunk
+	cable   *transport.Transport
 	log     *zap.Logger
 	gate    controller.Gate
 	writer  *Writer
@@ -67,7 +67,7 @@
 type Options struct {
 	Machine Machine
 	Self    string
-	Cable   *transport.Trunk
+	Cable   *transport.Transport
 	Log     *zap.Logger
 	Writer  *Writer
 	Epoch   time.Time
@@ -79,12 +79,12 @@
 // New makes a position. Writer is nil where there is no disk.
 //
 //	control := eventloop.New(options)
-func New(o Options) *Position {
+func New(o Options) *Loop {
 	wall := o.Wall
 	if wall == nil {
 		wall = func() int64 { return time.Now().UnixMilli() }
 	}
-	return &Position{
+	return &Loop{
 		wall:    wall,
 		machine: o.Machine, self: o.Self, cable: o.Cable, log: o.Log, writer: o.Writer, epoch: o.Epoch, tick: o.Tick,
 		inbox: make(chan transport.Arrived, 8192), calls: make(chan func(int64) wire.Outputs, 64),
@@ -96,7 +96,7 @@
 // Deliver puts a message in front of the machine; false says it is too busy.
 //
 //	router.Handle("/trunk", cable.Handler(control.Deliver))
-func (p *Position) Deliver(message transport.Arrived) bool {
+func (p *Loop) Deliver(message transport.Arrived) bool {
 	select {
 	case p.inbox <- message:
 		return true
@@ -108,12 +108,12 @@
 // Now is the monotonic time of this process in milliseconds.
 //
 //	nowMs := control.Now()
-func (p *Position) Now() int64 { return time.Since(p.epoch).Milliseconds() + 1 }
+func (p *Loop) Now() int64 { return time.Since(p.epoch).Milliseconds() + 1 }
 
 // Run is the thread that owns the machine.
 //
 //	err := control.Run(ctx)
-func (p *Position) Run(ctx context.Context) error {
+func (p *Loop) Run(ctx context.Context) error {
 	timer := time.NewTimer(p.tick)
 	defer timer.Stop()
 	p.tickAt = p.Now() + p.tick.Milliseconds()
@@ -160,7 +160,7 @@
 	}
 }
 
-func (p *Position) hear(message transport.Arrived) {
+func (p *Loop) hear(message transport.Arrived) {
 	if message.Addr != "" {
 		p.addrs[message.From] = message.Addr
 	}
@@ -169,7 +169,7 @@
 }
 
 // drain gives the machine what it sent to itself.
-func (p *Position) drain() {
+func (p *Loop) drain() {
 	for len(p.local) > 0 {
 		message := p.local[0]
 		p.local = p.local[1:]
@@ -177,13 +177,13 @@
 	}
 }
 
-func (p *Position) perform(now int64, out wire.Outputs) {
+func (p *Loop) perform(now int64, out wire.Outputs) {
 	ready := p.gate.Step(out)
 	p.pending = append(p.pending, ready.Writes...)
 	p.release(now, ready)
 }
 
-func (p *Position) release(now int64, ready wire.Outputs) {
+func (p *Loop) release(now int64, ready wire.Outputs) {
 	for _, send := range ready.Sends {
 		p.send(now, send)
 	}
@@ -195,7 +195,7 @@
 	}
 }
 
-func (p *Position) send(now int64, send wire.Send) {
+func (p *Loop) send(now int64, send wire.Send) {
 	switch {
 	case send.To == p.self:
 		p.local = append(p.local, transport.Arrived{From: p.self, Kind: send.Kind, Body: send.Body})
@@ -215,7 +215,7 @@
 }
 
 // flush hands the journal one batch of all that waits, once it is free.
-func (p *Position) flush() {
+func (p *Loop) flush() {
 	if p.writer == nil || p.busy || len(p.pending) == 0 {
 		return
 	}
--- a/internal/controlplane/eventloop/seeds.go
+++ b/internal/controlplane/eventloop/seeds.go
@@ -12,7 +12,7 @@
 // Seeds gives the machine other seeds, if it takes any.
 //
 //	control.Seeds(ctx, []string{"127.0.0.1:7100"})
-func (p *Position) Seeds(ctx context.Context, seeds []string) {
+func (p *Loop) Seeds(ctx context.Context, seeds []string) {
 	machine, ok := p.machine.(seeded)
 	if !ok {
 		return
--- a/internal/controlplane/eventloop/timer.go
+++ b/internal/controlplane/eventloop/timer.go
@@ -10,7 +10,7 @@
 
 // arm sets the timer to the next tick: a tick's time after the last, or as late as
 // the machine can rest.
-func (p *Position) arm(timer *time.Timer) {
+func (p *Loop) arm(timer *time.Timer) {
 	now := p.Now()
 	at := p.ticked + p.tick.Milliseconds()
 	if rests, can := p.machine.(interface{ DueMs(now int64) int64 }); can {
--- a/internal/controlplane/eventloop/watch.go
+++ b/internal/controlplane/eventloop/watch.go
@@ -12,7 +12,7 @@
 const jumpMs = 500
 
 // watchMachine tells the others how this machine does.
-func (p *Position) watchMachine(now int64) {
+func (p *Loop) watchMachine(now int64) {
 	wall := p.wall()
 	if p.lastNow > 0 {
 		if jump := (wall - p.lastWall) - (now - p.lastNow); jump > jumpMs || jump < -jumpMs {
@@ -37,7 +37,7 @@
 
 // watchDisk lets grants go while the journal is stalled or full, and takes
 // them up again once it is not.
-func (p *Position) watchDisk(now int64) {
+func (p *Loop) watchDisk(now int64) {
 	staller, ok := p.machine.(interface {
 		Stall(now int64, stalled bool) wire.Outputs
 		StallMs() int64
--- a/internal/controlplane/eventloop/writer.go
+++ b/internal/controlplane/eventloop/writer.go
@@ -97,7 +97,7 @@
 // Do runs something on the machine's thread.
 //
 //	control.Do(ctx, func(now int64) wire.Outputs { return core.Leave(now) })
-func (p *Position) Do(ctx context.Context, step func(now int64) wire.Outputs) bool {
+func (p *Loop) Do(ctx context.Context, step func(now int64) wire.Outputs) bool {
 	select {
 	case p.calls <- step:
 		return true
@@ -106,7 +106,7 @@
 	}
 }
 
-func (p *Position) ask(ctx context.Context, start func(now, call int64) wire.Outputs) register.Outcome {
+func (p *Loop) ask(ctx context.Context, start func(now, call int64) wire.Outputs) register.Outcome {
 	waiter := make(chan register.Outcome, 1)
 	asked := p.Do(ctx, func(now int64) wire.Outputs {
 		p.next++
@@ -131,7 +131,7 @@
 // Change runs a compare-and-set and waits for its outcome.
 //
 //	outcome := control.Change(ctx, eventloop.Write{Key: controller.PolicyKey, Expected: 7, Body: body})
-func (p *Position) Change(ctx context.Context, asked Write) register.Outcome {
+func (p *Loop) Change(ctx context.Context, asked Write) register.Outcome {
 	outcome := p.ask(ctx, func(now, call int64) wire.Outputs { return p.machine.Change(now, call, asked) })
 	p.learnt(ctx, asked.Key, outcome)
 	return outcome
@@ -140,13 +140,13 @@
 // Read reads a register at a majority and waits for its outcome.
 //
 //	outcome := control.Read(ctx, controller.PolicyKey)
-func (p *Position) Read(ctx context.Context, key string) register.Outcome {
+func (p *Loop) Read(ctx context.Context, key string) register.Outcome {
 	outcome := p.ask(ctx, func(now, call int64) wire.Outputs { return p.machine.Read(now, call, key) })
 	p.learnt(ctx, key, outcome)
 	return outcome
 }
 
-func (p *Position) learnt(ctx context.Context, key string, outcome register.Outcome) {
+func (p *Loop) learnt(ctx context.Context, key string, outcome register.Outcome) {
 	if outcome.Fate == register.FateDone && outcome.Has {
 		p.Do(ctx, func(now int64) wire.Outputs { return p.machine.Learnt(now, key, outcome.Value) })
 	}
--- a/internal/controlplane/health/health.go
+++ b/internal/controlplane/health/health.go
@@ -86,10 +86,10 @@
 	})
 }
 
-// Trunk shows what a transport carried.
+// Transport shows what a transport carried.
 //
-//	health.Trunk(gauges, cable.Counts)
-func Trunk(g *Gauges, counts *transport.Counts) {
+//	health.Transport(gauges, cable.Counts)
+func Transport(g *Gauges, counts *transport.Counts) {
 	g.Count("trunk_letters_sent_total", "letters sent to other processes", func() float64 { return float64(counts.SentMessages.Load()) })
 	g.Count("trunk_batches_sent_total", "batches of letters sent", func() float64 { return float64(counts.SentBatches.Load()) })
 	g.Count("trunk_bytes_sent_total", "bytes of letters sent", func() float64 { return float64(counts.SentBytes.Load()) })
--- a/internal/controlplane/orders/orders.go
+++ b/internal/controlplane/orders/orders.go
@@ -24,9 +24,9 @@
 	Calls   int64
 }
 
-// Clerk sends for the control thread: one line per worker, so that orders to
+// Dispatcher sends for the control thread: one line per worker, so that orders to
 // one worker keep their order.
-type Clerk struct {
+type Dispatcher struct {
 	ctx   context.Context
 	desk  Desk
 	wait  time.Duration
@@ -47,8 +47,8 @@
 // New makes a clerk at a desk; wait is how long a worker or the platform may take.
 //
 //	clerk := orders.New(ctx, orders.Native("127.0.0.1:7900"), time.Second)
-func New(ctx context.Context, desk Desk, wait time.Duration) *Clerk {
-	return &Clerk{ctx: ctx, desk: desk, wait: wait, lines: map[string]chan Job{}}
+func New(ctx context.Context, desk Desk, wait time.Duration) *Dispatcher {
+	return &Dispatcher{ctx: ctx, desk: desk, wait: wait, lines: map[string]chan Job{}}
 }
 
 // Send puts an order on its worker's line; a full line loses it. A look behind
@@ -56,7 +56,7 @@
 // is not to be caught up with.
 //
 //	clerk.Send(orders.Job{Order: *order, Until: until})
-func (c *Clerk) Send(job Job) {
+func (c *Dispatcher) Send(job Job) {
 	name := job.Order.Worker
 	line, ok := c.lines[name]
 	if !ok {
@@ -73,7 +73,7 @@
 	}
 }
 
-func (c *Clerk) run(line chan Job) {
+func (c *Dispatcher) run(line chan Job) {
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -84,7 +84,7 @@
 	}
 }
 
-func (c *Clerk) do(job Job) {
+func (c *Dispatcher) do(job Job) {
 	ctx, done := context.WithTimeout(c.ctx, c.wait)
 	defer done()
 	if job.Order.Op == "list" {
--- a/internal/controlplane/register/rounds.go
+++ b/internal/controlplane/register/rounds.go
@@ -90,7 +90,7 @@
 	return core, true
 }
 
-// CoreTopic is the news of a core set; that it is swept is a step of its epoch.
+// CoreTopic is the news of a core set; that it is re-replicated is a step of its epoch.
 //
 //	board.Put(register.CoreTopic(core))
 func CoreTopic(core wire.CoreSet) wire.Topic {
--- a/internal/dataplane/feed/demand.go
+++ b/internal/dataplane/feed/demand.go
@@ -38,7 +38,7 @@
 // Work notes that a request for an item is at a server, or no longer is.
 //
 //	plugs.Work("lens-7b", 5, 1)
-func (p *Plugboard) Work(item string, weight, change int64) {
+func (p *Feed) Work(item string, weight, change int64) {
 	if item != "" {
 		p.works <- work{item: item, weight: weight, change: change}
 	}
@@ -47,7 +47,7 @@
 // Ask notes that a request for an item came, be it held or not.
 //
 //	plugs.Ask("lens-7b", 5)
-func (p *Plugboard) Ask(item string, weight int64) {
+func (p *Feed) Ask(item string, weight int64) {
 	if item != "" {
 		p.works <- work{item: item, weight: weight, fresh: true}
 	}
@@ -56,7 +56,7 @@
 // Read notes how long a request's first piece took.
 //
 //	plugs.Read("lens-7b", 41)
-func (p *Plugboard) Read(item string, tookMs int64) {
+func (p *Feed) Read(item string, tookMs int64) {
 	if item != "" {
 		select {
 		case p.works <- work{item: item, readMs: max(tookMs, 1)}:
@@ -65,7 +65,7 @@
 	}
 }
 
-func (p *Plugboard) worked(one work) {
+func (p *Feed) worked(one work) {
 	kept := p.demand[one.item]
 	if kept == nil {
 		kept = &demand{}
@@ -87,7 +87,7 @@
 }
 
 // tally tells the agent how much each item is asked for; an item that is not any more is told of once.
-func (p *Plugboard) tally(past time.Duration) {
+func (p *Feed) tally(past time.Duration) {
 	told := &wire.Tally{}
 	seconds := min(past, aliveEvery).Seconds()
 	for item, kept := range p.demand {
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -17,10 +17,10 @@
 	"applequay/internal/transport/wire"
 )
 
-// Plugboard owns all that changes beside the traffic; it has one thread.
-type Plugboard struct {
+// Feed owns all that changes beside the traffic; it has one thread.
+type Feed struct {
 	agent   string
-	cable   *transport.Trunk
+	cable   *transport.Transport
 	board   *distribution.Board
 	inbox   chan transport.Arrived
 	holds   chan held
@@ -51,8 +51,8 @@
 // New makes a feed for the agent at an address.
 //
 //	plugs := feed.New("127.0.0.1:7201", cable, configuration.Native)
-func New(agent string, cable *transport.Trunk, form configuration.Form) *Plugboard {
-	return &Plugboard{
+func New(agent string, cable *transport.Transport, form configuration.Form) *Feed {
+	return &Feed{
 		form:  form,
 		agent: agent, cable: cable, board: distribution.NewBoard(),
 		inbox: make(chan transport.Arrived, 1024), holds: make(chan held, 4096), works: make(chan work, 4096), demand: map[string]*demand{}, toldTo: map[string]bool{}, comes: make(chan coming, 4096), coming: map[string]coming{}, takes: make(chan taken, 256),
@@ -65,7 +65,7 @@
 // Serve ties the feed to the chain whose tables it makes.
 //
 //	plugs.Serve(board)
-func (p *Plugboard) Serve(board *pipeline.Switch) {
+func (p *Feed) Serve(board *pipeline.Switch) {
 	p.now, p.put, p.current, p.counts = board.Now, board.Put, board.Table, &board.Counts
 	p.chain = board
 }
@@ -73,7 +73,7 @@
 // Deliver puts a message from the agent in front of the thread.
 //
 //	router.Handle("/trunk", cable.Handler(plugs.Deliver))
-func (p *Plugboard) Deliver(message transport.Arrived) bool {
+func (p *Feed) Deliver(message transport.Arrived) bool {
 	select {
 	case p.inbox <- message:
 		return true
@@ -89,7 +89,7 @@
 // Run is the thread.
 //
 //	err := plugs.Run(ctx)
-func (p *Plugboard) Run(ctx context.Context) error {
+func (p *Feed) Run(ctx context.Context) error {
 	timer := time.NewTimer(reportEvery)
 	defer timer.Stop()
 	for resting := false; ; {
@@ -124,7 +124,7 @@
 	}
 }
 
-func (p *Plugboard) hear(message transport.Arrived) {
+func (p *Feed) hear(message transport.Arrived) {
 	switch told := message.Body.(type) {
 	case *wire.Contact:
 		p.chain.Contact(contactAnswers * told.AnswerMs)
@@ -160,7 +160,7 @@
 	}
 }
 
-func (p *Plugboard) learn(topic wire.Topic) bool {
+func (p *Feed) learn(topic wire.Topic) bool {
 	switch {
 	case topic.Name == "policy":
 		next, faults, _ := p.form.Parse(topic.Body, topic.Step)
@@ -193,7 +193,7 @@
 
 // renew makes the next table. What tables keep of what they are made of is
 // copied, so that no table ever changes.
-func (p *Plugboard) renew() {
+func (p *Feed) renew() {
 	if p.policy != nil {
 		p.told.Policy = p.policy.For(p.zone)
 	}
--- a/internal/dataplane/feed/holds.go
+++ b/internal/dataplane/feed/holds.go
@@ -15,20 +15,20 @@
 // Hold notes that requests for an item are held, or no longer are.
 //
 //	plugs.Hold("lens-7b", 5, 1)
-func (p *Plugboard) Hold(item string, weight, change int64) { p.holds <- held{item, weight, change} }
+func (p *Feed) Hold(item string, weight, change int64) { p.holds <- held{item, weight, change} }
 
 // Come notes that a client was told to come back for an item at a moment: it
 // goes on being wanted until then and a little longer.
 //
 //	plugs.Come("lens-7b", 5, nowMs+8000)
-func (p *Plugboard) Come(item string, weight, untilMs int64) {
+func (p *Feed) Come(item string, weight, untilMs int64) {
 	select {
 	case p.comes <- coming{item, weight, untilMs}:
 	default:
 	}
 }
 
-func (p *Plugboard) held(hold held) {
+func (p *Feed) held(hold held) {
 	want := p.holding[hold.item]
 	if want == nil {
 		want = &wire.Want{Item: hold.item}
--- a/internal/dataplane/feed/report.go
+++ b/internal/dataplane/feed/report.go
@@ -16,7 +16,7 @@
 )
 
 // waits tells whether a request is held, comes again or asks for its key's server.
-func (p *Plugboard) waits() bool {
+func (p *Feed) waits() bool {
 	return len(p.holding)+len(p.coming) > 0 || p.book.Busy()
 }
 
@@ -33,7 +33,7 @@
 
 // report tells the agent what is held, and now and then what is in work; it
 // also asks for what the agent knows and this process does not.
-func (p *Plugboard) report() {
+func (p *Feed) report() {
 	_, alive := due(&p.aliveAt, aliveEvery)
 	if alive {
 		p.cable.Send(p.agent, wire.KindSubscribe, p.board.Asks(""))
--- a/internal/dataplane/feed/tickets.go
+++ b/internal/dataplane/feed/tickets.go
@@ -17,7 +17,7 @@
 // the other fronts; without a server the call is refused.
 //
 //	decision := plugs.Ticket(ctx, current.Call("app", "till-4-991"))
-func (p *Plugboard) Ticket(ctx context.Context, call idempotency.Call) idempotency.Decision {
+func (p *Feed) Ticket(ctx context.Context, call idempotency.Call) idempotency.Decision {
 	back := make(chan idempotency.Decision, 1)
 	select {
 	case p.takes <- taken{call: call, back: back}:
@@ -33,9 +33,9 @@
 }
 
 // clock is this machine's monotonic time; the book's moments are by it.
-func (p *Plugboard) clock() int64 { return time.Since(p.epoch).Milliseconds() + 1 }
+func (p *Feed) clock() int64 { return time.Since(p.epoch).Milliseconds() + 1 }
 
-func (p *Plugboard) perform(out wire.Outputs) {
+func (p *Feed) perform(out wire.Outputs) {
 	for _, send := range out.Sends {
 		p.cable.Send(send.To, send.Kind, send.Body)
 	}
--- a/internal/dataplane/pipeline/attempt.go
+++ b/internal/dataplane/pipeline/attempt.go
@@ -159,7 +159,7 @@
 	look := s.watch(c, chosenServer, further)
 	defer look.end()
 	sent := s.Now()
-	answer, err := s.lines.Do(look.ctx, &load.Plug, s.attemptFor(c, chosenServer))
+	answer, err := s.lines.Do(look.ctx, &load.Pool, s.attemptFor(c, chosenServer))
 	if err != nil {
 		if errors.Is(err, upstream.ErrNoLine) {
 			return fateNoLine
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/switch.go
@@ -60,7 +60,7 @@
 // Switch is the chain of filters with what it works on.
 type Switch struct {
 	limits Limits
-	lines  *upstream.Lines
+	lines  *upstream.Client
 	ledger Ledger
 	speech protocol.Speech
 	table  atomic.Pointer[routing.Table]
@@ -82,7 +82,7 @@
 // New makes the chain.
 //
 //	board := pipeline.New(limits, lines, ledger, protocol.Own{}, time.Now())
-func New(limits Limits, lines *upstream.Lines, ledger Ledger, spoken protocol.Speech, epoch time.Time) *Switch {
+func New(limits Limits, lines *upstream.Client, ledger Ledger, spoken protocol.Speech, epoch time.Time) *Switch {
 	s := &Switch{limits: limits, lines: lines, ledger: ledger, speech: spoken, epoch: epoch, leaves: make(chan struct{})}
 	s.table.Store(routing.Empty())
 	s.run = chain([]filter{s.deadline, s.findRoute, s.admit, s.hold}, s.attempt)
@@ -108,7 +108,7 @@
 	close(old.Next)
 	for name, server := range old.Servers {
 		if now, listed := next.Servers[name]; !listed || now.Load != server.Load || now.Leaving {
-			server.Load.Plug.Shut()
+			server.Load.Pool.Shut()
 		}
 	}
 }
--- a/internal/dataplane/upstream/fuzz_test.go
+++ b/internal/dataplane/upstream/fuzz_test.go
@@ -51,7 +51,7 @@
 		if head {
 			method = http.MethodHead
 		}
-		var plug Plug
+		var plug Pool
 		defer plug.Shut()
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
@@ -60,14 +60,14 @@
 		if err != nil {
 			c.Assert(errors.Is(err, ErrNoLine), qt.IsFalse)
 			c.Assert(errors.Is(err, ErrStale), qt.IsFalse)
-			c.Check(plug.Lines(), qt.Equals, int64(0))
+			c.Check(plug.Open(), qt.Equals, int64(0))
 			return
 		}
 		c.Assert(got.StatusCode >= 200 && got.StatusCode <= 999, qt.IsTrue)
 		body, failed := io.ReadAll(got.Reader)
 		got.Close()
 		c.Assert(ctx.Err(), qt.IsNil)
-		if plug.Lines() == 0 {
+		if plug.Open() == 0 {
 			return
 		}
 		c.Check(failed, qt.IsNil)
--- a/internal/dataplane/upstream/plug.go
+++ b/internal/dataplane/upstream/pool.go
@@ -10,18 +10,18 @@
 	"time"
 )
 
-// Plug is where the idle connections to one server are kept. The list is never
+// Pool is where the idle connections to one server are kept. The list is never
 // changed once made; whoever takes a connection puts a shorter list in its place.
-type Plug struct {
+type Pool struct {
 	idle atomic.Pointer[[]*conn]
 	used atomic.Int64
 	shut atomic.Bool
 }
 
-// Lines is how many connections to the server are open, in use or idle.
+// Open is how many connections to the server are open, in use or idle.
 //
-//	if server.Load.Plug.Lines() >= most { ... }
-func (p *Plug) Lines() int64 {
+//	if server.Load.Pool.Open() >= most { ... }
+func (p *Pool) Open() int64 {
 	count := p.used.Load()
 	if kept := p.idle.Load(); kept != nil {
 		count += int64(len(*kept))
@@ -31,8 +31,8 @@
 
 // Shut closes what is idle; what is in use is closed once it is done.
 //
-//	server.Load.Plug.Shut()
-func (p *Plug) Shut() {
+//	server.Load.Pool.Shut()
+func (p *Pool) Shut() {
 	p.shut.Store(true)
 	if kept := p.idle.Swap(nil); kept != nil {
 		for _, one := range *kept {
@@ -42,7 +42,7 @@
 }
 
 // pop takes the connection used last, and closes those that were idle too long.
-func (p *Plug) pop(now time.Time) *conn {
+func (p *Pool) pop(now time.Time) *conn {
 	for {
 		kept := p.idle.Load()
 		if kept == nil || len(*kept) == 0 {
@@ -69,7 +69,7 @@
 	}
 }
 
-func (p *Plug) push(one *conn, most int) bool {
+func (p *Pool) push(one *conn, most int) bool {
 	for {
 		kept := p.idle.Load()
 		var next []*conn
@@ -90,7 +90,7 @@
 }
 
 // take finds a connection that is still good, or makes one.
-func (l *Lines) take(ctx context.Context, plug *Plug, attempt *Attempt) (*conn, error) {
+func (l *Client) take(ctx context.Context, plug *Pool, attempt *Attempt) (*conn, error) {
 	for !attempt.Fresh {
 		one := plug.pop(time.Now())
 		if one == nil {
@@ -110,7 +110,7 @@
 	return one, nil
 }
 
-func (l *Lines) keep(plug *Plug, one *conn, told string) {
+func (l *Client) keep(plug *Pool, one *conn, told string) {
 	if told != "" {
 		one.keep = keepFor(told, l.idle)
 	}
--- a/internal/dataplane/upstream/upstream.go
+++ b/internal/dataplane/upstream/upstream.go
@@ -33,18 +33,18 @@
 // them: a server that sends no end of them fills no memory.
 const mostHead = 64 << 10
 
-// Lines makes attempts at servers.
-type Lines struct {
+// Client makes attempts at servers.
+type Client struct {
 	dialer *net.Dialer
 	idle   time.Duration
 	most   int
 }
 
-// New makes lines; wait is how long a connection may take to come about.
+// New makes a client; wait is how long a connection may take to come about.
 //
 //	lines := upstream.New(300 * time.Millisecond)
-func New(wait time.Duration) *Lines {
-	return &Lines{dialer: &net.Dialer{Timeout: wait, KeepAlive: -1}, idle: 10 * time.Second, most: 8}
+func New(wait time.Duration) *Client {
+	return &Client{dialer: &net.Dialer{Timeout: wait, KeepAlive: -1}, idle: 10 * time.Second, most: 8}
 }
 
 // Attempt is one request for one server.
@@ -107,8 +107,8 @@
 // Do sends a request and reads the head of its answer. The error is
 // ErrNoLine where no byte can have left.
 //
-//	answer, err := lines.Do(ctx, &server.Load.Plug, &upstream.Attempt{Addr: server.Addr, Method: "POST", Target: "/v1/hints"})
-func (l *Lines) Do(ctx context.Context, plug *Plug, attempt *Attempt) (*Answer, error) {
+//	answer, err := lines.Do(ctx, &server.Load.Pool, &upstream.Attempt{Addr: server.Addr, Method: "POST", Target: "/v1/hints"})
+func (l *Client) Do(ctx context.Context, plug *Pool, attempt *Attempt) (*Answer, error) {
 	if late(attempt) {
 		return nil, errors.Join(ErrNoLine, errTooLate)
 	}
--- a/internal/dataplane/upstream/upstream_test.go
+++ b/internal/dataplane/upstream/upstream_test.go
@@ -23,8 +23,8 @@
 	addr  string
 	conns atomic.Int64
 	asked atomic.Int64
-	lines *Lines
-	plug  Plug
+	lines *Client
+	plug  Pool
 }
 
 const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -20,8 +20,8 @@
 	AvoidToMs       atomic.Int64
 	// HeardMs is when anything last came from the server.
 	HeardMs atomic.Int64
-	// Plug holds the connections.
-	Plug upstream.Plug
+	// Pool holds the connections.
+	Pool upstream.Pool
 	// told is how many requests the server said it has, beyond this
 	// proxy's own; toldMs is when; places is how many it runs at once.
 	told, toldMs, places atomic.Int64
--- a/internal/routing/soonest.go
+++ b/internal/routing/soonest.go
@@ -44,7 +44,7 @@
 		if server.Load.AvoidToMs.Load() > wish.NowMs {
 			cost += float64(tokens) * 1e6
 		}
-		if wish.MostLines > 0 && server.Load.Plug.Lines() >= wish.MostLines {
+		if wish.MostLines > 0 && server.Load.Pool.Open() >= wish.MostLines {
 			cost += float64(tokens) * 1e3
 		}
 		if wish.Jitter != nil {
--- a/internal/settings/start.go
+++ b/internal/settings/start.go
@@ -44,7 +44,7 @@
 	// Form is how operators write policies.
 	Form configuration.Form
 	// Desk adds the operators' pages to a router; see adminapi.Routes.
-	Desk func(router *mux.Router, control *eventloop.Position, wait time.Duration, drain func())
+	Desk func(router *mux.Router, control *eventloop.Loop, wait time.Duration, drain func())
 	// Speech is how clients and servers speak.
 	Speech protocol.Speech
 	// Workers is how workers and the list of them are spoken to; holder names who
@@ -65,7 +65,7 @@
 //	start := settings.Must("controller", settings.PartNode|settings.PartDisk, settings.Own{Args: os.Args[1:], Help: os.Stderr})
 func Must(program string, parts Part, source Source) *Start {
 	start := &Start{Form: configuration.Native, Speech: protocol.Own{}, ReadyPath: "/standing", source: source, program: program, parts: parts, hup: make(chan os.Signal, 1)}
-	start.Desk = func(router *mux.Router, control *eventloop.Position, wait time.Duration, drain func()) {
+	start.Desk = func(router *mux.Router, control *eventloop.Loop, wait time.Duration, drain func()) {
 		adminapi.Routes(router, control, start.Form, wait, drain)
 	}
 	// From here on SIGHUP ends no process, whether or not anyone looks.
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -17,7 +17,7 @@
 type controllerNode struct {
 	node
 	disk    *disk
-	core    *controller.Frame
+	core    *controller.Controller
 	gate    controller.Gate
 	kept    *journal.Journal
 	pending []wire.Write
--- a/internal/simulation/explorer/machine.go
+++ b/internal/simulation/explorer/machine.go
@@ -15,7 +15,7 @@
 	world          *World
 	at             int
 	name, addr, id string
-	core           *controller.Frame
+	core           *controller.Controller
 	gate           controller.Gate
 	disk           disk
 	pending        []wire.Write
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -21,7 +21,7 @@
 	zone    string
 	seeds   []string
 	late    bool // came into a world that was cut
-	line    *agent.Line
+	line    *agent.Agent
 	board   node
 	answers map[int64]func(register.Outcome)
 	nextAsk int64
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -49,8 +49,8 @@
 	slowestLink  = 64 << 10 // bytes a second that a link is allowed to be slow
 )
 
-// Trunk sends for one control thread, which alone calls Send and Close.
-type Trunk struct {
+// Transport sends for one control thread, which alone calls Send and Close.
+type Transport struct {
 	depth      int // of a line
 	self, addr string
 	lines      map[string]chan wire.Message
@@ -65,7 +65,7 @@
 // wait for one address.
 //
 //	cable := transport.New(ctx, "c1~7f", settings.Advertise, settings.Listen, time.Second, transport.FrontDepth)
-func New(ctx context.Context, self, addr, listen string, wait time.Duration, depth int) *Trunk {
+func New(ctx context.Context, self, addr, listen string, wait time.Duration, depth int) *Transport {
 	dialer := socket.Dialer(wait, silentWaits*wait)
 	if host, _, err := net.SplitHostPort(listen); err == nil {
 		// A machine speaks from the address that it listens on.
@@ -73,13 +73,13 @@
 	}
 	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: answerBuffer, WriteBufferSize: batchBuffer}
-	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Message{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
+	return &Transport{self: self, addr: addr, lines: map[string]chan wire.Message{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
 // Send puts a message on the line to an address; a full line loses it.
 //
 //	cable.Send("127.0.0.1:7101", wire.KindQuery, body)
-func (t *Trunk) Send(addr string, kind wire.Kind, body wire.Record) {
+func (t *Transport) Send(addr string, kind wire.Kind, body wire.Record) {
 	line, ok := t.lines[addr]
 	if !ok {
 		line = make(chan wire.Message, t.depth)
@@ -94,7 +94,7 @@
 }
 
 // run owns one line: it sends what waits, a batch at a time.
-func (t *Trunk) run(addr string, line chan wire.Message) {
+func (t *Transport) run(addr string, line chan wire.Message) {
 	for {
 		var batch wire.Messages
 		select {
@@ -124,7 +124,7 @@
 	}
 }
 
-func (t *Trunk) post(addr string, batch *wire.Messages) error {
+func (t *Transport) post(addr string, batch *wire.Messages) error {
 	body := wire.Encode(batch)
 	ctx, cancel := context.WithTimeout(t.ctx, t.patience(int64(len(body))))
 	defer cancel()
@@ -146,13 +146,13 @@
 }
 
 // patience is how long a batch of a size may take on its way.
-func (t *Trunk) patience(size int64) time.Duration {
+func (t *Transport) patience(size int64) time.Duration {
 	return t.wait + time.Duration(size)*time.Second/slowestLink
 }
 
 // read takes a batch in, in no more time than its sender gives it: one that was
 // cut off in the middle keeps neither its connection nor its memory here.
-func (t *Trunk) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (t *Transport) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	bounded := control.SetReadDeadline(time.Now().Add(t.patience(min(max(r.ContentLength, 0), mostBody)))) == nil
 	var body bytes.Buffer
@@ -168,7 +168,7 @@
 // for long; messages it turns away are lost.
 //
 //	router.Handle("/trunk", cable.Handler(deliver)).Methods("POST")
-func (t *Trunk) Handler(deliver func(Arrived) bool) http.Handler {
+func (t *Transport) Handler(deliver func(Arrived) bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := t.read(w, r)
 		if err != nil {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -45,7 +45,7 @@
 
 func taken(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
 
-func newTrunk(c *qt.C) *Trunk {
+func newTransport(c *qt.C) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	return New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 2*time.Second, FrontDepth)
@@ -74,7 +74,7 @@
 	}
 	for at, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
-			cable := newTrunk(c)
+			cable := newTransport(c)
 			var bad atomic.Bool
 			o := newOther(c, func(w http.ResponseWriter, r *http.Request) {
 				if bad.Load() {
@@ -145,7 +145,7 @@
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			heard := 0
-			handler := newTrunk(c).Handler(func(message Arrived) bool {
+			handler := newTransport(c).Handler(func(message Arrived) bool {
 				heard++
 				c.Check(message.Body, qt.DeepEquals, wire.Record(&wire.Query{Op: 1, Key: "policy"}))
 				return true
--- a/platform_test.go
+++ b/platform_test.go
@@ -65,7 +65,7 @@
 	"applequay/internal/configuration":          nil,
 	"applequay/internal/settings":               nil,
 	"applequay/internal/controlplane/adminapi":  {"Policies"},
-	"applequay/internal/controlplane/eventloop": {"Position"},
+	"applequay/internal/controlplane/eventloop": {"Loop"},
 	"applequay/internal/controlplane/orders":    nil,
 	"applequay/internal/controlplane/register":  {"Outcome", "FateDone", "FateStale", "FateNone", "FateUnknown"},
 }
