--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -50,14 +50,14 @@
 	router.Handle("/trunk", cable.Handler(control.Deliver)).Methods("POST")
 	adminapi.Routes(router, control, start.Form, settings.Ms(given.CallMs)*2, stop)
 	gauges := health.New("agent", given.Name)
-	health.Trunk(gauges, cable.Counts)
+	health.Transport(gauges, cable.Counts)
 	health.Control(gauges, control.Page)
 	gauges.Routes(router)
 	operators := mux.NewRouter()
 	start.Desk(operators, control, settings.Ms(given.CallMs)*2, stop)
 	go start.Watch(work, log, func(next *settings.Boot) { control.Seeds(work, next.Seeds) })
 	go func() {
-		// SIGTERM: the proxy beside is fed while it takes callers' leave.
+		// SIGTERM: the proxy beside is fed while it takes clients' leave.
 		<-ctx.Done()
 		settings.Beside(given)
 		control.Do(work, line.Leave)
--- a/cmd/loadgen/calls.go
+++ b/cmd/loadgen/calls.go
@@ -17,27 +17,27 @@
 )
 
 const (
-	mostShots  = 4
-	callWait   = 30 * time.Second
-	mostResume = 6
-	// mostPatience is how much later a caller still comes back.
+	mostAttempts = 4
+	callWait     = 30 * time.Second
+	mostResume   = 6
+	// mostPatience is how much later a client still comes back.
 	mostPatience = 40 * time.Second
 )
 
-func (c *callers) front() string { return c.plan.Fronts[rand.Intn(len(c.plan.Fronts))] }
+func (c *clients) front() string { return c.plan.Fronts[rand.Intn(len(c.plan.Fronts))] }
 
-func (c *callers) note(line Line, came, tried time.Time) {
-	line.ShotMs = time.Since(tried).Milliseconds()
+func (c *clients) note(line Line, came, tried time.Time) {
+	line.AttemptMs = time.Since(tried).Milliseconds()
 	line.TimeMs, line.TookMs = time.Now().UnixMilli(), time.Since(came).Milliseconds()
 	c.lines <- line
 }
 
 // book makes a booking or a check. It is repeated under the same key where the
 // answer says that it did not run or may not have.
-func (c *callers) book(calls *Calls, key string) {
-	for shot := 1; shot <= mostShots; shot++ {
+func (c *clients) book(calls *Calls, key string) {
+	for attempt := 1; attempt <= mostAttempts; attempt++ {
 		came := time.Now()
-		line := Line{Event: "book", Path: calls.Path, Key: key, Tag: fmt.Sprintf("%s#%d", key, shot), Front: c.front(), Shot: shot}
+		line := Line{Event: "book", Path: calls.Path, Key: key, Tag: fmt.Sprintf("%s#%d", key, attempt), Front: c.front(), Attempt: attempt}
 		wait := c.bookOnce(&line)
 		c.note(line, came, came)
 		if line.Whole || line.Bad != "" || wait <= 0 || (c.plan.Careful && line.Ran != string(protocol.RanNo)) {
@@ -47,7 +47,7 @@
 	}
 }
 
-func (c *callers) bookOnce(line *Line) time.Duration {
+func (c *clients) bookOnce(line *Line) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), callWait)
 	defer cancel()
 	body, _ := json.Marshal(map[string]string{"tag": line.Tag})
@@ -59,7 +59,7 @@
 	request.GetBody = nil
 	request.Close = true
 	request.Header.Set(protocol.HeaderKey, line.Key)
-	request.Header.Set(protocol.HeaderShot, strconv.Itoa(line.Shot))
+	request.Header.Set(protocol.HeaderAttempt, strconv.Itoa(line.Attempt))
 	answer, err := c.client.Do(request)
 	if err != nil {
 		line.Why, line.Ran = err.Error(), "unknown"
@@ -118,7 +118,7 @@
 }
 
 // stream asks for pieces, checks each, and goes on with a broken run.
-func (c *callers) stream(calls *Calls, tag string) {
+func (c *clients) stream(calls *Calls, tag string) {
 	skew := rand.Float64()
 	if calls.Cold {
 		skew = 1
@@ -129,15 +129,15 @@
 	run, next, sent := "", int64(0), ""
 	came := time.Now()
 	first := int64(0)
-	for shot := 1; shot <= mostResume; shot++ {
+	for attempt := 1; attempt <= mostResume; attempt++ {
 		if run == "" {
 			// Each new run has its own tag, so that each promise can be checked.
-			sent = fmt.Sprintf("%s#%d", tag, shot)
+			sent = fmt.Sprintf("%s#%d", tag, attempt)
 			body, _ = json.Marshal(map[string]any{"model": item[0], "adapter": item[1], "tag": sent, "pieces": calls.Pieces, "prompt": prompt})
 		}
-		line := Line{Event: "stream", Path: calls.Path, Tag: sent, Front: c.front(), Shot: shot}
+		line := Line{Event: "stream", Path: calls.Path, Tag: sent, Front: c.front(), Attempt: attempt}
 		if run != "" {
-			line.Tag = fmt.Sprintf("%s/%d", sent, shot)
+			line.Tag = fmt.Sprintf("%s/%d", sent, attempt)
 		}
 		tried := time.Now()
 		wait := c.streamOnce(&line, body, sent, &run, &next, calls.Pieces)
@@ -163,7 +163,7 @@
 	Next   int64  `json:"next"`
 }
 
-func (c *callers) streamOnce(line *Line, body []byte, tag string, run *string, next *int64, want int64) time.Duration {
+func (c *clients) streamOnce(line *Line, body []byte, tag string, run *string, next *int64, want int64) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), callWait)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+line.Front+line.Path, bytes.NewReader(body))
@@ -206,7 +206,7 @@
 }
 
 // onePiece checks a line of a stream; true says that it was the last.
-func (c *callers) onePiece(line *Line, one *told, tag string, run *string, next *int64, want int64) bool {
+func (c *clients) onePiece(line *Line, one *told, tag string, run *string, next *int64, want int64) bool {
 	if *run == "" {
 		*run = one.Run
 	}
--- a/coordination/partition/partition.go
+++ b/coordination/partition/partition.go
@@ -35,7 +35,7 @@
 	Post = wire.Post
 	// Want says that a front holds requests for an item.
 	Want = wire.Want
-	// Tally is what a front's callers ask for, for View.Demands.
+	// Tally is what a front's clients ask for, for View.Demands.
 	Tally = wire.Tally
 	// Demand is one item's part of a tally.
 	Demand = wire.Demand
@@ -76,8 +76,8 @@
 // ParsePolicy reads an operator's policy, or lists all that is wrong with it.
 //
 //	table, faults := partition.ParsePolicy(body, 7)
-func ParsePolicy(body []byte, mark int64) (*Policy, Faults) {
-	table, faults, _ := configuration.Parse(body, mark)
+func ParsePolicy(body []byte, version int64) (*Policy, Faults) {
+	table, faults, _ := configuration.Parse(body, version)
 	return table, faults
 }
 
--- a/coordination/register/example_test.go
+++ b/coordination/register/example_test.go
@@ -7,11 +7,11 @@
 	"applequay/coordination/register"
 )
 
-// carry takes letters to three acceptors and their answers back, at once.
+// carry takes messages to three acceptors and their answers back, at once.
 func carry(acceptors map[string]*register.Acceptor, proposer *register.Proposer, out register.Outputs) {
 	for _, answer := range out.Answers {
 		outcome := answer.Body.(register.Outcome)
-		fmt.Printf("call %d: fate %d mark %d %q\n", answer.Call, outcome.Fate, outcome.Value.Mark, outcome.Value.Body)
+		fmt.Printf("call %d: fate %d mark %d %q\n", answer.Call, outcome.Fate, outcome.Value.Version, outcome.Value.Body)
 	}
 	for _, send := range out.Sends {
 		for _, back := range acceptors[send.To].Hear("me", send.Body).Then {
@@ -20,13 +20,13 @@
 	}
 }
 
-// Three copies, two writes that expect the same mark, and a read.
+// Three copies, two writes that expect the same version, and a read.
 func Example() {
 	acceptors := map[string]*register.Acceptor{}
-	core := register.CoreSet{Epoch: 1, Swept: true}
+	core := register.CoreSet{Epoch: 1, Rereplicated: true}
 	for _, id := range []string{"a", "b", "c"} {
 		acceptors[id] = register.NewAcceptor()
-		core.Seats = append(core.Seats, register.Seat{ID: id})
+		core.Voters = append(core.Voters, register.Voter{ID: id})
 	}
 	limits := register.Limits{CallMs: 1600, PhaseMs: 400, LineageLen: 16}
 	proposer := register.NewProposer("me/1", rand.New(rand.NewSource(1)), limits, core)
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -1,4 +1,4 @@
-// Package configuration reads operators' configurations and keeps what one mark of
+// Package configuration reads operators' configurations and keeps what one version of
 // them says. A Table is never changed once made.
 package configuration
 
@@ -69,7 +69,7 @@
 	Weight  int64
 }
 
-// Limits bound what callers may send and how long they may take.
+// Limits bound what clients may send and how long they may take.
 type Limits struct {
 	HeaderBytes, BodyBytes, HeaderMs, IdleMs int64
 }
@@ -106,7 +106,7 @@
 	TargetMs, PauseMs, Rank int64
 	// Sticky requests come in sessions that gain by going to the same worker.
 	Sticky bool
-	// PatienceMs is after how long a silence callers give up; nought: not said.
+	// PatienceMs is after how long a silence clients give up; nought: not said.
 	PatienceMs int64
 }
 
@@ -121,9 +121,9 @@
 	Weights map[string]int64
 }
 
-// Table is one mark of the policy.
+// Table is one version of the policy.
 type Table struct {
-	Mark     int64
+	Version  int64
 	Kinds    map[string]Kind
 	Items    map[string]Item
 	Store    Store
--- a/internal/configuration/rollout.go
+++ b/internal/configuration/rollout.go
@@ -38,7 +38,7 @@
 	if next := r.take("next", true); next != nil {
 		var faults Faults
 		inner := &parse{table: Empty(), faults: &faults}
-		inner.table.Mark = p.table.Mark
+		inner.table.Version = p.table.Version
 		inner.read(next)
 		if inner.table.Rollout != nil {
 			faults = append(faults, Fault{Path: "rollout", Said: "must not stand in another"})
@@ -72,7 +72,7 @@
 		return t
 	}
 	next, out := t.Rollout.Next, Empty()
-	out.Mark, out.Kinds, out.Services, out.Routes, out.Limits, out.Rollout = t.Mark, t.Kinds, t.Services, t.Routes, t.Limits, t.Rollout
+	out.Version, out.Kinds, out.Services, out.Routes, out.Limits, out.Rollout = t.Version, t.Kinds, t.Services, t.Routes, t.Limits, t.Rollout
 	out.Store = Store{MbPerS: min(t.Store.MbPerS, next.Store.MbPerS), Turns: min(t.Store.Turns, next.Store.Turns), LoadsPer1000S: lower(t.Store.LoadsPer1000S, next.Store.LoadsPer1000S)}
 	for _, table := range []*Table{t, next} {
 		for name, item := range table.Items {
@@ -152,7 +152,7 @@
 // Halt makes the body of a roll-out that was stopped: all fronts go by the old
 // policy again, and the next one is kept to be looked at.
 //
-//	body, err := configuration.Halt(current, "shots break off")
+//	body, err := configuration.Halt(current, "attempts break off")
 func Halt(current []byte, why string) ([]byte, error) { return edit(current, "halted", why) }
 
 func edit(current []byte, field string, value any) ([]byte, error) {
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -8,16 +8,16 @@
 	"applequay/internal/transport/wire"
 )
 
-// newestFact tells the others the newest policy mark that this node has heard
+// newestFact tells the others the newest policy version that this node has heard
 // of, be it here or not.
 const newestFact = "newest"
 
 // firstCall is the read with which a front begins; operators' calls are above nought.
 const firstCall = -1
 
-// noteNewest gathers the newest policy mark known to anyone, also to those that
+// noteNewest gathers the newest policy version known to anyone, also to those that
 // went: a front that comes back must not fall behind what it went by before.
-func (l *Line) noteNewest() {
+func (l *Agent) noteNewest() {
 	if version := l.members.Version(); version == l.newestOf {
 		return
 	}
@@ -29,17 +29,17 @@
 		}
 	}
 	// What this front goes by itself is told anyway.
-	if l.newest > l.marks[controller.PolicyKey] {
+	if l.newest > l.versions[controller.PolicyKey] {
 		l.members.Set(newestFact, strconv.FormatInt(l.newest, 10))
 	}
 	l.newestOf = l.members.Version()
 }
 
-// begin makes sure, after a start, of the policy that callers get first: one
+// begin makes sure, after a start, of the policy that clients get first: one
 // read at a majority, or, where the core cannot be reached, none older than any
 // that the other fronts have heard of.
-func (l *Line) begin(now int64, out *wire.Outputs) {
-	if l.fedMark == 0 || l.due(now, "newest", l.boot.ProbeMs) {
+func (l *Agent) begin(now int64, out *wire.Outputs) {
+	if l.fedVersion == 0 || l.due(now, "newest", l.boot.ProbeMs) {
 		l.noteNewest()
 	}
 	if l.begun || l.proposer.Core().Epoch == 0 || !l.due(now, "first", l.boot.ProbeMs/2) {
@@ -47,7 +47,7 @@
 	}
 	// The core may have just started too: it is asked again soon, and the first
 	// answer counts. That there is none is known when the first question ends.
-	standing := l.members.Majority(l.proposer.Core().Seats)
+	standing := l.members.Majority(l.proposer.Core().Voters)
 	if l.beginning && !standing {
 		return
 	}
@@ -60,7 +60,7 @@
 }
 
 // settleFirst takes the outcome of the first read out of what is to be answered.
-func (l *Line) settleFirst(out wire.Outputs) wire.Outputs {
+func (l *Agent) settleFirst(out wire.Outputs) wire.Outputs {
 	answers := out.Answers
 	out.Answers = nil
 	for _, answer := range answers {
@@ -74,7 +74,7 @@
 		}
 		l.begun = true
 		if outcome.Fate == register.FateDone && outcome.Has {
-			l.take(wire.Topic{Name: controller.PolicyKey, Step: outcome.Value.Mark, Body: outcome.Value.Body})
+			l.take(wire.Topic{Name: controller.PolicyKey, Step: outcome.Value.Version, Body: outcome.Value.Body})
 		}
 		l.feed(&out)
 	}
@@ -82,9 +82,9 @@
 }
 
 // withheld tells whether the proxy is not to get the policy kept here: it
-// might be older than the one that callers here were served by before.
-func (l *Line) withheld(topic wire.Topic) bool {
-	if topic.Name != controller.PolicyKey || l.fedMark > 0 {
+// might be older than the one that clients here were served by before.
+func (l *Agent) withheld(topic wire.Topic) bool {
+	if topic.Name != controller.PolicyKey || l.fedVersion > 0 {
 		return false
 	}
 	return !l.begun || topic.Step < l.newest
@@ -92,7 +92,7 @@
 
 // fed is what of some topics the proxy may get now; what is withheld
 // stays on the board, and goes with a later feed.
-func (l *Line) fed(topics []wire.Topic) []wire.Topic {
+func (l *Agent) fed(topics []wire.Topic) []wire.Topic {
 	var out []wire.Topic
 	for _, topic := range topics {
 		if l.withheld(topic) {
@@ -100,7 +100,7 @@
 			continue
 		}
 		if topic.Name == controller.PolicyKey {
-			l.fedMark = max(l.fedMark, topic.Step)
+			l.fedVersion = max(l.fedVersion, topic.Step)
 		}
 		out = append(out, topic)
 	}
--- a/internal/controlplane/agent/first_test.go
+++ b/internal/controlplane/agent/first_test.go
@@ -16,43 +16,43 @@
 // that it may have gone by before.
 func TestFirstPolicy(t *testing.T) {
 	c := qt.New(t)
-	news := func(mark int64) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs {
-			return l.Hear(10, "l2~b", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: mark, Body: []byte("{}")}}})
+	news := func(version int64) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs {
+			return l.Hear(10, "l2~b", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: version, Body: []byte("{}")}}})
 		}
 	}
-	read := func(fate register.Fate, mark int64) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs {
-			return l.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: mark > 0, Value: wire.Value{Mark: mark, Body: []byte("{}")}}}}})
+	read := func(fate register.Fate, version int64) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs {
+			return l.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: version > 0, Value: wire.Value{Version: version, Body: []byte("{}")}}}}})
 		}
 	}
-	heard := func(mark int) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs {
-			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "agent", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(mark)}}}})
+	heard := func(version int) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs {
+			l.Hear(10, "l2~b", &wire.Probe{Members: []wire.Member{{ID: "l2~b", Role: "agent", Addr: "10.0.1.2:1", Born: 5, Fact: map[string]string{newestFact: strconv.Itoa(version)}}}})
 			return l.Tick(11, 11)
 		}
 	}
-	subscribe := func(from string) func(*Line) wire.Outputs {
-		return func(l *Line) wire.Outputs { return l.Hear(10, from, &wire.Subscribe{}) }
+	subscribe := func(from string) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs { return l.Hear(10, from, &wire.Subscribe{}) }
 	}
 	cases := []struct {
 		name  string
-		steps []func(*Line) wire.Outputs
+		steps []func(*Agent) wire.Outputs
 		fed   []int64
 	}{
-		{"nothing before the first read", []func(*Line) wire.Outputs{news(4), subscribe("s1~x")}, nil},
-		{"what the read found", []func(*Line) wire.Outputs{read(register.FateDone, 5)}, []int64{5}},
-		{"older news after it", []func(*Line) wire.Outputs{read(register.FateDone, 5), news(4)}, []int64{5}},
-		{"no core, and the peers have the newest", []func(*Line) wire.Outputs{heard(4), news(4), read(register.FateNone, 0)}, []int64{4}},
-		{"no core, and somebody has heard of a newer one", []func(*Line) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), subscribe("s1~x")}, nil},
-		{"and then it comes", []func(*Line) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), news(5)}, []int64{5}},
-		{"a front that has begun goes on with what it has", []func(*Line) wire.Outputs{read(register.FateDone, 4), heard(6), news(5)}, []int64{4, 5}},
-		{"peers get all there is", []func(*Line) wire.Outputs{heard(5), news(4), subscribe("l2~b")}, []int64{4}},
+		{"nothing before the first read", []func(*Agent) wire.Outputs{news(4), subscribe("s1~x")}, nil},
+		{"what the read found", []func(*Agent) wire.Outputs{read(register.FateDone, 5)}, []int64{5}},
+		{"older news after it", []func(*Agent) wire.Outputs{read(register.FateDone, 5), news(4)}, []int64{5}},
+		{"no core, and the peers have the newest", []func(*Agent) wire.Outputs{heard(4), news(4), read(register.FateNone, 0)}, []int64{4}},
+		{"no core, and somebody has heard of a newer one", []func(*Agent) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), subscribe("s1~x")}, nil},
+		{"and then it comes", []func(*Agent) wire.Outputs{heard(5), news(4), read(register.FateNone, 0), news(5)}, []int64{5}},
+		{"a front that has begun goes on with what it has", []func(*Agent) wire.Outputs{read(register.FateDone, 4), heard(6), news(5)}, []int64{4, 5}},
+		{"peers get all there is", []func(*Agent) wire.Outputs{heard(5), news(4), subscribe("l2~b")}, []int64{4}},
 	}
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
-			line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+			line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 			var fed []int64
 			for _, step := range one.steps {
 				for _, send := range step(line).Sends {
@@ -77,7 +77,7 @@
 func TestFirstPolicyIsAskedForAgain(t *testing.T) {
 	c := qt.New(t)
 	line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
-	line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+	line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 	asked := func(from, to int64) (queries int) {
 		for now := from; now < to; now += 25 {
 			for _, send := range line.Tick(now, now).Sends {
@@ -91,10 +91,10 @@
 	c.Check(asked(25, 325) >= 3, qt.IsTrue)
 	c.Check(line.begun, qt.IsFalse)
 	answer := func(fate register.Fate) {
-		line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: fate == register.FateDone, Value: wire.Value{Mark: 5, Body: []byte("{}")}}}}})
+		line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: fate == register.FateDone, Value: wire.Value{Version: 5, Body: []byte("{}")}}}}})
 	}
 	answer(register.FateDone)
 	answer(register.FateNone)
 	c.Check(line.begun, qt.IsTrue)
-	c.Check(line.fedMark, qt.Equals, int64(5))
+	c.Check(line.fedVersion, qt.Equals, int64(5))
 }
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -17,7 +17,7 @@
 
 // rested is a front among others, long after its start, with nothing under way; a
 // controller told it of a policy. It is its zone's home of control and of a pool.
-func rested(fronts int) *Line {
+func rested(fronts int) *Agent {
 	var self string
 	for at := 0; ; at++ {
 		self = fmt.Sprintf("l1~a%d", at)
@@ -30,13 +30,13 @@
 		}
 	}
 	line := New(1, Boot{ID: self, Name: "l1", Addr: "10.0.1.1:1", Zone: "z", Proxy: proxyAddr, LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
-	line.proposer.Learn(wire.CoreSet{Epoch: 1, Seats: []wire.Seat{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
+	line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
 	members := []wire.Member{{ID: "c1~z", Role: "controller", Addr: "10.0.0.1:1", Born: 5}}
 	for i := range fronts - 1 {
 		members = append(members, wire.Member{ID: fmt.Sprintf("l%d~b", i+2), Role: "agent", Zone: "z", Addr: fmt.Sprintf("10.0.1.%d:1", i+2), Born: 5})
 	}
 	line.Hear(2, "c1~z", &wire.ProbeAck{Members: members})
-	line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: register.FateDone, Has: true, Value: wire.Value{Mark: 5, Body: []byte("{}")}}}}})
+	line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: register.FateDone, Has: true, Value: wire.Value{Version: 5, Body: []byte("{}")}}}}})
 	for now := int64(50); now <= 5000; now += 50 {
 		line.answerAll(now, line.Tick(now, now))
 	}
@@ -44,7 +44,7 @@
 }
 
 // answerAll lets all who are probed answer.
-func (l *Line) answerAll(now int64, out wire.Outputs) {
+func (l *Agent) answerAll(now int64, out wire.Outputs) {
 	for _, send := range out.Sends {
 		if probe, is := send.Body.(*wire.Probe); is {
 			l.Hear(now, send.To, &wire.ProbeAck{Seq: probe.Seq})
@@ -54,19 +54,19 @@
 
 // An agent rests until its next probe, unless something is under way.
 func TestRests(t *testing.T) {
-	homes := func(mark int64) wire.Record {
-		return &wire.News{Topics: []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: mark}}}
+	homes := func(version int64) wire.Record {
+		return &wire.News{Topics: []wire.Topic{{Name: "homes/llm/w1", Term: 1, Step: version}}}
 	}
 	cases := []struct {
 		name  string
-		then  func(l *Line, now int64)
+		then  func(l *Agent, now int64)
 		rests bool
 	}{
-		{"nothing happens", func(*Line, int64) {}, true},
-		{"the first news goes on at once", func(l *Line, now int64) { l.Hear(now, "c1~z", homes(1)) }, true},
-		{"the second soon after it waits", func(l *Line, now int64) { l.Hear(now, "c1~z", homes(1)); l.Hear(now+1, "c1~z", homes(2)) }, false},
-		{"an operator's call", func(l *Line, now int64) { l.Change(now, 1, register.Write{Key: controller.PolicyKey}) }, false},
-		{"a key asked for", func(l *Line, now int64) { l.Hear(now, "s1~x", &wire.TicketWish{Op: 1, Key: "k"}) }, false},
+		{"nothing happens", func(*Agent, int64) {}, true},
+		{"the first news goes on at once", func(l *Agent, now int64) { l.Hear(now, "c1~z", homes(1)) }, true},
+		{"the second soon after it waits", func(l *Agent, now int64) { l.Hear(now, "c1~z", homes(1)); l.Hear(now+1, "c1~z", homes(2)) }, false},
+		{"an operator's call", func(l *Agent, now int64) { l.Change(now, 1, register.Write{Key: controller.PolicyKey}) }, false},
+		{"a key asked for", func(l *Agent, now int64) { l.Hear(now, "s1~x", &wire.TicketWish{Op: 1, Key: "k"}) }, false},
 	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
@@ -168,11 +168,11 @@
 	line := rested(4)
 	told := map[string]bool{}
 	now := int64(5010)
-	for mark := int64(1); mark <= 20; mark++ {
+	for version := int64(1); version <= 20; version++ {
 		now += 100
-		line.Hear(now, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.DirectoryKey, Step: mark, Body: wire.Encode(&wire.WorkerList{})}}})
+		line.Hear(now, "c1~z", &wire.News{Topics: []wire.Topic{{Name: controller.DirectoryKey, Step: version, Body: wire.Encode(&wire.WorkerList{})}}})
 		line.answerAll(now, line.Tick(now, now))
-		if mark == 1 {
+		if version == 1 {
 			c.Check(line.self().Fact[listFact], qt.Equals, "1@0")
 		}
 		told[line.self().Fact[listFact]] = true
@@ -185,7 +185,7 @@
 	c.Check(line.self().Fact[listFact], qt.Matches, "20@.*")
 }
 
-func (l *Line) self() wire.Member {
+func (l *Agent) self() wire.Member {
 	for _, member := range l.members.All() {
 		if member.ID == l.boot.ID {
 			return member
--- a/internal/controlplane/agent/tickets.go
+++ b/internal/controlplane/agent/tickets.go
@@ -16,7 +16,7 @@
 	sinceMs int64
 	saidMs  int64
 	fromMs  int64 // since when it may have gone elsewhere
-	mark    int64
+	version int64
 	silent  map[string]bool
 	others  []string
 	lost    map[string]bool
@@ -31,19 +31,19 @@
 const witnesses = 2
 
 // wished begins to ask the other fronts about a key.
-func (l *Line) wished(now int64, out *wire.Outputs, wish *wire.TicketWish) {
+func (l *Agent) wished(now int64, out *wire.Outputs, wish *wire.TicketWish) {
 	if _, already := l.asking[wish.Op]; already {
 		return
 	}
 	asked := &asking{wish: wish, sinceMs: now, retryMs: l.boot.KeyMs, silent: map[string]bool{}, lost: map[string]bool{}}
 	for _, roster := range l.rosters {
-		if roster.Mark > l.settled && slices.Contains(wish.Marks, roster.Mark) {
-			if asked.mark = max(asked.mark, roster.Mark); asked.fromMs == 0 || roster.FromMs < asked.fromMs {
+		if roster.Version > l.settled && slices.Contains(wish.Versions, roster.Version) {
+			if asked.version = max(asked.version, roster.Version); asked.fromMs == 0 || roster.FromMs < asked.fromMs {
 				asked.fromMs = roster.FromMs
 			}
 		}
 	}
-	if asked.mark > 0 {
+	if asked.version > 0 {
 		// What was sent longer ago may not be repeated any more.
 		asked.fromMs = max(asked.fromMs, l.members.Wall(now)-l.boot.KeyMs)
 	}
@@ -58,7 +58,7 @@
 	case len(asked.silent) == 0 && len(l.fronts) > 0 && now-lately < l.graceMs():
 		asked.retryMs = l.graceMs() - (now - lately)
 		l.tell(out, asked, "this front has lost sight of the others")
-	case len(asked.silent) == 0 && asked.mark > 0:
+	case len(asked.silent) == 0 && asked.version > 0:
 		l.tell(out, asked, l.verdict(now, asked))
 	case len(asked.silent) == 0:
 		l.noteBare(now, 0)
@@ -70,23 +70,23 @@
 }
 
 // need is how old a process must be to know what was since a moment.
-func (l *Line) need(now, fromMs int64) int64 { return l.members.Wall(now) - fromMs + l.boot.ProbeMs }
+func (l *Agent) need(now, fromMs int64) int64 { return l.members.Wall(now) - fromMs + l.boot.ProbeMs }
 
 // noteBare tells the others that this front sent a key that none of them knows.
-func (l *Line) noteBare(now, ageMs int64) {
+func (l *Agent) noteBare(now, ageMs int64) {
 	if at := l.members.Wall(now) - ageMs; at > l.bareAt+l.boot.LeaseMs {
 		l.bareAt = at
 		l.members.Set(bareFact, strconv.FormatInt(at+l.boot.LeaseMs, 10))
 	}
 }
 
-func (l *Line) tell(out *wire.Outputs, asked *asking, why string) {
+func (l *Agent) tell(out *wire.Outputs, asked *asking, why string) {
 	delete(l.asking, asked.wish.Op)
 	out.Send(l.boot.Proxy, wire.KindTicketDone, &wire.TicketDone{Op: asked.wish.Op, Ok: why == "", Others: asked.others, Why: why, RetryMs: asked.retryMs})
 }
 
 // askOn asks those who have not told yet, or some of them.
-func (l *Line) askOn(now int64, out *wire.Outputs, asked *asking) {
+func (l *Agent) askOn(now int64, out *wire.Outputs, asked *asking) {
 	asked.saidMs = now
 	ids := slices.Sorted(maps.Keys(asked.silent))
 	if asked.wish.Few {
@@ -94,18 +94,18 @@
 		ids = ids[:min(len(ids), witnesses)]
 	}
 	for _, id := range ids {
-		out.Send(id, wire.KindTicketAsk, &wire.TicketAsk{Op: asked.wish.Op, Asker: l.boot.ID, Key: asked.wish.Key, Server: asked.wish.Server, FromMs: asked.fromMs, Mark: asked.mark})
+		out.Send(id, wire.KindTicketAsk, &wire.TicketAsk{Op: asked.wish.Op, Asker: l.boot.ID, Key: asked.wish.Key, Server: asked.wish.Server, FromMs: asked.fromMs, Version: asked.version})
 	}
 }
 
 // toldTicket takes the word of a proxy. This front's own goes to the front
 // that asked, with what this agent knows of fronts that went; another's counts
 // here.
-func (l *Line) toldTicket(now int64, out *wire.Outputs, from string, told *wire.TicketTold) {
+func (l *Agent) toldTicket(now int64, out *wire.Outputs, from string, told *wire.TicketTold) {
 	if told.Asker != l.boot.ID {
 		l.sawBoard(now, from)
 		told.LineMs = now - l.startMs
-		told.Lost, told.Bad = l.judge(told.FromMs, told.Mark)
+		told.Lost, told.Bad = l.judge(told.FromMs, told.Version)
 		if l.boardAt >= told.FromMs {
 			told.Lost = append(told.Lost, l.boot.Name)
 			if l.bareAt >= told.FromMs {
@@ -137,7 +137,7 @@
 
 // sawBoard notes when another proxy is beside this agent than before:
 // the memory of the one before is lost.
-func (l *Line) sawBoard(now int64, id string) {
+func (l *Agent) sawBoard(now int64, id string) {
 	if l.boardID == id {
 		return
 	}
@@ -152,7 +152,7 @@
 // weigh takes what another front knows of memories that were lost. Fronts older
 // than what is in question judge those that went; a front that is younger and
 // had none before it lost nothing.
-func (l *Line) weigh(now int64, asked *asking, told *wire.TicketTold) {
+func (l *Agent) weigh(now int64, asked *asking, told *wire.TicketTold) {
 	needMs := l.need(now, asked.fromMs)
 	asked.judged = asked.judged || told.LineMs >= needMs
 	asked.bad = max(asked.bad, told.Bad)
@@ -164,8 +164,8 @@
 // verdict says why a doubtful key must be refused after all others have told.
 // Each key was known to one front more than the one that sent it, so one that
 // lost its memory is made up for by the others.
-func (l *Line) verdict(now int64, asked *asking) string {
-	if asked.mark == 0 {
+func (l *Agent) verdict(now int64, asked *asking) string {
+	if asked.version == 0 {
 		return ""
 	}
 	needMs := l.need(now, asked.fromMs)
@@ -176,7 +176,7 @@
 		}
 	}
 	if now-l.startMs >= needMs {
-		lost, bad := l.judge(asked.fromMs, asked.mark)
+		lost, bad := l.judge(asked.fromMs, asked.version)
 		asked.judged, asked.bad = true, max(asked.bad, bad)
 		for _, name := range lost {
 			asked.lost[name] = true
@@ -193,9 +193,9 @@
 	return ""
 }
 
-// ticketsTick asks again where letters were lost, and drops what the
+// ticketsTick asks again where messages were lost, and drops what the
 // proxy has given up.
-func (l *Line) ticketsTick(now int64, out *wire.Outputs) {
+func (l *Agent) ticketsTick(now int64, out *wire.Outputs) {
 	for _, op := range slices.Sorted(maps.Keys(l.asking)) {
 		asked := l.asking[op]
 		if now-asked.sinceMs > l.boot.LeaseMs {
--- a/internal/controlplane/controller/confirm.go
+++ b/internal/controlplane/controller/confirm.go
@@ -17,13 +17,13 @@
 }
 
 // confirmTick reads the policy once for all who wait.
-func (f *Frame) confirmTick(now int64, out *wire.Outputs) {
+func (f *Controller) confirmTick(now int64, out *wire.Outputs) {
 	if f.confirming.asking || len(f.confirming.waits) == 0 {
 		return
 	}
 	waits := f.confirming.waits
 	f.confirming.waits = nil
-	if !f.members.Majority(f.proposer.Core().Seats) {
+	if !f.members.Majority(f.proposer.Core().Voters) {
 		return
 	}
 	slices.Sort(waits)
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -45,58 +45,58 @@
 	Form configuration.Form
 }
 
-// Frame is the control state of one controller.
-type Frame struct {
+// Controller is the control state of one controller.
+type Controller struct {
 	boot     Boot
 	random   *rand.Rand
 	acceptor *register.Acceptor
 	proposer *register.Proposer
 	// core is the newest core set that this machine took up.
-	core       wire.CoreSet
-	granter    *lease.Granter
-	holder     *lease.Holder
-	members    *membership.Members
-	board      *distribution.Board
-	view       *partition.View
-	kept       map[int64]*wire.PartitionState
-	owned      map[int64]*partition.Partition
-	marks      map[string]int64
-	calls      map[int64]func(now int64, outcome register.Outcome) wire.Outputs
-	nextCall   int64
-	founding   founding
-	steward    steward
-	confirming confirming
-	timers     map[string]int64
-	unheld     map[int64]int64
-	took       map[int64]bool
-	handed     map[int64]*wire.PartitionState
-	moving     map[int64]*handing
-	promised   map[int64]promise
-	recalled   recalled
-	Moves      int64
-	listed     wire.WorkerList
-	listCalls  int64 // calls of the last whole read of the worker list
-	unbelieved string
-	rolling    *rolling
-	leavers    map[string]bool
-	leaving    bool
-	outSince   int64 // the first set in which this node has no seat any more
-	stalled    bool
-	events     int64
-	StartedMs  int64
-	coreMark   int64
-	swept      int
-	Recoveries int64
+	core         wire.CoreSet
+	grantor      *lease.Grantor
+	holder       *lease.Holder
+	members      *membership.Members
+	board        *distribution.Board
+	view         *partition.View
+	kept         map[int64]*wire.PartitionState
+	owned        map[int64]*partition.Partition
+	versions     map[string]int64
+	calls        map[int64]func(now int64, outcome register.Outcome) wire.Outputs
+	nextCall     int64
+	founding     founding
+	coordinator  coordinator
+	confirming   confirming
+	timers       map[string]int64
+	unheld       map[int64]int64
+	took         map[int64]bool
+	handed       map[int64]*wire.PartitionState
+	moving       map[int64]*handing
+	promised     map[int64]promise
+	recalled     recalled
+	Moves        int64
+	listed       wire.WorkerList
+	listCalls    int64 // calls of the last whole read of the worker list
+	unbelieved   string
+	rolling      *rolling
+	leavers      map[string]bool
+	leaving      bool
+	outSince     int64 // the first set in which this node has no vote any more
+	stalled      bool
+	events       int64
+	StartedMs    int64
+	coreVersion  int64
+	rereplicated int
+	Recoveries   int64
 }
 
 // New makes the control state from what the journal held.
 //
 //	core := controller.New(now, boot, random, snapshot, writes)
-func New(now int64, boot Boot, random *rand.Rand, snapshot *wire.Snapshot, writes []wire.Write) *Frame {
+func New(now int64, boot Boot, random *rand.Rand, snapshot *wire.Snapshot, writes []wire.Write) *Controller {
 	// Turns of two owners are a lease apart by what partitions wait; the grants
 	// themselves may be shorter, so that a dead owner's end soon.
-	grants := lease.LimitsFor(boot.LeaseMs / 2)
-	grants.RenewMs = boot.LeaseMs / 8
+	leaseLimits := lease.LimitsFor(boot.LeaseMs / 2)
+	leaseLimits.RenewMs = boot.LeaseMs / 8
 	if boot.Form == nil {
 		boot.Form = configuration.Native
 	}
@@ -104,19 +104,19 @@
 		boot.CatchUpMs = 4000
 	}
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "controller", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
-	f := &Frame{
+	f := &Controller{
 		boot: boot, random: random, StartedMs: now,
 		acceptor: register.NewAcceptor(),
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, RepairMs: boot.CatchUpMs, PhaseMs: boot.CallMs / 4, LineageLen: LineageLen}),
-		granter:  lease.NewGranter(grants, now),
-		holder:   lease.NewHolder(grants),
+		grantor:  lease.NewGrantor(leaseLimits, now),
+		holder:   lease.NewHolder(leaseLimits),
 		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs), random, boot.Seeds),
 		board:    distribution.NewBoard(),
 		view:     &partition.View{Policy: configuration.Empty(), Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Owners: map[int64]wire.Owner{}, Count: boot.Partitions},
-		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, marks: map[string]int64{},
+		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, versions: map[string]int64{},
 		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
 		handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
-		founding: newFounding(), steward: steward{failed: map[string]int64{}, heard: map[string]int64{}},
+		founding: newFounding(), coordinator: coordinator{failed: map[string]int64{}, heard: map[string]int64{}},
 	}
 	f.holder.NumberFrom(random.Int63n(numbers))
 	f.replay(snapshot, writes)
@@ -129,7 +129,7 @@
 	return f
 }
 
-func (f *Frame) accepted(key string) []byte {
+func (f *Controller) accepted(key string) []byte {
 	_, value := f.acceptor.Accepted(key)
 	return value
 }
@@ -137,17 +137,17 @@
 // Hear takes a message from another process, or what a worker showed.
 //
 //	out := core.Hear(now, "c2~51", body)
-func (f *Frame) Hear(now int64, from string, body wire.Record) wire.Outputs {
+func (f *Controller) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
-	if seatOf(f.proposer.Core().Seats, from) {
-		f.steward.heard[from] = now
+	if voterOf(f.proposer.Core().Voters, from) {
+		f.coordinator.heard[from] = now
 	}
 	switch told := body.(type) {
 	case *wire.Prepare, *wire.Accept, *wire.Query, *wire.KeysAsk:
 		switch {
 		case epochOf(body) > f.proposer.Core().Epoch:
 			f.askSet(&out, from)
-		case f.seated():
+		case f.admitted():
 			out = f.acceptor.Hear(from, body)
 		}
 		// A round that is turned away, perhaps of one who hears nobody, holds nobody up.
@@ -158,7 +158,7 @@
 		out = f.proposer.Hear(now, from, body)
 		f.noticeCore(now, &out)
 	case *wire.WriteAsk:
-		if f.seated() && !f.proposer.Knows(told.Key, told.Name) {
+		if f.admitted() && !f.proposer.Knows(told.Key, told.Name) {
 			asked := f.then(func(int64, register.Outcome) wire.Outputs { return wire.Outputs{} })
 			out = f.proposer.Change(now, asked, told.Key, told.Expected, told.Next, told.Body, told.Name)
 		}
@@ -169,11 +169,11 @@
 	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
 		out = f.members.Hear(now, from, body)
 	case *wire.GrantAsk:
-		out = f.grantAsked(now, from, told)
+		out = f.leaseRequested(now, from, told)
 	case *wire.GrantTold:
-		f.moves(now, &out, f.holder.Told(now, from, told, f.proposer.Core().Seats))
+		f.moves(now, &out, f.holder.Told(now, from, told, f.proposer.Core().Voters))
 	case *wire.GrantBack:
-		f.granter.Back(now, from, told)
+		f.grantor.Back(now, from, told)
 	case *wire.Post:
 		if owned := f.mine(now, told.Partition); owned != nil {
 			out = owned.Post(now, from, told)
@@ -199,7 +199,7 @@
 }
 
 // settle runs the continuations of calls that this machine made to itself.
-func (f *Frame) settle(now int64, out wire.Outputs) wire.Outputs {
+func (f *Controller) settle(now int64, out wire.Outputs) wire.Outputs {
 	for again := true; again; {
 		again = false
 		rest := out.Answers[:0:0]
@@ -221,13 +221,13 @@
 }
 
 // then notes what to do with a call's outcome; such calls have negative numbers.
-func (f *Frame) then(next func(now int64, outcome register.Outcome) wire.Outputs) int64 {
+func (f *Controller) then(next func(now int64, outcome register.Outcome) wire.Outputs) int64 {
 	f.nextCall--
 	f.calls[f.nextCall] = next
 	return f.nextCall
 }
 
-func (f *Frame) acked(now int64, ack *wire.PostAck) wire.Outputs {
+func (f *Controller) acked(now int64, ack *wire.PostAck) wire.Outputs {
 	var out wire.Outputs
 	var number int64
 	if _, err := fmt.Sscanf(ack.Sender, "p%d", &number); err == nil {
@@ -239,7 +239,7 @@
 }
 
 // mine returns a partition if a turn may be taken on it now.
-func (f *Frame) mine(now, number int64) *partition.Partition {
+func (f *Controller) mine(now, number int64) *partition.Partition {
 	if _, ok := f.holder.Mine(now, number); !ok {
 		return nil
 	}
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -21,7 +21,7 @@
 // been founded before, as far as this node was told at its start. The seeds of
 // the very first start last on disk, for a node that starts again before all
 // were found.
-func (f *Frame) founders() []string {
+func (f *Controller) founders() []string {
 	if len(f.boot.Core) > 0 {
 		return f.boot.Core
 	}
@@ -32,7 +32,7 @@
 }
 
 // noteFounders keeps the seeds of the very first start.
-func (f *Frame) noteFounders(out *wire.Outputs) {
+func (f *Controller) noteFounders(out *wire.Outputs) {
 	if f.boot.Bootstrap && len(f.boot.Core) == 0 && slices.Contains(f.boot.Seeds, f.boot.Addr) && len(f.acceptor.Founders()) == 0 {
 		out.Add(f.acceptor.Found(f.boot.Seeds))
 	}
@@ -40,14 +40,14 @@
 
 func newFounding() founding { return founding{told: map[string]wire.FoundTold{}} }
 
-func (f *Frame) founded() bool { return len(f.accepted(register.CoreKey)) > 0 }
+func (f *Controller) founded() bool { return len(f.accepted(register.CoreKey)) > 0 }
 
-func (f *Frame) seat() wire.Seat {
-	return wire.Seat{ID: f.boot.ID, Name: f.boot.Name, Addr: f.boot.Addr}
+func (f *Controller) voter() wire.Voter {
+	return wire.Voter{ID: f.boot.ID, Name: f.boot.Name, Addr: f.boot.Addr}
 }
 
 // foundTick asks the others as long as this node has no core set.
-func (f *Frame) foundTick(now int64, out *wire.Outputs) {
+func (f *Controller) foundTick(now int64, out *wire.Outputs) {
 	if f.founded() || !f.due(now, "found", f.boot.ProbeMs) {
 		return
 	}
@@ -59,7 +59,7 @@
 	slices.Sort(addrs)
 	for _, addr := range slices.Compact(addrs) {
 		if addr != f.boot.Addr {
-			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Seat: f.seat()})
+			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: f.voter()})
 		}
 	}
 	if founders := f.founders(); len(founders) == 1 && founders[0] == f.boot.Addr {
@@ -67,20 +67,20 @@
 	}
 }
 
-func (f *Frame) foundHeard(now int64, from string, body wire.Record) wire.Outputs {
+func (f *Controller) foundHeard(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
 	switch told := body.(type) {
 	case *wire.FoundAsk:
-		if founders := f.founders(); len(founders) > 0 && told.Seat.Addr == slices.Min(founders) {
-			f.founding.bound = told.Seat.ID
+		if founders := f.founders(); len(founders) > 0 && told.Voter.Addr == slices.Min(founders) {
+			f.founding.bound = told.Voter.ID
 		}
-		out.After(from, wire.KindFoundTold, &wire.FoundTold{Seat: f.seat(), Founded: f.founded(), Core: f.chosenCore()})
+		out.After(from, wire.KindFoundTold, &wire.FoundTold{Voter: f.voter(), Founded: f.founded(), Core: f.chosenCore()})
 	case *wire.FoundTold:
 		if core, ok := register.ParseCore(told.Core); told.Founded && ok {
 			f.adopt(now, &out, core, told.Core)
 			return out
 		}
-		f.founding.told[told.Seat.Addr] = *told
+		f.founding.told[told.Voter.Addr] = *told
 		f.found(now, &out)
 	case *wire.Found:
 		if core, ok := register.ParseCore(told.Core); ok && f.founding.bound == told.By {
@@ -91,23 +91,23 @@
 }
 
 // chosenCore is the core set known to be chosen, as a register's value.
-func (f *Frame) chosenCore() []byte {
+func (f *Controller) chosenCore() []byte {
 	core, ok := f.acceptor.Core()
 	if !ok {
 		return nil
 	}
-	return wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	return wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 }
 
 // found proposes the first core set, once all answered; the machine with the
 // lowest address does it.
-func (f *Frame) found(now int64, out *wire.Outputs) {
+func (f *Controller) found(now int64, out *wire.Outputs) {
 	founders := f.founders()
 	if f.founded() || len(founders) == 0 || slices.Min(founders) != f.boot.Addr {
 		return
 	}
-	core := coreOf(1, []wire.Seat{f.seat()})
-	core.Swept = true
+	core := coreOf(1, []wire.Voter{f.voter()})
+	core.Rereplicated = true
 	for _, addr := range founders {
 		told, ok := f.founding.told[addr]
 		if addr == f.boot.Addr {
@@ -116,21 +116,21 @@
 		if !ok {
 			return
 		}
-		core.Seats = append(core.Seats, told.Seat)
+		core.Voters = append(core.Voters, told.Voter)
 	}
-	value := wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 	f.adopt(now, out, core, value)
-	for _, seat := range core.Seats {
-		if seat.ID != f.boot.ID {
-			out.After(seat.ID, wire.KindFound, &wire.Found{By: f.boot.ID, Core: value})
+	for _, voter := range core.Voters {
+		if voter.ID != f.boot.ID {
+			out.After(voter.ID, wire.KindFound, &wire.Found{By: f.boot.ID, Core: value})
 		}
 	}
 }
 
 // adopt takes a founding core set that names this identity. One that does not
-// only tells the proposer whom to ask: the stewards will let this node in.
-func (f *Frame) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte) {
-	if core.Epoch == 1 && seatOf(core.Seats, f.boot.ID) && !f.founded() {
+// only tells the proposer whom to ask: the coordinators will let this node in.
+func (f *Controller) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte) {
+	if core.Epoch == 1 && voterOf(core.Voters, f.boot.ID) && !f.founded() {
 		first := wire.Ballot{N: 1, By: "founding"}
 		record := &wire.AcceptorRecord{Key: register.CoreKey, Promised: first, Accepted: first, Value: value}
 		f.acceptor.Replay(record)
@@ -142,7 +142,7 @@
 // SetSeeds takes the seeds of settings that were read again.
 //
 //	core.SetSeeds([]string{"10.0.0.7:7100"})
-func (f *Frame) SetSeeds(seeds []string) {
+func (f *Controller) SetSeeds(seeds []string) {
 	f.boot.Seeds = seeds
 	f.members.SetSeeds(SeedsWith(seeds, f.proposer.Core()))
 }
@@ -153,9 +153,9 @@
 //	picture.SetSeeds(controller.SeedsWith(settings.Seeds, core))
 func SeedsWith(seeds []string, core wire.CoreSet) []string {
 	out := slices.Clone(seeds)
-	for _, seat := range core.Seats {
-		if !slices.Contains(out, seat.Addr) {
-			out = append(out, seat.Addr)
+	for _, voter := range core.Voters {
+		if !slices.Contains(out, voter.Addr) {
+			out = append(out, voter.Addr)
 		}
 	}
 	return out
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -9,8 +9,8 @@
 )
 
 // chosen takes a proposer's word that a ballot was chosen.
-func (f *Frame) chosen(now int64, out *wire.Outputs, told *wire.Chosen) {
-	if f.seated() {
+func (f *Controller) chosen(now int64, out *wire.Outputs, told *wire.Chosen) {
+	if f.admitted() {
 		out.Add(f.acceptor.Mend(told))
 	}
 	body := told.Value
@@ -24,27 +24,27 @@
 	}
 }
 
-// learn takes a chosen value; marks only rise.
-func (f *Frame) learn(now int64, out *wire.Outputs, key string, value wire.Value) {
+// learn takes a chosen value; versions only rise.
+func (f *Controller) learn(now int64, out *wire.Outputs, key string, value wire.Value) {
 	value = register.Standing(value)
 	if key == register.CoreKey {
-		f.coreMark = max(f.coreMark, value.Mark)
+		f.coreVersion = max(f.coreVersion, value.Version)
 		var core wire.CoreSet
 		if core.Unmarshal(value.Body) == nil {
 			f.learnCore(now, out, core)
 		}
 	}
-	if value.Mark <= f.marks[key] {
+	if value.Version <= f.versions[key] {
 		return
 	}
-	f.marks[key] = value.Mark
+	f.versions[key] = value.Version
 	switch {
 	case key == PolicyKey:
-		if table, faults, _ := f.boot.Form.Parse(value.Body, value.Mark); table != nil && len(faults) == 0 {
+		if table, faults, _ := f.boot.Form.Parse(value.Body, value.Version); table != nil && len(faults) == 0 {
 			f.view.Policy = table.Placement()
 		}
-		f.members.Set("mark", strconv.FormatInt(value.Mark, 10))
-		topic := wire.Topic{Name: PolicyKey, Step: value.Mark, Body: value.Body}
+		f.members.Set("mark", strconv.FormatInt(value.Version, 10))
+		topic := wire.Topic{Name: PolicyKey, Step: value.Version, Body: value.Body}
 		f.board.Put(topic)
 		f.push(out, topic, false)
 	case key == DirectoryKey:
@@ -53,7 +53,7 @@
 			f.listed = list
 			f.viewWorkers()
 		}
-		topic := wire.Topic{Name: DirectoryKey, Step: value.Mark, Body: value.Body}
+		topic := wire.Topic{Name: DirectoryKey, Step: value.Version, Body: value.Body}
 		f.board.Put(topic)
 		f.push(out, topic, false)
 	case strings.HasPrefix(key, ownerPrefix):
@@ -67,7 +67,7 @@
 
 // noticeCore takes up a core set that the proposer learned by an answer. What
 // goes with a new set is done whichever way it became known.
-func (f *Frame) noticeCore(now int64, out *wire.Outputs) {
+func (f *Controller) noticeCore(now int64, out *wire.Outputs) {
 	if core := f.proposer.Core(); core.Epoch > f.core.Epoch {
 		f.learnCore(now, out, core)
 	}
@@ -75,20 +75,20 @@
 
 // learnCore takes up a core set; it is compared with the one that this machine
 // took up before, since the proposer may already work with the newer one.
-func (f *Frame) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
+func (f *Controller) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
 	known := f.core
-	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Swept) {
+	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Rereplicated) {
 		return
 	}
-	// To lose a seat and get one again takes three changes, of which a node that
+	// To lose a vote and get one again takes three changes, of which a node that
 	// was cut off may not have heard.
 	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+regained
-	if core.Epoch > 1 && seatOf(core.Seats, f.boot.ID) && (missed || !seatOf(known.Seats, f.boot.ID)) {
-		f.granter.Quiet(now)
+	if core.Epoch > 1 && voterOf(core.Voters, f.boot.ID) && (missed || !voterOf(known.Voters, f.boot.ID)) {
+		f.grantor.Quiet(now)
 	}
 	f.core = core
 	f.noteSize(now, known, core)
-	if seatOf(known.Seats, f.boot.ID) && !seatOf(core.Seats, f.boot.ID) {
+	if voterOf(known.Voters, f.boot.ID) && !voterOf(core.Voters, f.boot.ID) {
 		f.outSince = core.Epoch
 	}
 	if core.Epoch > known.Epoch {
@@ -101,13 +101,13 @@
 	f.board.Put(register.CoreTopic(core))
 }
 
-func (f *Frame) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
+func (f *Controller) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
 	for _, topic := range told.Topics {
 		if !f.board.Put(topic) {
 			continue
 		}
 		if from == f.boot.ID {
-			f.tellSeats(out, topic)
+			f.tellVoters(out, topic)
 			f.push(out, topic, true)
 		}
 		switch {
@@ -130,18 +130,18 @@
 	}
 }
 
-func (f *Frame) tellSeats(out *wire.Outputs, topic wire.Topic) {
-	for _, seat := range f.proposer.Core().Seats {
-		if seat.ID != f.boot.ID {
-			out.Send(seat.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
+func (f *Controller) tellVoters(out *wire.Outputs, topic wire.Topic) {
+	for _, voter := range f.proposer.Core().Voters {
+		if voter.ID != f.boot.ID {
+			out.Send(voter.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
 		}
 	}
 }
 
-// sweepTick reads registers in turn: reads mend the copies they find old, and
+// readRepairTick reads registers in turn: reads mend the copies they find old, and
 // bring here what this node missed. What is chosen is told at once and asked for
 // as news, so a turn now and then is enough.
-func (f *Frame) sweepTick(now int64, out *wire.Outputs) {
+func (f *Controller) readRepairTick(now int64, out *wire.Outputs) {
 	if !f.founded() || !f.due(now, "sweep", f.often(now, f.boot.LeaseMs/8)) {
 		return
 	}
--- a/internal/controlplane/controller/listing.go
+++ b/internal/controlplane/controller/listing.go
@@ -15,16 +15,16 @@
 // one for each page. The time between reads follows it.
 //
 //	core.ListCalls(3)
-func (f *Frame) ListCalls(calls int64) { f.listCalls = max(calls, 1) }
+func (f *Controller) ListCalls(calls int64) { f.listCalls = max(calls, 1) }
 
 // listEveryMs is how long the first controller waits between two reads of the
 // worker list: PollMs, or longer where the list's rate (ListPerS, for all nodes
 // together) does not allow that many calls.
-func (f *Frame) listEveryMs() int64 {
+func (f *Controller) listEveryMs() int64 {
 	if f.boot.ListPerS <= 0 {
 		return f.boot.PollMs
 	}
-	controllers := int64(len(f.proposer.Core().Seats))
+	controllers := int64(len(f.proposer.Core().Voters))
 	// In the time of one read of the first controller, the others together begin
 	// a quarter of a read each.
 	quarters := followerReads + max(controllers-1, 0)
@@ -35,18 +35,18 @@
 
 // platformTick asks for the platform's worker list to be read. The lowest
 // controller that stands asks most often; others too, should it be deaf.
-func (f *Frame) platformTick(now int64, out *wire.Outputs) {
+func (f *Controller) platformTick(now int64, out *wire.Outputs) {
 	if !f.founded() {
 		return
 	}
 	every := f.listEveryMs()
-	for _, seat := range f.proposer.Core().Seats {
-		if standing, _ := f.members.Standing(seat.ID); standing == wire.StandingWell && seat.ID < f.boot.ID {
+	for _, voter := range f.proposer.Core().Voters {
+		if standing, _ := f.members.Standing(voter.ID); standing == wire.StandingWell && voter.ID < f.boot.ID {
 			every = followerReads * f.listEveryMs()
 			break
 		}
 	}
 	if f.due(now, "platform", every) {
-		out.Send("platform", wire.KindOrder, &wire.Order{Op: "list", Seq: f.marks[DirectoryKey]})
+		out.Send("platform", wire.KindOrder, &wire.Order{Op: "list", Seq: f.versions[DirectoryKey]})
 	}
 }
--- a/internal/controlplane/controller/moves.go
+++ b/internal/controlplane/controller/moves.go
@@ -28,7 +28,7 @@
 }
 
 // startMove seals a partition and begins to hand it to another node.
-func (f *Frame) startMove(now int64, out *wire.Outputs, number int64, to string) {
+func (f *Controller) startMove(now int64, out *wire.Outputs, number int64, to string) {
 	owned := f.mine(now, number)
 	if owned == nil || f.moving[number] != nil {
 		return
@@ -42,14 +42,14 @@
 	f.sendMove(now, out, number)
 }
 
-func (f *Frame) sendMove(now int64, out *wire.Outputs, number int64) {
+func (f *Controller) sendMove(now int64, out *wire.Outputs, number int64) {
 	handed := f.moving[number]
 	handed.sent = now
 	out.After(handed.to, wire.KindHandover, &wire.Handover{Partition: number, Fence: handed.fence, State: wire.Encode(f.kept[number])})
 }
 
 // movesTick repeats what was not taken, and gives up on what takes too long.
-func (f *Frame) movesTick(now int64, out *wire.Outputs) {
+func (f *Controller) movesTick(now int64, out *wire.Outputs) {
 	for number := range f.boot.Partitions {
 		handed := f.moving[number]
 		if handed == nil {
@@ -70,18 +70,18 @@
 	}
 }
 
-func (f *Frame) giveBack(out *wire.Outputs, numbers ...int64) {
+func (f *Controller) giveBack(out *wire.Outputs, numbers ...int64) {
 	back := f.holder.Release(numbers)
-	for _, seat := range f.proposer.Core().Seats {
-		out.Send(seat.ID, wire.KindGrantBack, back)
+	for _, voter := range f.proposer.Core().Voters {
+		out.Send(voter.ID, wire.KindGrantBack, back)
 	}
 }
 
 // balance moves one partition to the node that owns fewest, where the numbers
 // differ by two or more and all have stood well for a while.
-func (f *Frame) balance(now int64, out *wire.Outputs) {
+func (f *Controller) balance(now int64, out *wire.Outputs) {
 	core := f.proposer.Core()
-	if !core.Swept || len(f.moving) > 0 || f.stalled || now-f.StartedMs < 4*f.boot.LeaseMs {
+	if !core.Rereplicated || len(f.moving) > 0 || f.stalled || now-f.StartedMs < 4*f.boot.LeaseMs {
 		return
 	}
 	load := map[string]int{}
@@ -89,19 +89,19 @@
 		load[owner.ID]++
 	}
 	target := ""
-	for _, seat := range core.Seats {
-		standing, since := f.members.Standing(seat.ID)
-		if standing != wire.StandingWell || (seat.ID != f.boot.ID && now-since < 2*f.boot.LeaseMs) {
+	for _, voter := range core.Voters {
+		standing, since := f.members.Standing(voter.ID)
+		if standing != wire.StandingWell || (voter.ID != f.boot.ID && now-since < 2*f.boot.LeaseMs) {
 			return
 		}
-		if target == "" || load[seat.ID] < load[target] {
-			target = seat.ID
+		if target == "" || load[voter.ID] < load[target] {
+			target = voter.ID
 		}
 	}
 	if target == "" {
 		return
 	}
-	if number, ok := f.lightest(now, load[f.boot.ID]-load[target], len(core.Seats)); ok {
+	if number, ok := f.lightest(now, load[f.boot.ID]-load[target], len(core.Voters)); ok {
 		f.startMove(now, out, number, target)
 	}
 }
@@ -109,7 +109,7 @@
 // lightest is the partition to move to a node that owns so many fewer. One that
 // orders no workers may always go. With the others, workers get no orders for a
 // lease, so those go only to a node that lacks a whole share.
-func (f *Frame) lightest(now int64, fewer, seats int) (int64, bool) {
+func (f *Controller) lightest(now int64, fewer, voters int) (int64, bool) {
 	best, least := int64(0), -1
 	for number := range f.boot.Partitions {
 		owned := f.mine(now, number)
@@ -126,14 +126,14 @@
 			best, least = number, workers
 		}
 	}
-	share := int(f.boot.Partitions) / max(seats, 1)
+	share := int(f.boot.Partitions) / max(voters, 1)
 	return best, fewer >= 2 && (least == 0 || (least > 0 && fewer >= share))
 }
 
 // handedOver takes a sealed state and says so once it lasts.
-func (f *Frame) handedOver(from string, told *wire.Handover) wire.Outputs {
+func (f *Controller) handedOver(from string, told *wire.Handover) wire.Outputs {
 	var out wire.Outputs
-	if !f.seated() || f.leaving || f.stalled || told.Fence < f.view.Owners[told.Partition].Fence {
+	if !f.admitted() || f.leaving || f.stalled || told.Fence < f.view.Owners[told.Partition].Fence {
 		return out
 	}
 	if kept := f.handed[told.Partition]; kept == nil || kept.Fence != told.Fence {
@@ -148,7 +148,7 @@
 	return out
 }
 
-func (f *Frame) handoverTaken(now int64, from string, told *wire.HandoverTaken) wire.Outputs {
+func (f *Controller) handoverTaken(now int64, from string, told *wire.HandoverTaken) wire.Outputs {
 	var out wire.Outputs
 	handed := f.moving[told.Partition]
 	if handed == nil || handed.to != from || handed.fence != told.Fence {
@@ -161,7 +161,7 @@
 }
 
 // wishMoved says who should own a partition by a move; false if by none.
-func (f *Frame) wishMoved(now, number int64) (string, bool) {
+func (f *Controller) wishMoved(now, number int64) (string, bool) {
 	if given, ok := f.promised[number]; ok && now < given.until && f.view.Owners[number].ID == f.boot.ID {
 		return given.to, true
 	}
@@ -173,7 +173,7 @@
 
 // source is the sealed state that may go on under the next fence, if the
 // register still names its owner and fence.
-func (f *Frame) source(number int64, owner wire.Owner) *wire.PartitionState {
+func (f *Controller) source(number int64, owner wire.Owner) *wire.PartitionState {
 	for _, state := range []*wire.PartitionState{f.kept[number], f.handed[number]} {
 		if state != nil && state.Sealed && state.Owner == owner.ID && state.Fence == owner.Fence {
 			return state
@@ -183,7 +183,7 @@
 }
 
 // adoptState begins a partition under a new fence, from a sealed state or empty.
-func (f *Frame) adoptState(number, fence int64, owner string, from *wire.PartitionState) {
+func (f *Controller) adoptState(number, fence int64, owner string, from *wire.PartitionState) {
 	if from == nil {
 		f.kept[number] = partition.NewState(number, owner, fence)
 	} else {
@@ -197,14 +197,14 @@
 // this one stops. Moving tells how many are still on their way.
 //
 //	out := core.Leave(now)
-func (f *Frame) Leave(now int64) wire.Outputs {
+func (f *Controller) Leave(now int64) wire.Outputs {
 	var out wire.Outputs
 	f.leaving = true
 	f.members.Leave()
 	var others []string
-	for _, seat := range f.proposer.Core().Seats {
-		if standing, _ := f.members.Standing(seat.ID); seat.ID != f.boot.ID && standing == wire.StandingWell {
-			others = append(others, seat.ID)
+	for _, voter := range f.proposer.Core().Voters {
+		if standing, _ := f.members.Standing(voter.ID); voter.ID != f.boot.ID && standing == wire.StandingWell {
+			others = append(others, voter.ID)
 		}
 	}
 	slices.Sort(others)
@@ -219,28 +219,28 @@
 }
 
 // Needed tells whether a node that leaves should stay: partitions are on their way,
-// or its seat is still its own, though the set can do without it or a successor
-// waits. Nobody may count on a seat that nobody keeps, and the registers must be
+// or its vote is still its own, though the set can do without it or a successor
+// waits. Nobody may count on a vote that nobody keeps, and the registers must be
 // with the others: the set without this node is whole.
 //
 //	if !core.Needed() { ... }
-func (f *Frame) Needed() bool {
+func (f *Controller) Needed() bool {
 	core := f.proposer.Core()
 	switch {
 	case len(f.moving) > 0:
 		return true
 	case !f.founded():
 		return false
-	case seatOf(core.Seats, f.boot.ID):
-		return len(core.Seats) > leastSeats || len(core.Joining) > 0 || len(f.newcomers(core)) > 0
+	case voterOf(core.Voters, f.boot.ID):
+		return len(core.Voters) > leastVoters || len(core.Joining) > 0 || len(f.newcomers(core)) > 0
 	}
-	return core.Epoch == f.outSince && !core.Swept
+	return core.Epoch == f.outSince && !core.Rereplicated
 }
 
 // Gone stops all turns that are left and gives their grants back.
 //
 //	out := core.Gone(now)
-func (f *Frame) Gone(now int64) wire.Outputs {
+func (f *Controller) Gone(now int64) wire.Outputs {
 	var out wire.Outputs
 	f.leaving = true
 	f.moving = map[int64]*handing{}
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -18,11 +18,11 @@
 // wish says who should own a partition: its owner while that stands well, else
 // the least laden of the others by rendezvous hash. A suspect one that lives on
 // renews its grants, and whoever claims meanwhile is refused.
-func (f *Frame) wish(now int64) map[int64]string {
+func (f *Controller) wish(now int64) map[int64]string {
 	alive := []string{}
-	for _, seat := range f.proposer.Core().Seats {
-		if standing, _ := f.members.Standing(seat.ID); standing == wire.StandingWell {
-			alive = append(alive, seat.ID)
+	for _, voter := range f.proposer.Core().Voters {
+		if standing, _ := f.members.Standing(voter.ID); standing == wire.StandingWell {
+			alive = append(alive, voter.ID)
 		}
 	}
 	out, load := map[int64]string{}, map[string]int64{}
@@ -59,12 +59,12 @@
 	return out
 }
 
-func (f *Frame) ownersTick(now int64, out *wire.Outputs) {
-	if f.founded() && f.seated() && !f.leaving && !f.stalled {
+func (f *Controller) ownersTick(now int64, out *wire.Outputs) {
+	if f.founded() && f.admitted() && !f.leaving && !f.stalled {
 		wishes := f.wish(now)
 		for number := range f.boot.Partitions {
 			_, held := f.holder.Mine(now, number)
-			if id, _ := f.granter.Holder(now, number); id != "" || held {
+			if id, _ := f.grantor.Holder(now, number); id != "" || held {
 				f.unheld[number] = 0
 			} else if f.unheld[number] == 0 {
 				f.unheld[number] = now
@@ -78,7 +78,7 @@
 		}
 	}
 	f.view.Demands.Sum(now, f.view.Policy)
-	moves, more := f.holder.Tick(now, f.proposer.Core().Seats, f.boot.Addr)
+	moves, more := f.holder.Tick(now, f.proposer.Core().Voters, f.boot.Addr)
 	for i := range more.Sends {
 		if asked, is := more.Sends[i].Body.(*wire.GrantAsk); is {
 			asked.Epoch = f.proposer.Core().Epoch
@@ -93,27 +93,27 @@
 	}
 }
 
-// regained is how many changes of the set it takes to lose a seat and get one again.
+// regained is how many changes of the set it takes to lose a vote and get one again.
 const regained = 3
 
-// grantAsked votes on grants. Who goes by a set older than this node knows may
+// leaseRequested votes on grants. Who goes by a set older than this node knows may
 // count others than those who count now, and gets none. Nor does anybody from a
-// node that may have got its seat since: it must keep quiet first.
-func (f *Frame) grantAsked(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
+// node that may have got its vote since: it must keep quiet first.
+func (f *Controller) leaseRequested(now int64, from string, asked *wire.GrantAsk) wire.Outputs {
 	var out wire.Outputs
 	core := f.proposer.Core()
 	switch {
 	case asked.Epoch < core.Epoch:
 		out.Send(from, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
-	case seatOf(core.Seats, f.boot.ID) && asked.Epoch < core.Epoch+regained:
-		out.Send(from, wire.KindGrantTold, f.granter.Ask(now, from, asked))
+	case voterOf(core.Voters, f.boot.ID) && asked.Epoch < core.Epoch+regained:
+		out.Send(from, wire.KindGrantTold, f.grantor.Ask(now, from, asked))
 	case asked.Epoch > core.Epoch:
 		f.askSet(&out, from)
 	}
 	return out
 }
 
-func (f *Frame) moves(now int64, out *wire.Outputs, moves []lease.Move) {
+func (f *Controller) moves(now int64, out *wire.Outputs, moves []lease.Move) {
 	for _, move := range moves {
 		switch move.Change {
 		case lease.Reserved:
@@ -126,7 +126,7 @@
 	}
 }
 
-func (f *Frame) letGo(number int64) {
+func (f *Controller) letGo(number int64) {
 	if owned := f.owned[number]; owned != nil {
 		f.kept[number] = owned.State()
 		f.events += owned.Steps
@@ -137,7 +137,7 @@
 // settleFence reads the ownership register: where it still names this node and
 // the fence of the state kept here, that state goes on; else the fence rises
 // and the state starts empty.
-func (f *Frame) settleFence(now int64, out *wire.Outputs, number int64) {
+func (f *Controller) settleFence(now int64, out *wire.Outputs, number int64) {
 	key := ownerPrefix + strconv.FormatInt(number, 10)
 	call := f.then(func(now int64, read register.Outcome) wire.Outputs {
 		var out wire.Outputs
@@ -152,7 +152,7 @@
 			f.learn(now, &out, key, read.Value)
 			// It is asked for at once by those who started with this node.
 			topic := wire.Topic{Name: key, Term: owner.Fence, Body: read.Value.Body}
-			f.tellSeats(&out, topic)
+			f.tellVoters(&out, topic)
 			f.push(&out, topic, true)
 			f.holder.Settled(number, owner.Fence)
 			return out
@@ -174,14 +174,14 @@
 			f.holder.Settled(number, next.Fence)
 			return done
 		})
-		out.Add(f.proposer.Change(now, write, key, read.Value.Mark, 0, wire.Encode(&next), fmt.Sprintf("%s#%d.%x", f.boot.ID, next.Fence, f.random.Int63())))
+		out.Add(f.proposer.Change(now, write, key, read.Value.Version, 0, wire.Encode(&next), fmt.Sprintf("%s#%d.%x", f.boot.ID, next.Fence, f.random.Int63())))
 		return out
 	})
 	out.Add(f.proposer.Read(now, call, key, wire.Ballot{}, nil))
 }
 
 // take starts the turns on a partition.
-func (f *Frame) take(now int64, move lease.Move) {
+func (f *Controller) take(now int64, move lease.Move) {
 	state := f.kept[move.Partition]
 	if state == nil || state.Fence != move.Fence {
 		f.holder.Drop(move.Partition)
@@ -201,7 +201,7 @@
 // out while the journal syncs.
 //
 //	if until, ok := core.May(now, order); ok { ... }
-func (f *Frame) May(now int64, order *wire.Order) (int64, bool) {
+func (f *Controller) May(now int64, order *wire.Order) (int64, bool) {
 	fence, ok := f.holder.Mine(now, order.Partition)
 	return f.holder.Until(order.Partition), ok && fence == order.Fence
 }
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -11,19 +11,19 @@
 
 // Page is what operators are shown of a node. Every node fills it alike.
 type Page struct {
-	ID, Role  string
-	Core      wire.CoreSet
-	Policy    *configuration.Table
-	Marks     map[string]int64
-	Members   []wire.Member
-	Owners    map[int64]wire.Owner
-	Workers   map[string]wire.Worker
-	Rooms     map[string]wire.WorkerNews
-	Owned     []wire.Hold
-	Recovered int64
-	Swept     int
-	Rounds    int64
-	Events    int64
+	ID, Role     string
+	Core         wire.CoreSet
+	Policy       *configuration.Table
+	Versions     map[string]int64
+	Members      []wire.Member
+	Owners       map[int64]wire.Owner
+	Workers      map[string]wire.Worker
+	Rooms        map[string]wire.WorkerNews
+	Owned        []wire.Hold
+	Recovered    int64
+	Rereplicated int
+	Rounds       int64
+	Events       int64
 	// Moving counts partitions on their way to another owner, Moves all that were.
 	Moving int
 	Moves  int64
@@ -37,17 +37,17 @@
 // Page copies what may be shown; nothing in it is changed later.
 //
 //	page := core.Page(now)
-func (f *Frame) Page(now int64) Page {
-	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Marks: map[string]int64{}, Members: f.members.All(),
+func (f *Controller) Page(now int64) Page {
+	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Versions: map[string]int64{}, Members: f.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
-		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Swept: f.swept, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
+		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Rereplicated: f.rereplicated, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
 	page.Events, page.Moving, page.Moves = f.events, len(f.moving), f.Moves
 	page.Needed = f.Needed()
 	for _, owned := range f.owned {
 		page.Events += owned.Steps
 	}
-	for key, mark := range f.marks {
-		page.Marks[key] = mark
+	for key, version := range f.versions {
+		page.Versions[key] = version
 	}
 	for number, owner := range f.view.Owners {
 		page.Owners[number] = owner
@@ -64,14 +64,14 @@
 // Addr returns where a member is reached.
 //
 //	addr, ok := core.Addr("l2~77")
-func (f *Frame) Addr(id string) (string, bool) {
+func (f *Controller) Addr(id string) (string, bool) {
 	if addr, ok := f.members.Addr(id); ok {
 		return addr, true
 	}
 	core := f.proposer.Core()
-	for _, seat := range append(core.Seats, core.Joining...) {
-		if seat.ID == id {
-			return seat.Addr, true
+	for _, voter := range append(core.Voters, core.Joining...) {
+		if voter.ID == id {
+			return voter.Addr, true
 		}
 	}
 	return "", false
@@ -80,15 +80,15 @@
 // Board shows the news kept here.
 //
 //	topic, ok := core.Board().Get("policy")
-func (f *Frame) Board() *distribution.Board { return f.board }
+func (f *Controller) Board() *distribution.Board { return f.board }
 
 // Fact notes a fact about this node that all others hear.
 //
 //	core.Fact("sync_ms", "12")
-func (f *Frame) Fact(name, fact string) { f.members.Set(name, fact) }
+func (f *Controller) Fact(name, fact string) { f.members.Set(name, fact) }
 
 // ownedFact lists the partitions on which this node may take turns.
-func (f *Frame) ownedFact(now int64) string {
+func (f *Controller) ownedFact(now int64) string {
 	var numbers []string
 	for number := range f.boot.Partitions {
 		if f.mine(now, number) != nil {
--- a/internal/controlplane/controller/rosters.go
+++ b/internal/controlplane/controller/rosters.go
@@ -19,8 +19,8 @@
 
 // withRosters adds to a list what the servers of each pool were before: a key
 // that went to one of them must not go to another now. The list in the making
-// gets the mark after the one kept.
-func withRosters(list, kept *wire.WorkerList, mark, wallMs int64) {
+// gets the version after the one kept.
+func withRosters(list, kept *wire.WorkerList, version, wallMs int64) {
 	open := map[string][]string{}
 	for _, worker := range list.Workers {
 		if !worker.Leaving {
@@ -33,7 +33,7 @@
 		if now && slices.Equal(servers, roster.Servers) {
 			delete(open, roster.Pool)
 		} else if now {
-			roster.UntilMs, roster.Mark = max(wallMs, roster.FromMs+1), mark+1
+			roster.UntilMs, roster.Version = max(wallMs, roster.FromMs+1), version+1
 		}
 		if counts[roster.Pool]++; counts[roster.Pool] <= mostRosters && (now || len(roster.Servers) > 0) {
 			list.Rosters = append(list.Rosters, roster)
@@ -48,7 +48,7 @@
 // believed tells whether the platform's word may be taken: a list that lost all
 // its workers at once, or that is older than one taken before, comes from a
 // directory that broke down, and the last good list stays.
-func (f *Frame) believed(list *wire.WorkerList) bool {
+func (f *Controller) believed(list *wire.WorkerList) bool {
 	f.unbelieved = ""
 	switch {
 	case len(list.Workers) == 0 && len(f.listed.Workers) > 0:
@@ -62,4 +62,4 @@
 // Unbelieved says why the platform's last list was not taken, if it was not.
 //
 //	if why := core.Unbelieved(); why != "" { ... }
-func (f *Frame) Unbelieved() string { return f.unbelieved }
+func (f *Controller) Unbelieved() string { return f.unbelieved }
--- a/internal/controlplane/health/health.go
+++ b/internal/controlplane/health/health.go
@@ -53,7 +53,7 @@
 
 // Gauge shows a number that rises and falls.
 //
-//	gauges.Gauge("policy_mark", "mark of the policy known here", func() float64 { return mark })
+//	gauges.Gauge("policy_mark", "version of the policy known here", func() float64 { return version })
 func (g *Gauges) Gauge(name, help string, read func() float64) {
 	g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "applequay", Name: name, Help: help, ConstLabels: g.labels}, read))
 }
@@ -86,15 +86,15 @@
 	})
 }
 
-// Trunk shows what a transport carried.
+// Transport shows what a transport carried.
 //
-//	health.Trunk(gauges, cable.Counts)
-func Trunk(g *Gauges, counts *transport.Counts) {
-	g.Count("trunk_letters_sent_total", "letters sent to other processes", func() float64 { return float64(counts.SentLetters.Load()) })
+//	health.Transport(gauges, cable.Counts)
+func Transport(g *Gauges, counts *transport.Counts) {
+	g.Count("trunk_letters_sent_total", "letters sent to other processes", func() float64 { return float64(counts.SentMessages.Load()) })
 	g.Count("trunk_batches_sent_total", "batches of letters sent", func() float64 { return float64(counts.SentBatches.Load()) })
 	g.Count("trunk_bytes_sent_total", "bytes of letters sent", func() float64 { return float64(counts.SentBytes.Load()) })
-	g.Count("trunk_letters_lost_total", "letters lost on the way out or in", func() float64 { return float64(counts.LostLetters.Load()) })
-	g.Count("trunk_letters_heard_total", "letters taken in", func() float64 { return float64(counts.HeardLetters.Load()) })
+	g.Count("trunk_letters_lost_total", "letters lost on the way out or in", func() float64 { return float64(counts.LostMessages.Load()) })
+	g.Count("trunk_letters_heard_total", "letters taken in", func() float64 { return float64(counts.HeardMessages.Load()) })
 }
 
 // Control shows what a control thread knows.
@@ -110,7 +110,7 @@
 			return read()
 		}
 	}
-	g.Gauge("policy_mark", "mark of the policy known here", number(func() float64 { return float64(pages.Load().Marks["policy"]) }))
+	g.Gauge("policy_mark", "mark of the policy known here", number(func() float64 { return float64(pages.Load().Versions["policy"]) }))
 	g.Gauge("core_epoch", "epoch of the core set known here", number(func() float64 { return float64(pages.Load().Core.Epoch) }))
 	g.Gauge("partitions_owned", "partitions owned here", number(func() float64 { return float64(len(pages.Load().Owned)) }))
 	g.Gauge("members", "members known here", number(func() float64 { return float64(len(pages.Load().Members)) }))
--- a/internal/controlplane/lease/holder.go
+++ b/internal/controlplane/lease/holder.go
@@ -60,8 +60,8 @@
 	renewed int64
 	soon    int64 // when a partition that was refused may be free
 	waits   map[int64]wait
-	quietTo int64 // until when some granter said that it grants nothing
-	// Seen is who the granters last said holds a partition.
+	quietTo int64 // until when some grantor said that it grants nothing
+	// Seen is who the grantors last said holds a partition.
 	Seen map[int64]wire.Refusal
 }
 
@@ -73,7 +73,7 @@
 }
 
 // NumberFrom has the rounds numbered from somewhere that no earlier life of this
-// node, of the same identity, was at: what granters told that life, and what
+// node, of the same identity, was at: what grantors told that life, and what
 // comes late, then counts for no round of this one.
 //
 //	holder.NumberFrom(random.Int63n(1 << 31))
@@ -103,7 +103,7 @@
 	}
 }
 
-// Drop gives a claim up without a word to the granters.
+// Drop gives a claim up without a word to the grantors.
 //
 //	holder.Drop(3)
 func (h *Holder) Drop(partition int64) { delete(h.claims, partition) }
@@ -121,8 +121,8 @@
 
 // Tick ends grants that ran out and sends the next round of renewals.
 //
-//	moves, out := holder.Tick(now, seats, "127.0.0.1:7100")
-func (h *Holder) Tick(now int64, seats []wire.Seat, addr string) ([]Move, wire.Outputs) {
+//	moves, out := holder.Tick(now, voters, "127.0.0.1:7100")
+func (h *Holder) Tick(now int64, voters []wire.Voter, addr string) ([]Move, wire.Outputs) {
 	var moves []Move
 	var out wire.Outputs
 	for _, partition := range sortedKeys(h.claims) {
@@ -136,7 +136,7 @@
 			}
 		}
 	}
-	h.yield(now, seats, addr, &out)
+	h.yield(now, voters, addr, &out)
 	if (now-h.renewed < h.limits.RenewMs && (h.soon == 0 || now < h.soon)) || len(h.claims) == 0 {
 		return moves, out
 	}
@@ -151,8 +151,8 @@
 		if asked == nil {
 			continue
 		}
-		for _, seat := range seats {
-			out.Send(seat.ID, wire.KindGrantAsk, asked)
+		for _, voter := range voters {
+			out.Send(voter.ID, wire.KindGrantAsk, asked)
 		}
 	}
 	return moves, out
@@ -184,17 +184,17 @@
 	return asked
 }
 
-// Told counts a granter's answer; the grant runs from when it was asked for.
+// Told counts a grantor's answer; the grant runs from when it was asked for.
 //
-//	moves := holder.Told(now, "c2~51", told, seats)
-func (h *Holder) Told(now int64, from string, told *wire.GrantTold, seats []wire.Seat) []Move {
+//	moves := holder.Told(now, "c2~51", told, voters)
+func (h *Holder) Told(now int64, from string, told *wire.GrantTold, voters []wire.Voter) []Move {
 	var moves []Move
 	sent := h.rounds[told.Op]
-	seated := false
-	for _, seat := range seats {
-		seated = seated || seat.ID == from
+	admitted := false
+	for _, voter := range voters {
+		admitted = admitted || voter.ID == from
 	}
-	if sent == nil || !seated {
+	if sent == nil || !admitted {
 		return nil
 	}
 	for _, refusal := range told.Refused {
@@ -216,14 +216,14 @@
 		}
 		votes[from] = true
 		count := 0
-		for _, seat := range seats {
-			if votes[seat.ID] {
+		for _, voter := range voters {
+			if votes[voter.ID] {
 				count++
 			}
 		}
 		kept.votes = max(kept.votes, count)
 		until := sent.sent + h.limits.LeaseMs - h.limits.MarginMs
-		if count < len(seats)/2+1 || now >= until {
+		if count < len(voters)/2+1 || now >= until {
 			continue
 		}
 		switch {
--- a/internal/controlplane/register/coreset.go
+++ b/internal/controlplane/register/coreset.go
@@ -26,10 +26,10 @@
 //	out := acceptor.Chose(core)
 func (a *Acceptor) Chose(core wire.CoreSet) wire.Outputs {
 	var out wire.Outputs
-	if known, ok := a.Core(); ok && (core.Epoch < known.Epoch || (core.Epoch == known.Epoch && (known.Swept || !core.Swept))) {
+	if known, ok := a.Core(); ok && (core.Epoch < known.Epoch || (core.Epoch == known.Epoch && (known.Rereplicated || !core.Rereplicated))) {
 		return out
 	}
-	a.chosen = wire.Encode(&wire.Value{Mark: 1, Body: wire.Encode(&core)})
+	a.chosen = wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 	out.Write(wire.KindAcceptorRecord, &wire.AcceptorRecord{Key: chosenKey, Value: a.chosen})
 	return out
 }
--- a/internal/controlplane/register/reads_test.go
+++ b/internal/controlplane/register/reads_test.go
@@ -48,6 +48,6 @@
 	for now := int64(50); now <= 400; now += 10 {
 		b.tick("q", now)
 	}
-	c.Check(b.outcomes["q/1"].Value.Mark, qt.Equals, int64(2))
+	c.Check(b.outcomes["q/1"].Value.Version, qt.Equals, int64(2))
 	c.Check(rounds, qt.Equals, 0)
 }
--- a/internal/controlplane/register/register_test.go
+++ b/internal/controlplane/register/register_test.go
@@ -11,7 +11,7 @@
 )
 
 // bench is three acceptors and some proposers, with a network that the test
-// decides on letter by letter.
+// decides on message by message.
 type bench struct {
 	c         *qt.C
 	acceptors map[string]*Acceptor
@@ -22,10 +22,10 @@
 
 func newBench(c *qt.C, names ...string) *bench {
 	b := &bench{c: c, acceptors: map[string]*Acceptor{}, proposers: map[string]*Proposer{}, outcomes: map[string]Outcome{}, pass: func(string, string, wire.Record) bool { return true }}
-	core := wire.CoreSet{Epoch: 1, Swept: true}
+	core := wire.CoreSet{Epoch: 1, Rereplicated: true}
 	for _, id := range []string{"x", "y", "z"} {
 		b.acceptors[id] = NewAcceptor()
-		core.Seats = append(core.Seats, wire.Seat{ID: id})
+		core.Voters = append(core.Voters, wire.Voter{ID: id})
 	}
 	for at, name := range names {
 		p := NewProposer(name, rand.New(rand.NewSource(int64(at))), Limits{CallMs: 1600, PhaseMs: 400, LineageLen: 4})
@@ -83,12 +83,12 @@
 	b := newBench(c, "p", "q")
 	b.change("p", 1, 0, "one")
 	c.Check(b.outcomes["p/1"].Fate, qt.Equals, FateDone)
-	c.Check(b.outcomes["p/1"].Value.Mark, qt.Equals, int64(1))
+	c.Check(b.outcomes["p/1"].Value.Version, qt.Equals, int64(1))
 	b.change("q", 1, 0, "two")
 	c.Check(b.outcomes["q/1"].Fate, qt.Equals, FateStale)
-	c.Check(b.outcomes["q/1"].Value.Mark, qt.Equals, int64(1))
+	c.Check(b.outcomes["q/1"].Value.Version, qt.Equals, int64(1))
 	b.change("q", 2, 1, "two")
-	c.Check(b.outcomes["q/2"].Value.Mark, qt.Equals, int64(2))
+	c.Check(b.outcomes["q/2"].Value.Version, qt.Equals, int64(2))
 	found := b.read("p", 2)
 	c.Check(string(found.Value.Body), qt.Equals, "two")
 }
@@ -106,12 +106,12 @@
 	c.Check(b.outcomes, qt.HasLen, 0)
 	b.pass = func(string, string, wire.Record) bool { return true }
 	b.change("q", 1, 1, "two")
-	c.Check(b.outcomes["q/1"].Value.Mark, qt.Equals, int64(2))
+	c.Check(b.outcomes["q/1"].Value.Version, qt.Equals, int64(2))
 	for now := int64(400); now <= 1600; now += 40 {
 		b.tick("p", now)
 	}
 	c.Check(b.outcomes["p/1"].Fate, qt.Equals, FateDone)
-	c.Check(b.outcomes["p/1"].Value.Mark, qt.Equals, int64(1), qt.Commentf("its own mark, not the newest"))
+	c.Check(b.outcomes["p/1"].Value.Version, qt.Equals, int64(1), qt.Commentf("its own mark, not the newest"))
 }
 
 // Without a majority a change ends, saying whether it may have happened.
@@ -146,7 +146,7 @@
 	b.change("p", 1, 0, "one")
 	b.pass = func(_, to string, body wire.Record) bool { return !isAccept(body) || to == "x" }
 	b.change("p", 2, 1, "two")
-	c.Check(b.outcomes["p/2"].Fate == FateDone && b.outcomes["p/2"].Value.Mark == 2, qt.IsFalse)
+	c.Check(b.outcomes["p/2"].Fate == FateDone && b.outcomes["p/2"].Value.Version == 2, qt.IsFalse)
 	// y and z agree on one: two was not chosen, and x's copy does not matter.
 	b.pass = func(from, to string, _ wire.Record) bool { return from != "x" && to != "x" }
 	c.Check(string(b.read("q", 1).Value.Body), qt.Equals, "one")
@@ -167,7 +167,7 @@
 func TestOldEpochIsTurnedAway(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, "p", "q")
-	next := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "x"}, {ID: "y"}}}
+	next := wire.CoreSet{Epoch: 2, Voters: []wire.Voter{{ID: "x"}, {ID: "y"}}}
 	value := wire.Encode(&next)
 	b.carry("q", 0, b.proposers["q"].Change(0, 1, CoreKey, 0, 0, value, "q#1"))
 	for _, id := range []string{"x", "y"} {
@@ -186,7 +186,7 @@
 func TestUnchosenCoreIsNotTold(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, "p", "q")
-	lost := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "y"}, {ID: "z"}}}
+	lost := wire.CoreSet{Epoch: 2, Voters: []wire.Voter{{ID: "y"}, {ID: "z"}}}
 	b.pass = func(_, to string, body wire.Record) bool { return !isAccept(body) || to == "x" }
 	b.carry("q", 0, b.proposers["q"].Change(0, 1, CoreKey, 0, 0, wire.Encode(&lost), "q#1"))
 	b.pass = func(string, string, wire.Record) bool { return true }
@@ -194,7 +194,7 @@
 	b.change("p", 1, 0, "one")
 	c.Check(b.proposers["p"].Core().Epoch, qt.Equals, int64(1))
 	// Once a set is known to be chosen, it is told, after a restart too.
-	chosen := wire.CoreSet{Epoch: 2, Seats: []wire.Seat{{ID: "x"}, {ID: "y"}}}
+	chosen := wire.CoreSet{Epoch: 2, Voters: []wire.Voter{{ID: "x"}, {ID: "y"}}}
 	again := NewAcceptor()
 	for _, write := range b.acceptors["x"].Chose(chosen).Writes {
 		record, err := wire.Decode(write.Kind, write.Body)
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/switch.go
@@ -14,18 +14,18 @@
 
 // Limits are what one proxy allows itself.
 type Limits struct {
-	Slots int64
-	Body  int64
-	Hold  time.Duration
-	Retry time.Duration
-	Avoid time.Duration
-	Shots int
+	Slots    int64
+	Body     int64
+	Hold     time.Duration
+	Retry    time.Duration
+	Avoid    time.Duration
+	Attempts int
 	// First is how long a model may take to its first piece, Silent to the next.
 	First, Silent time.Duration
 	// Answer bounds what is kept of an application's answer before it is
 	// passed on whole.
 	Answer int64
-	// RetrySlack is how many shots beyond the share all fronts together may make
+	// RetrySlack is how many attempts beyond the share all fronts together may make
 	// over the short window.
 	RetrySlack int64
 }
@@ -34,7 +34,7 @@
 //
 //	limits := pipeline.LimitsFor(512, 1<<20, 20*time.Second)
 func LimitsFor(slots, body int64, hold time.Duration) Limits {
-	return Limits{Slots: slots, Body: body, Hold: hold, Retry: hold / 10, Avoid: hold / 20, Shots: 3, First: hold / 2, Silent: hold / 4, Answer: 16 * body}
+	return Limits{Slots: slots, Body: body, Hold: hold, Retry: hold / 10, Avoid: hold / 20, Attempts: 3, First: hold / 2, Silent: hold / 4, Answer: 16 * body}
 }
 
 // Ledger hears what requests are held, asked for and in work.
@@ -46,7 +46,7 @@
 	Work(item string, weight, change int64)
 	// Read hears how long a request's first piece took, in milliseconds.
 	Read(item string, tookMs int64)
-	// Come hears of callers who were told to come back for an item.
+	// Come hears of clients who were told to come back for an item.
 	Come(item string, weight, untilMs int64)
 	// Ticket tells to which server a call with a key goes, and notes it.
 	Ticket(ctx context.Context, call idempotency.Call) idempotency.Decision
@@ -54,13 +54,13 @@
 
 // Counts are what a proxy did; they only rise.
 type Counts struct {
-	Came, Shed, Held, Shots, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late atomic.Int64
+	Came, Shed, Held, Attempts, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late atomic.Int64
 }
 
 // Switch is the chain of filters with what it works on.
 type Switch struct {
 	limits Limits
-	lines  *upstream.Lines
+	lines  *upstream.Client
 	ledger Ledger
 	speech protocol.Speech
 	table  atomic.Pointer[routing.Table]
@@ -82,10 +82,10 @@
 // New makes the chain.
 //
 //	board := pipeline.New(limits, lines, ledger, protocol.Own{}, time.Now())
-func New(limits Limits, lines *upstream.Lines, ledger Ledger, spoken protocol.Speech, epoch time.Time) *Switch {
+func New(limits Limits, lines *upstream.Client, ledger Ledger, spoken protocol.Speech, epoch time.Time) *Switch {
 	s := &Switch{limits: limits, lines: lines, ledger: ledger, speech: spoken, epoch: epoch, leaves: make(chan struct{})}
 	s.table.Store(routing.Empty())
-	s.run = chain([]filter{s.deadline, s.findRoute, s.admit, s.hold}, s.shoot)
+	s.run = chain([]filter{s.deadline, s.findRoute, s.admit, s.hold}, s.attempt)
 	return s
 }
 
@@ -108,7 +108,7 @@
 	close(old.Next)
 	for name, server := range old.Servers {
 		if now, listed := next.Servers[name]; !listed || now.Load != server.Load || now.Leaving {
-			server.Load.Plug.Shut()
+			server.Load.Pool.Shut()
 		}
 	}
 }
@@ -128,7 +128,7 @@
 // that it did not run, while there is time to ask elsewhere; what is at a server
 // goes on.
 //
-//	callers.Leave = board.Leave
+//	clients.Leave = board.Leave
 func (s *Switch) Leave() {
 	if s.left.CompareAndSwap(false, true) {
 		close(s.leaves)
@@ -142,7 +142,7 @@
 	return ""
 }
 
-// ServeHTTP takes a caller's request through the chain.
+// ServeHTTP takes a client's request through the chain.
 //
 //	http.Handle("/", board)
 func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/dataplane/upstream/fuzz_test.go
+++ b/internal/dataplane/upstream/fuzz_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// FuzzAnswers has a server answer with any bytes and close. The shot ends; its
+// FuzzAnswers has a server answer with any bytes and close. The attempt ends; its
 // connection is kept only where the bytes are interim heads and one whole answer,
 // with nothing behind it.
 func FuzzAnswers(f *testing.F) {
@@ -51,23 +51,23 @@
 		if head {
 			method = http.MethodHead
 		}
-		var plug Plug
+		var plug Pool
 		defer plug.Shut()
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
 		scripts <- answer
-		got, err := New(5*time.Second).Shoot(ctx, &plug, &Shot{Addr: listener.Addr().String(), Method: method, Target: "/", Host: "x"})
+		got, err := New(5*time.Second).Do(ctx, &plug, &Attempt{Addr: listener.Addr().String(), Method: method, Target: "/", Host: "x"})
 		if err != nil {
 			c.Assert(errors.Is(err, ErrNoLine), qt.IsFalse)
 			c.Assert(errors.Is(err, ErrStale), qt.IsFalse)
-			c.Check(plug.Lines(), qt.Equals, int64(0))
+			c.Check(plug.Open(), qt.Equals, int64(0))
 			return
 		}
 		c.Assert(got.StatusCode >= 200 && got.StatusCode <= 999, qt.IsTrue)
 		body, failed := io.ReadAll(got.Reader)
 		got.Close()
 		c.Assert(ctx.Err(), qt.IsNil)
-		if plug.Lines() == 0 {
+		if plug.Open() == 0 {
 			return
 		}
 		c.Check(failed, qt.IsNil)
@@ -110,7 +110,7 @@
 		for _, name := range []string{"Connection", "Content-Length", "Transfer-Encoding", "Trailer", "Expect"} {
 			header.Del(name)
 		}
-		sent := head(&Shot{Method: came.Method, Target: came.RequestURI, Host: came.Host, Header: header, Body: body, Fresh: fresh})
+		sent := head(&Attempt{Method: came.Method, Target: came.RequestURI, Host: came.Host, Header: header, Body: body, Fresh: fresh})
 		reader := bufio.NewReader(bytes.NewReader(sent))
 		got, err := http.ReadRequest(reader)
 		c.Assert(err, qt.IsNil, qt.Commentf("%q", sent))
--- a/internal/simulation/cut.go
+++ b/internal/simulation/cut.go
@@ -71,7 +71,7 @@
 	})
 	t.operators()
 	for at := int64(cutFrom); at < cutEnds; at += 250 {
-		w.At(at, t.seatsStand)
+		w.At(at, t.votersStand)
 	}
 	w.At(cutFronts, t.newFronts)
 	w.Run(cutEnds)
@@ -89,9 +89,9 @@
 	for at := int64(6000); at < cutEnds; at += 700 {
 		w.At(at, func() {
 			far.only = t.nodes(false)
-			far.Get(func(mark int64) {
-				newest = mark
-				far.Set(mark)
+			far.Get(func(version int64) {
+				newest = version
+				far.Set(version)
 			})
 		})
 	}
--- a/internal/simulation/explorer/invariants_test.go
+++ b/internal/simulation/explorer/invariants_test.go
@@ -10,16 +10,16 @@
 	"applequay/internal/transport/wire"
 )
 
-func seats(ids ...string) []wire.Seat {
-	var out []wire.Seat
+func voters(ids ...string) []wire.Voter {
+	var out []wire.Voter
 	for _, id := range ids {
-		out = append(out, wire.Seat{ID: id})
+		out = append(out, wire.Voter{ID: id})
 	}
 	return out
 }
 
-func write(name string, expected int64, began, ended int, fate register.Fate, mark int64) *Op {
-	return &Op{Kind: "write", Name: name, Expected: expected, Began: began, Ended: ended, Answered: true, Fate: fate, Mark: mark}
+func write(name string, expected int64, began, ended int, fate register.Fate, version int64) *Op {
+	return &Op{Kind: "write", Name: name, Expected: expected, Began: began, Ended: ended, Answered: true, Fate: fate, Version: version}
 }
 
 // Each invariant is seen to fail on facts that break it, and on none that the
@@ -33,23 +33,23 @@
 		spoil func(w *World)
 	}{
 		{"one value per version", func(w *World) {
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a")})
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("b")})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("a")})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("b")})
 		}},
 		{"one value per version", func(w *World) {
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0", "c2~0")})
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0", "c3~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0", "c2~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0", "c3~0")})
 		}},
 		{"reads are fresh", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateDone, 1), {Kind: "read", Began: 3, Ended: 4, Answered: true, Fate: register.FateDone}}
 		}},
 		{"no order taken is refused", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateStale, 1)}
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
 		}},
 		{"refused orders have no effect", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 2, register.FateNone, 0)}
-			w.facts.chosen("policy", wire.Value{Mark: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
+			w.facts.chosen("policy", wire.Value{Version: 1, Body: []byte("a"), Lineage: append([]byte(register.Digest("a")), 1)})
 		}},
 		{"one of two orders on one base", func(w *World) {
 			w.facts.ops = []*Op{write("a", 0, 1, 3, register.FateDone, 1), write("b", 0, 2, 4, register.FateDone, 1)}
@@ -58,12 +58,12 @@
 		{"no vote before copies", func(w *World) {
 			w.facts.acked["policy"] = 3
 			w.machines[2].id = "c9~0"
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0", "c2~0"), Joining: seats("c9~0")})
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 3, Seats: seats("c1~0", "c2~0", "c9~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0", "c2~0"), Joining: voters("c9~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 3, Voters: voters("c1~0", "c2~0", "c9~0")})
 			w.facts.acked["policy"] = 0
 		}},
 		{"majorities meet", func(w *World) {
-			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Seats: seats("c1~0")})
+			w.facts.coreSeen(w, wire.CoreSet{Epoch: 2, Voters: voters("c1~0")})
 		}},
 		{"one holder per lease", func(w *World) {
 			w.machines[0].owned, w.machines[1].owned = []wire.Hold{{Fence: 1}}, []wire.Hold{{Fence: 1}}
--- a/internal/simulation/explorer/machine.go
+++ b/internal/simulation/explorer/machine.go
@@ -15,7 +15,7 @@
 	world          *World
 	at             int
 	name, addr, id string
-	core           *controller.Frame
+	core           *controller.Controller
 	gate           controller.Gate
 	disk           disk
 	pending        []wire.Write
@@ -74,7 +74,7 @@
 		}
 	}
 	var seeds []string
-	for at := range w.model.Seated {
+	for at := range w.model.Admitted {
 		seeds = append(seeds, fmt.Sprintf("c%d:1", at+1))
 	}
 	m.core = controller.New(m.clock(), controller.Boot{
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -40,7 +40,7 @@
 }
 
 // A machine that comes back with an empty disk is a new identity; it takes the
-// old one's seat, one change at a time, and then makes up the majority.
+// old one's vote, one change at a time, and then makes up the majority.
 func TestLostDisk(t *testing.T) {
 	t.Parallel()
 	each(qt.New(t), func(c *qt.C, shape Shape) {
@@ -51,10 +51,10 @@
 		w.Restart(1, true)
 		w.Run(40000)
 		core := w.coreAt(0)
-		c.Check(core.Seats, qt.HasLen, shape.Cores)
-		c.Check(core.Swept, qt.IsTrue)
-		c.Check(seated(core, old), qt.IsFalse)
-		c.Check(seated(core, w.cores[1].ID), qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores)
+		c.Check(core.Rereplicated, qt.IsTrue)
+		c.Check(admitted(core, old), qt.IsFalse)
+		c.Check(admitted(core, w.cores[1].ID), qt.IsTrue)
 		w.Crash(0, true)
 		done := false
 		ben := w.NewOperator("ben")
@@ -78,9 +78,9 @@
 		w.Restart(1, true)
 		w.Run(30000)
 		core := w.coreAt(0)
-		c.Check(core.Seats, qt.HasLen, shape.Cores)
-		c.Check(seated(core, old), qt.IsFalse)
-		c.Check(seated(core, w.cores[1].ID), qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores)
+		c.Check(admitted(core, old), qt.IsFalse)
+		c.Check(admitted(core, w.cores[1].ID), qt.IsTrue)
 		calm(c, w)
 	})
 }
@@ -95,10 +95,10 @@
 		fresh := w.AddCore("c9", "10.0.0.9:1")
 		w.Run(60000)
 		core := w.coreAt(1)
-		c.Check(core.Seats, qt.HasLen, shape.Cores)
-		c.Check(core.Swept, qt.IsTrue)
-		c.Check(seated(core, gone), qt.IsFalse)
-		c.Check(seated(core, fresh.ID), qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores)
+		c.Check(core.Rereplicated, qt.IsTrue)
+		c.Check(admitted(core, gone), qt.IsFalse)
+		c.Check(admitted(core, fresh.ID), qt.IsTrue)
 		calm(c, w)
 	})
 }
@@ -118,11 +118,11 @@
 			w.Run(w.NowMs + 45000)
 		}
 		core := w.coreAt(shape.Cores)
-		c.Check(core.Seats, qt.HasLen, shape.Cores, qt.Commentf("%v", core.Seats))
-		c.Check(core.Swept, qt.IsTrue)
+		c.Check(core.Voters, qt.HasLen, shape.Cores, qt.Commentf("%v", core.Voters))
+		c.Check(core.Rereplicated, qt.IsTrue)
 		joined := w.AddFront("l99", "10.0.1.99:1", "z0", fresh)
 		w.Run(w.NowMs + 4000)
-		c.Check(joined.mark > 0, qt.IsTrue, qt.Commentf("the front has no policy"))
+		c.Check(joined.version > 0, qt.IsTrue, qt.Commentf("the front has no policy"))
 		w.Ask(len(w.fronts)-1, "m1")
 		w.Run(w.NowMs + 12000)
 		c.Check(joined.holds("m1"), qt.IsTrue)
@@ -169,7 +169,7 @@
 	})
 }
 
-// The core is split in two, then cut off from all fronts: marks stay, nothing
+// The core is split in two, then cut off from all fronts: versions stay, nothing
 // is lost, and what was acknowledged on either side holds.
 func TestSplitCore(t *testing.T) {
 	t.Parallel()
@@ -197,7 +197,7 @@
 		}
 		w.CrashFront(0, 500)
 		w.Run(30000)
-		c.Check(w.fronts[0].mark > 0, qt.IsTrue, qt.Commentf("a restarted front learns from its peers"))
+		c.Check(w.fronts[0].version > 0, qt.IsTrue, qt.Commentf("a restarted front learns from its peers"))
 		w.Heal()
 		w.Run(45000)
 		calm(c, w)
@@ -211,20 +211,20 @@
 	each(qt.New(t), func(c *qt.C, shape Shape) {
 		w := steady(shape, 16, 12000)
 		e := w.cores[0]
-		var mark int64
+		var version int64
 		for turn := range 6 {
 			name := fmt.Sprintf("kay-%d", turn)
 			op := w.facts.begin(w.NowMs, "set", name, -1)
 			e.nextAsk++
 			e.answers[e.nextAsk] = func(outcome register.Outcome) {
 				w.facts.end(w.NowMs, op, outcome, nameOf(outcome.Value))
-				mark = outcome.Value.Mark
+				version = outcome.Value.Version
 				w.Crash(0, true)
 			}
 			e.perform(e.core.Change(e.Clock(), e.nextAsk, register.Write{Key: "policy", Expected: -1, Body: w.Body(name)}))
 			w.Run(w.NowMs + 8000)
 			for _, f := range w.fronts {
-				c.Check(f.mark >= mark, qt.IsTrue, qt.Commentf("%s has %d of %d", f.Name, f.mark, mark))
+				c.Check(f.version >= version, qt.IsTrue, qt.Commentf("%s has %d of %d", f.Name, f.version, version))
 			}
 			w.Restart(0, false)
 			w.Run(w.NowMs + 2000)
--- a/internal/simulation/slowset_test.go
+++ b/internal/simulation/slowset_test.go
@@ -27,7 +27,7 @@
 			for !whole && w.NowMs < began+withinMs {
 				w.Run(w.NowMs + 100)
 				core := w.coreAt(0)
-				whole = core.Swept && seated(core, w.cores[1].ID) && len(core.Seats) == shape.Cores
+				whole = core.Rereplicated && admitted(core, w.cores[1].ID) && len(core.Voters) == shape.Cores
 			}
 			c.Check(whole, qt.IsTrue, qt.Commentf("%s seed %d: %+v", shape.Name, seed, w.coreAt(0)))
 			calm(c, w)
--- a/internal/testbed/fleet/machinefaults.go
+++ b/internal/testbed/fleet/machinefaults.go
@@ -41,15 +41,15 @@
 
 // settles writes a policy somewhere and waits until it is in force.
 func (w *World) settles() error {
-	var mark int64
+	var version int64
 	if !w.Until(8*time.Second, func() bool {
 		next, status, err := w.Write("l2", nil, -1)
-		mark = next
+		version = next
 		return err == nil && status == 200
 	}) {
 		return oops.Errorf("no policy is taken")
 	}
-	return w.inForce(mark)
+	return w.inForce(version)
 }
 
 // lossy has links lose and delay, then cuts one core machine off one way and
@@ -143,7 +143,7 @@
 		// Whoever joins from now on is told of the new machine, not the old one.
 		w.seeds = slices.Clone(w.seeds)
 		w.seeds[at] = fresh[at]
-		if !w.Until(40*time.Second, func() bool { return w.seats(name, w.Shape.Cores, names...) }) {
+		if !w.Until(40*time.Second, func() bool { return w.voters(name, w.Shape.Cores, names...) }) {
 			return oops.Errorf("%s is not seated", name)
 		}
 		w.Pass(2 * time.Second)
@@ -159,7 +159,7 @@
 	if err := w.Start(line, board); err != nil {
 		return err
 	}
-	if !w.Until(8*time.Second, func() bool { return w.Mark(board) > 0 }) {
+	if !w.Until(8*time.Second, func() bool { return w.Version(board) > 0 }) {
 		return oops.Errorf("a front that knows the new seeds only learns nothing")
 	}
 	return nil
--- a/internal/testbed/fleet/rates.go
+++ b/internal/testbed/fleet/rates.go
@@ -57,7 +57,7 @@
 const retriesWindowMs = 10000
 
 // Retries checks that what the system sent again by itself, over any ten seconds, is no more
-// than a fifth of what callers sent to the service then. Each try of a caller
+// than a fifth of what clients sent to the service then. Each try of a client
 // has its own tag, so a tag that comes to back ends again is a retry. Every
 // front may make one at any time, which services of little traffic live on.
 //
@@ -100,11 +100,11 @@
 	return breaches
 }
 
-// OneShot checks that no try of a caller's booking or check reaches applications twice,
+// OneAttempt checks that no try of a client's booking or check reaches applications twice,
 // whether or not they would have known it again.
 //
-//	breaches := fleet.OneShot(shape, seen)
-func OneShot(shape Shape, seen *Records) []string {
+//	breaches := fleet.OneAttempt(shape, seen)
+func OneAttempt(shape Shape, seen *Records) []string {
 	var breaches []string
 	came := map[string]Served{}
 	for _, one := range seen.Served {
@@ -178,7 +178,7 @@
 		if note.Event == "raced" && note.Why != "" {
 			breaches = append(breaches, note.Why)
 		}
-		if note.Event == "raced" && note.Mark == 0 {
+		if note.Event == "raced" && note.Version == 0 {
 			breaches = append(breaches, "no write of a racing operator was acknowledged")
 		}
 	}
--- a/internal/testbed/fleet/records.go
+++ b/internal/testbed/fleet/records.go
@@ -31,30 +31,30 @@
 
 // Called is one line of a loadgen's record.
 type Called struct {
-	TimeMs  int64  `json:"t"`
-	Event   string `json:"event"`
-	Path    string `json:"path"`
-	Tag     string `json:"tag"`
-	Key     string `json:"key"`
-	Front   string `json:"front"`
-	Status  int    `json:"status"`
-	Ran     string `json:"ran"`
-	TookMs  int64  `json:"took_ms"`
-	ShotMs  int64  `json:"shot_ms"`
-	FirstMs int64  `json:"first_ms"`
-	Pieces  int64  `json:"pieces"`
-	Shot    int    `json:"shot"`
-	Whole   bool   `json:"whole"`
-	Bad     string `json:"bad"`
-	Why     string `json:"why"`
+	TimeMs    int64  `json:"t"`
+	Event     string `json:"event"`
+	Path      string `json:"path"`
+	Tag       string `json:"tag"`
+	Key       string `json:"key"`
+	Front     string `json:"front"`
+	Status    int    `json:"status"`
+	Ran       string `json:"ran"`
+	TookMs    int64  `json:"took_ms"`
+	AttemptMs int64  `json:"shot_ms"`
+	FirstMs   int64  `json:"first_ms"`
+	Pieces    int64  `json:"pieces"`
+	Attempt   int    `json:"shot"`
+	Whole     bool   `json:"whole"`
+	Bad       string `json:"bad"`
+	Why       string `json:"why"`
 }
 
-// Records are what callers, back ends and the desk saw.
+// Records are what clients, back ends and the desk saw.
 type Records struct {
 	Served []Served
 	Called []Called
 	Notes  []Note
-	// Watched is what callers got at each front for the newest policy's sake.
+	// Watched is what clients got at each front for the newest policy's sake.
 	Watched []Watched
 }
 
--- a/internal/testbed/fleet/report.go
+++ b/internal/testbed/fleet/report.go
@@ -43,7 +43,7 @@
 		switch {
 		case call.Whole && call.Event == "book":
 			figures.BookMs = append(figures.BookMs, call.TookMs)
-		case call.Whole && call.Shot == 1:
+		case call.Whole && call.Attempt == 1:
 			figures.FirstMs = append(figures.FirstMs, call.FirstMs)
 		}
 		switch {
@@ -75,7 +75,7 @@
 }
 
 // comeBack follows streams that were refused since their model was not up to
-// their callers' next try.
+// their clients' next try.
 func (f *Figures) comeBack(seen *Records, from, to int64) {
 	refused := map[string]bool{}
 	for _, call := range seen.Called {
@@ -92,7 +92,7 @@
 		}
 		refused[name] = call.Ran == "no" && (strings.Contains(call.Why, "up") || strings.Contains(call.Why, "room"))
 		if refused[name] {
-			f.VainMs = append(f.VainMs, call.ShotMs)
+			f.VainMs = append(f.VainMs, call.AttemptMs)
 		}
 	}
 }
--- a/internal/testbed/fleet/scenarios.go
+++ b/internal/testbed/fleet/scenarios.go
@@ -13,11 +13,11 @@
 	Seconds int64
 	Run     func(w *World) error
 	// Setup changes the world before anything runs; Before is done once it is
-	// open and before callers come.
+	// open and before clients come.
 	Setup, Before func(w *World) error
-	// Careful callers repeat only what certainly did not run.
+	// Careful clients repeat only what certainly did not run.
 	Careful bool
-	// Cold callers ask for every model and adapter alike often.
+	// Cold clients ask for every model and adapter alike often.
 	Cold bool
 }
 
@@ -71,16 +71,16 @@
 	if !w.Until(5*time.Second, func() bool { return w.List() == nil }) {
 		return oops.Errorf("the directory does not answer")
 	}
-	var mark int64
+	var version int64
 	if !w.Until(10*time.Second, func() bool {
 		var status int
 		var err error
-		mark, status, err = w.Write("l1", nil, -1)
+		version, status, err = w.Write("l1", nil, -1)
 		return err == nil && status == 200
 	}) {
 		return oops.Errorf("no policy is taken: %s", w.ReadLog("l1"))
 	}
-	if took, ok := w.InForce(mark, 5*time.Second, w.Proxies()...); !ok {
+	if took, ok := w.InForce(version, 5*time.Second, w.Proxies()...); !ok {
 		return oops.Errorf("the policy is in force only at %v", took)
 	}
 	return nil
@@ -105,7 +105,7 @@
 			return nil, oops.Wrapf(err, "before %s", scenario.Name)
 		}
 	}
-	wait, err := w.Callers(scenario, factor)
+	wait, err := w.Clients(scenario, factor)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,5 +1,5 @@
-// Package transport carries letters between the project's processes: batches of
-// avro records, posted over HTTP/1.1. Letters may be lost; machines ask again.
+// Package transport carries messages between the project's processes: batches of
+// avro records, posted over HTTP/1.1. Messages may be lost; machines ask again.
 package transport
 
 import (
@@ -17,7 +17,7 @@
 	"applequay/internal/transport/wire"
 )
 
-// Arrived is one letter that came in.
+// Arrived is one message that came in.
 type Arrived struct {
 	From, Addr string
 	Kind       wire.Kind
@@ -26,7 +26,7 @@
 
 // Counts are what a transport carried; they only rise.
 type Counts struct {
-	SentLetters, SentBatches, SentBytes, LostLetters, HeardLetters atomic.Int64
+	SentMessages, SentBatches, SentBytes, LostMessages, HeardMessages atomic.Int64
 }
 
 // How many messages may wait for one address. A front has a line to each of its
@@ -49,11 +49,11 @@
 	slowestLink  = 64 << 10 // bytes a second that a link is allowed to be slow
 )
 
-// Trunk sends for one control thread, which alone calls Send and Close.
-type Trunk struct {
+// Transport sends for one control thread, which alone calls Send and Close.
+type Transport struct {
 	depth      int // of a line
 	self, addr string
-	lines      map[string]chan wire.Letter
+	lines      map[string]chan wire.Message
 	client     *http.Client
 	wait       time.Duration
 	ctx        context.Context
@@ -65,7 +65,7 @@
 // wait for one address.
 //
 //	cable := transport.New(ctx, "c1~7f", settings.Advertise, settings.Listen, time.Second, transport.FrontDepth)
-func New(ctx context.Context, self, addr, listen string, wait time.Duration, depth int) *Trunk {
+func New(ctx context.Context, self, addr, listen string, wait time.Duration, depth int) *Transport {
 	dialer := socket.Dialer(wait, silentWaits*wait)
 	if host, _, err := net.SplitHostPort(listen); err == nil {
 		// A machine speaks from the address that it listens on.
@@ -73,58 +73,58 @@
 	}
 	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: answerBuffer, WriteBufferSize: batchBuffer}
-	return &Trunk{self: self, addr: addr, lines: map[string]chan wire.Letter{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
+	return &Transport{self: self, addr: addr, lines: map[string]chan wire.Message{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
 }
 
-// Send puts a letter on the line to an address; a full line loses it.
+// Send puts a message on the line to an address; a full line loses it.
 //
 //	cable.Send("127.0.0.1:7101", wire.KindQuery, body)
-func (t *Trunk) Send(addr string, kind wire.Kind, body wire.Record) {
+func (t *Transport) Send(addr string, kind wire.Kind, body wire.Record) {
 	line, ok := t.lines[addr]
 	if !ok {
-		line = make(chan wire.Letter, t.depth)
+		line = make(chan wire.Message, t.depth)
 		t.lines[addr] = line
 		go t.run(addr, line)
 	}
 	select {
-	case line <- wire.Letter{Kind: int64(kind), Body: wire.Encode(body)}:
+	case line <- wire.Message{Kind: int64(kind), Body: wire.Encode(body)}:
 	default:
-		t.Counts.LostLetters.Add(1)
+		t.Counts.LostMessages.Add(1)
 	}
 }
 
 // run owns one line: it sends what waits, a batch at a time.
-func (t *Trunk) run(addr string, line chan wire.Letter) {
+func (t *Transport) run(addr string, line chan wire.Message) {
 	for {
-		var batch wire.Letters
+		var batch wire.Messages
 		select {
 		case <-t.ctx.Done():
 			return
-		case letter := <-line:
-			batch.Letters = append(batch.Letters, letter)
+		case message := <-line:
+			batch.Messages = append(batch.Messages, message)
 		}
-		size := len(batch.Letters[0].Body)
-		for more := true; more && len(batch.Letters) < batchMost && size < batchBytes; {
+		size := len(batch.Messages[0].Body)
+		for more := true; more && len(batch.Messages) < batchMost && size < batchBytes; {
 			select {
-			case letter := <-line:
-				batch.Letters = append(batch.Letters, letter)
-				size += len(letter.Body)
+			case message := <-line:
+				batch.Messages = append(batch.Messages, message)
+				size += len(message.Body)
 			default:
 				more = false
 			}
 		}
 		batch.From, batch.Addr = t.self, t.addr
 		if err := t.post(addr, &batch); err != nil {
-			t.Counts.LostLetters.Add(int64(len(batch.Letters)))
+			t.Counts.LostMessages.Add(int64(len(batch.Messages)))
 			continue
 		}
-		t.Counts.SentLetters.Add(int64(len(batch.Letters)))
+		t.Counts.SentMessages.Add(int64(len(batch.Messages)))
 		t.Counts.SentBatches.Add(1)
 		t.Counts.SentBytes.Add(int64(size))
 	}
 }
 
-func (t *Trunk) post(addr string, batch *wire.Letters) error {
+func (t *Transport) post(addr string, batch *wire.Messages) error {
 	body := wire.Encode(batch)
 	ctx, cancel := context.WithTimeout(t.ctx, t.patience(int64(len(body))))
 	defer cancel()
@@ -146,13 +146,13 @@
 }
 
 // patience is how long a batch of a size may take on its way.
-func (t *Trunk) patience(size int64) time.Duration {
+func (t *Transport) patience(size int64) time.Duration {
 	return t.wait + time.Duration(size)*time.Second/slowestLink
 }
 
 // read takes a batch in, in no more time than its sender gives it: one that was
 // cut off in the middle keeps neither its connection nor its memory here.
-func (t *Trunk) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (t *Transport) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	bounded := control.SetReadDeadline(time.Now().Add(t.patience(min(max(r.ContentLength, 0), mostBody)))) == nil
 	var body bytes.Buffer
@@ -164,30 +164,30 @@
 	return body.Bytes(), err
 }
 
-// Handler takes batches in and hands each letter on. Deliver must not block
-// for long; letters it turns away are lost.
+// Handler takes batches in and hands each message on. Deliver must not block
+// for long; messages it turns away are lost.
 //
 //	router.Handle("/trunk", cable.Handler(deliver)).Methods("POST")
-func (t *Trunk) Handler(deliver func(Arrived) bool) http.Handler {
+func (t *Transport) Handler(deliver func(Arrived) bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := t.read(w, r)
 		if err != nil {
 			http.Error(w, "too large, or not all there in time", http.StatusRequestEntityTooLarge)
 			return
 		}
-		var batch wire.Letters
+		var batch wire.Messages
 		if err := batch.Unmarshal(body); err != nil {
 			http.Error(w, oops.Wrapf(err, "letters").Error(), http.StatusBadRequest)
 			return
 		}
-		for _, letter := range batch.Letters {
-			record, err := wire.Decode(wire.Kind(letter.Kind), letter.Body)
+		for _, message := range batch.Messages {
+			record, err := wire.Decode(wire.Kind(message.Kind), message.Body)
 			if err != nil {
 				continue
 			}
-			t.Counts.HeardLetters.Add(1)
-			if !deliver(Arrived{From: batch.From, Addr: batch.Addr, Kind: wire.Kind(letter.Kind), Body: record}) {
-				t.Counts.LostLetters.Add(1)
+			t.Counts.HeardMessages.Add(1)
+			if !deliver(Arrived{From: batch.From, Addr: batch.Addr, Kind: wire.Kind(message.Kind), Body: record}) {
+				t.Counts.LostMessages.Add(1)
 			}
 		}
 		w.Header()["Date"] = nil
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -31,15 +31,15 @@
 
 // Value is a generated struct.
 type Value struct {
-	Mark int64  `avro:"mark"`
-	Body []byte `avro:"body"`
-	// The newest writes, oldest first: a digest of each name and how far its mark rose.
+	Version int64  `avro:"version"`
+	Body    []byte `avro:"body"`
+	// The newest writes, oldest first: a digest of each name and how far its version rose.
 	Lineage []byte `avro:"lineage"`
-	// The newest mark whose write the lineage no longer holds; 0 if it holds all.
+	// The newest version whose write the lineage no longer holds; 0 if it holds all.
 	Forgot int64 `avro:"forgot"`
 }
 
-var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"mark","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":"bytes"},{"name":"forgot","type":"long"}]}`)
+var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"version","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":"bytes"},{"name":"forgot","type":"long"}]}`)
 
 // Schema returns the schema for Value.
 func (o *Value) Schema() avro.Schema {
@@ -261,40 +261,40 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
-// Seat is a generated struct.
-type Seat struct {
+// Voter is a generated struct.
+type Voter struct {
 	ID   string `avro:"id"`
 	Name string `avro:"name"`
 	Addr string `avro:"addr"`
 }
 
-var schemaSeat = schemaOf(`{"name":"Seat","type":"record","fields":[{"name":"id","type":"string"},{"name":"name","type":"string"},{"name":"addr","type":"string"}]}`)
+var schemaVoter = schemaOf(`{"name":"Voter","type":"record","fields":[{"name":"id","type":"string"},{"name":"name","type":"string"},{"name":"addr","type":"string"}]}`)
 
-// Schema returns the schema for Seat.
-func (o *Seat) Schema() avro.Schema {
-	return schemaSeat
+// Schema returns the schema for Voter.
+func (o *Voter) Schema() avro.Schema {
+	return schemaVoter
 }
 
 // Unmarshal decodes b into the receiver.
-func (o *Seat) Unmarshal(b []byte) error {
+func (o *Voter) Unmarshal(b []byte) error {
 	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
-func (o *Seat) Marshal() ([]byte, error) {
+func (o *Voter) Marshal() ([]byte, error) {
 	return avro.Marshal(o.Schema(), o)
 }
 
 // CoreSet is a generated struct.
 type CoreSet struct {
-	Epoch   int64  `avro:"epoch"`
-	Size    int64  `avro:"size"`
-	Seats   []Seat `avro:"seats"`
-	Joining []Seat `avro:"joining"`
-	Swept   bool   `avro:"swept"`
+	Epoch        int64   `avro:"epoch"`
+	Size         int64   `avro:"size"`
+	Voters       []Voter `avro:"voters"`
+	Joining      []Voter `avro:"joining"`
+	Rereplicated bool    `avro:"rereplicated"`
 }
 
-var schemaCoreSet = schemaOf(`{"name":"CoreSet","type":"record","fields":[{"name":"epoch","type":"long"},{"name":"size","type":"long"},{"name":"seats","type":{"type":"array","items":"Seat"}},{"name":"joining","type":{"type":"array","items":"Seat"}},{"name":"swept","type":"boolean"}]}`)
+var schemaCoreSet = schemaOf(`{"name":"CoreSet","type":"record","fields":[{"name":"epoch","type":"long"},{"name":"size","type":"long"},{"name":"voters","type":{"type":"array","items":"Voter"}},{"name":"joining","type":{"type":"array","items":"Voter"}},{"name":"rereplicated","type":"boolean"}]}`)
 
 // Schema returns the schema for CoreSet.
 func (o *CoreSet) Schema() avro.Schema {
@@ -313,10 +313,10 @@
 
 // FoundAsk is a generated struct.
 type FoundAsk struct {
-	Seat Seat `avro:"seat"`
+	Voter Voter `avro:"voter"`
 }
 
-var schemaFoundAsk = schemaOf(`{"name":"FoundAsk","type":"record","fields":[{"name":"seat","type":"Seat"}]}`)
+var schemaFoundAsk = schemaOf(`{"name":"FoundAsk","type":"record","fields":[{"name":"voter","type":"Voter"}]}`)
 
 // Schema returns the schema for FoundAsk.
 func (o *FoundAsk) Schema() avro.Schema {
@@ -335,12 +335,12 @@
 
 // FoundTold is a generated struct.
 type FoundTold struct {
-	Seat    Seat   `avro:"seat"`
+	Voter   Voter  `avro:"voter"`
 	Founded bool   `avro:"founded"`
 	Core    []byte `avro:"core"`
 }
 
-var schemaFoundTold = schemaOf(`{"name":"FoundTold","type":"record","fields":[{"name":"seat","type":"Seat"},{"name":"founded","type":"boolean"},{"name":"core","type":"bytes"}]}`)
+var schemaFoundTold = schemaOf(`{"name":"FoundTold","type":"record","fields":[{"name":"voter","type":"Voter"},{"name":"founded","type":"boolean"},{"name":"core","type":"bytes"}]}`)
 
 // Schema returns the schema for FoundTold.
 func (o *FoundTold) Schema() avro.Schema {
@@ -813,13 +813,13 @@
 // Roster is a generated struct.
 type Roster struct {
 	Pool    string   `avro:"pool"`
-	Mark    int64    `avro:"mark"`
+	Version int64    `avro:"version"`
 	FromMs  int64    `avro:"fromMs"`
 	UntilMs int64    `avro:"untilMs"`
 	Servers []string `avro:"servers"`
 }
 
-var schemaRoster = schemaOf(`{"name":"Roster","type":"record","fields":[{"name":"pool","type":"string"},{"name":"mark","type":"long"},{"name":"fromMs","type":"long"},{"name":"untilMs","type":"long"},{"name":"servers","type":{"type":"array","items":"string"}}]}`)
+var schemaRoster = schemaOf(`{"name":"Roster","type":"record","fields":[{"name":"pool","type":"string"},{"name":"version","type":"long"},{"name":"fromMs","type":"long"},{"name":"untilMs","type":"long"},{"name":"servers","type":{"type":"array","items":"string"}}]}`)
 
 // Schema returns the schema for Roster.
 func (o *Roster) Schema() avro.Schema {
@@ -1908,14 +1908,14 @@
 
 // TicketWish is a generated struct.
 type TicketWish struct {
-	Op     int64   `avro:"op"`
-	Key    string  `avro:"key"`
-	Server string  `avro:"server"`
-	Few    bool    `avro:"few"`
-	Marks  []int64 `avro:"marks"`
+	Op       int64   `avro:"op"`
+	Key      string  `avro:"key"`
+	Server   string  `avro:"server"`
+	Few      bool    `avro:"few"`
+	Versions []int64 `avro:"versions"`
 }
 
-var schemaTicketWish = schemaOf(`{"name":"TicketWish","type":"record","fields":[{"name":"op","type":"long"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"few","type":"boolean"},{"name":"marks","type":{"type":"array","items":"long"}}]}`)
+var schemaTicketWish = schemaOf(`{"name":"TicketWish","type":"record","fields":[{"name":"op","type":"long"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"few","type":"boolean"},{"name":"versions","type":{"type":"array","items":"long"}}]}`)
 
 // Schema returns the schema for TicketWish.
 func (o *TicketWish) Schema() avro.Schema {
@@ -1960,15 +1960,15 @@
 
 // TicketAsk is a generated struct.
 type TicketAsk struct {
-	Op     int64  `avro:"op"`
-	Asker  string `avro:"asker"`
-	Key    string `avro:"key"`
-	Server string `avro:"server"`
-	FromMs int64  `avro:"fromMs"`
-	Mark   int64  `avro:"mark"`
+	Op      int64  `avro:"op"`
+	Asker   string `avro:"asker"`
+	Key     string `avro:"key"`
+	Server  string `avro:"server"`
+	FromMs  int64  `avro:"fromMs"`
+	Version int64  `avro:"version"`
 }
 
-var schemaTicketAsk = schemaOf(`{"name":"TicketAsk","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"fromMs","type":"long"},{"name":"mark","type":"long"}]}`)
+var schemaTicketAsk = schemaOf(`{"name":"TicketAsk","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"key","type":"string"},{"name":"server","type":"string"},{"name":"fromMs","type":"long"},{"name":"version","type":"long"}]}`)
 
 // Schema returns the schema for TicketAsk.
 func (o *TicketAsk) Schema() avro.Schema {
@@ -1987,17 +1987,17 @@
 
 // TicketTold is a generated struct.
 type TicketTold struct {
-	Op     int64    `avro:"op"`
-	Asker  string   `avro:"asker"`
-	Others []string `avro:"others"`
-	FromMs int64    `avro:"fromMs"`
-	Mark   int64    `avro:"mark"`
-	LineMs int64    `avro:"lineMs"`
-	Lost   []string `avro:"lost"`
-	Bad    string   `avro:"bad"`
+	Op      int64    `avro:"op"`
+	Asker   string   `avro:"asker"`
+	Others  []string `avro:"others"`
+	FromMs  int64    `avro:"fromMs"`
+	Version int64    `avro:"version"`
+	LineMs  int64    `avro:"lineMs"`
+	Lost    []string `avro:"lost"`
+	Bad     string   `avro:"bad"`
 }
 
-var schemaTicketTold = schemaOf(`{"name":"TicketTold","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"others","type":{"type":"array","items":"string"}},{"name":"fromMs","type":"long"},{"name":"mark","type":"long"},{"name":"lineMs","type":"long"},{"name":"lost","type":{"type":"array","items":"string"}},{"name":"bad","type":"string"}]}`)
+var schemaTicketTold = schemaOf(`{"name":"TicketTold","type":"record","fields":[{"name":"op","type":"long"},{"name":"asker","type":"string"},{"name":"others","type":{"type":"array","items":"string"}},{"name":"fromMs","type":"long"},{"name":"version","type":"long"},{"name":"lineMs","type":"long"},{"name":"lost","type":{"type":"array","items":"string"}},{"name":"bad","type":"string"}]}`)
 
 // Schema returns the schema for TicketTold.
 func (o *TicketTold) Schema() avro.Schema {
@@ -2161,49 +2161,49 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
-// Letter is a generated struct.
-type Letter struct {
+// Message is a generated struct.
+type Message struct {
 	Kind int64  `avro:"kind"`
 	Body []byte `avro:"body"`
 }
 
-var schemaLetter = schemaOf(`{"name":"Letter","type":"record","fields":[{"name":"kind","type":"long"},{"name":"body","type":"bytes"}]}`)
+var schemaMessage = schemaOf(`{"name":"Message","type":"record","fields":[{"name":"kind","type":"long"},{"name":"body","type":"bytes"}]}`)
 
-// Schema returns the schema for Letter.
-func (o *Letter) Schema() avro.Schema {
-	return schemaLetter
+// Schema returns the schema for Message.
+func (o *Message) Schema() avro.Schema {
+	return schemaMessage
 }
 
 // Unmarshal decodes b into the receiver.
-func (o *Letter) Unmarshal(b []byte) error {
+func (o *Message) Unmarshal(b []byte) error {
 	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
-func (o *Letter) Marshal() ([]byte, error) {
+func (o *Message) Marshal() ([]byte, error) {
 	return avro.Marshal(o.Schema(), o)
 }
 
-// Letters is a generated struct.
-type Letters struct {
-	From    string   `avro:"from"`
-	Addr    string   `avro:"addr"`
-	Letters []Letter `avro:"letters"`
+// Messages is a generated struct.
+type Messages struct {
+	From     string    `avro:"from"`
+	Addr     string    `avro:"addr"`
+	Messages []Message `avro:"messages"`
 }
 
-var schemaLetters = schemaOf(`{"name":"Letters","type":"record","fields":[{"name":"from","type":"string"},{"name":"addr","type":"string"},{"name":"letters","type":{"type":"array","items":"Letter"}}]}`)
+var schemaMessages = schemaOf(`{"name":"Messages","type":"record","fields":[{"name":"from","type":"string"},{"name":"addr","type":"string"},{"name":"messages","type":{"type":"array","items":"Message"}}]}`)
 
-// Schema returns the schema for Letters.
-func (o *Letters) Schema() avro.Schema {
-	return schemaLetters
+// Schema returns the schema for Messages.
+func (o *Messages) Schema() avro.Schema {
+	return schemaMessages
 }
 
 // Unmarshal decodes b into the receiver.
-func (o *Letters) Unmarshal(b []byte) error {
+func (o *Messages) Unmarshal(b []byte) error {
 	return unmarshal(o, b)
 }
 
 // Marshal encodes the receiver.
-func (o *Letters) Marshal() ([]byte, error) {
+func (o *Messages) Marshal() ([]byte, error) {
 	return avro.Marshal(o.Schema(), o)
 }
