--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -53,11 +53,12 @@
 }
 
 // Chose takes notice of a value that was chosen: writes that it names are done,
-// and those that it overtook are stale; what else waited for it may begin.
+// and those that it overtook are refused after a read; what else waited for it may begin.
 //
 //	out := proposer.Chose(now, "policy", value)
 func (p *Proposer) Chose(now int64, key string, value wire.Value) wire.Outputs {
 	var out wire.Outputs
+	var refused []*write
 	delete(p.busy, key)
 	p.chose[key] = now
 	for _, op := range sortedOps(p.ops) {
@@ -67,23 +68,24 @@
 		}
 		o.phaseEnds = min(o.phaseEnds, now+p.random.Int63n(max(p.limits.PhaseMs/8, 1)))
 		o.writes = slices.DeleteFunc(o.writes, func(asked *write) bool {
-			outcome := Outcome{Key: key, Has: true, Value: value}
 			version, known := Written(value, asked.Name)
 			switch {
 			case known:
+				outcome := Outcome{Key: key, Has: true, Value: value}
 				outcome.Value.Version = version
+				out.Answers = append(out.Answers, wire.Answer{Call: asked.call, Body: outcome})
 			case asked.sentVersion == 0 && asked.overtaken(value):
-				outcome.Fate = asked.missed(value)
+				refused = append(refused, asked)
 			default:
 				return false
 			}
-			out.Answers = append(out.Answers, wire.Answer{Call: asked.call, Body: outcome})
 			return true
 		})
 		if len(o.writes) == 0 && !o.read {
 			delete(p.ops, op)
 		}
 	}
+	out.Add(p.refuseAfterRead(now, key, refused))
 	return out
 }
 
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -57,14 +57,6 @@
 	Rounds  int64
 }
 
-// mend is what a read found chosen, kept for a while for late copies.
-type mend struct {
-	key    string
-	ballot wire.Ballot
-	value  []byte
-	until  int64
-}
-
 type phase int
 
 const (
@@ -79,6 +71,9 @@
 	op, call         int64
 	key              string
 	read, mend, keys bool
+	// refused are writes that a chosen value overtook: they are answered with what
+	// this read finds.
+	refused []*write
 	// differed is how often a read found that the copies differ; then it proposes
 	// what is there itself.
 	differed       int
@@ -130,27 +125,6 @@
 	}
 }
 
-// Read asks for a register's value; where the copies differ it mends them.
-//
-//	out := proposer.Read(now, call, "policy", heldBallot, heldValue)
-func (p *Proposer) Read(now, call int64, key string, have wire.Ballot, value []byte) wire.Outputs {
-	return p.start(now, &operation{call: call, key: key, read: true, have: have, haveValue: value})
-}
-
-// Mend writes a register's value again at a majority and at every newcomer.
-//
-//	out := proposer.Mend(now, call, "policy")
-func (p *Proposer) Mend(now, call int64, key string) wire.Outputs {
-	return p.start(now, &operation{call: call, key: key, read: true, mend: true})
-}
-
-// Keys asks a majority which registers there are; counted voters vouch for a newcomer.
-//
-//	out := proposer.Keys(now, call, nil)
-func (p *Proposer) Keys(now, call int64, counted map[string]bool) wire.Outputs {
-	return p.start(now, &operation{call: call, keys: true, found: map[string]bool{}, counted: counted})
-}
-
 func (p *Proposer) start(now int64, o *operation) wire.Outputs {
 	p.nextOp++
 	o.op, o.asked, o.ends, o.began = p.nextOp, now, now+p.limitMs(o.key, o.mend || o.keys), now
@@ -265,5 +239,9 @@
 
 func (p *Proposer) finish(out *wire.Outputs, o *operation, outcome Outcome) {
 	delete(p.ops, o.op)
+	if len(o.refused) > 0 {
+		p.refuse(out, o.refused, outcome)
+		return
+	}
 	out.Answers = append(out.Answers, wire.Answer{Call: o.call, Body: outcome})
 }
--- a/internal/controlplane/register/rounds.go
+++ b/internal/controlplane/register/rounds.go
@@ -55,13 +55,6 @@
 	return out
 }
 
-// mendOne gives a chosen value to a controller whose copy a read found old.
-func (p *Proposer) mendOne(out *wire.Outputs, found mend, to string) {
-	if len(found.value) > 0 {
-		out.Send(to, wire.KindChosen, &wire.Chosen{Key: found.key, Ballot: found.ballot, Value: found.value})
-	}
-}
-
 // newer starts a call over where the core set is newer than the one that its
 // attempt counts by, as a controller tells or as this node learned meanwhile: what
 // was heard under one set makes no majority of another.
@@ -101,73 +94,6 @@
 	return topic
 }
 
-func (p *Proposer) queried(now int64, out *wire.Outputs, o *operation, from string, told *wire.Promise) {
-	if !p.admitted(from) || o.heard[from] {
-		return
-	}
-	o.heard[from] = true
-	value := told.Value
-	if told.Same {
-		value = o.haveValue
-	}
-	if o.agreed > 0 && Less(told.Accepted, o.best) {
-		o.behind = append(o.behind, from)
-	}
-	switch {
-	case o.agreed == 0 || Less(o.best, told.Accepted):
-		o.best, o.bestValue, o.agreed = told.Accepted, value, 1
-	case o.best == told.Accepted:
-		o.agreed++
-	}
-	if o.agreed >= p.majority() {
-		p.counter = max(p.counter, o.best.N)
-		outcome := Outcome{Key: o.key, Fate: FateDone}
-		outcome.Has = len(o.bestValue) > 0 && outcome.Value.Unmarshal(o.bestValue) == nil
-		p.finish(out, o, outcome)
-		p.mends[o.op] = mend{key: o.key, ballot: o.best, value: o.bestValue, until: now + p.limits.PhaseMs}
-		for _, late := range o.behind {
-			p.mendOne(out, p.mends[o.op], late)
-		}
-		return
-	}
-	if o.agreed+len(p.core.Voters)-len(o.heard) < p.majority() {
-		p.differs(now, out, o)
-		return
-	}
-	// Others may agree with the newest; who is away is not waited for.
-	if len(o.heard) >= p.majority() {
-		o.phaseEnds = min(o.phaseEnds, now+p.pace())
-	}
-}
-
-// silent goes on with a read that has waited long enough for answers: without those
-// of a majority only asking again helps.
-func (p *Proposer) silent(now int64, out *wire.Outputs, o *operation) {
-	if len(o.heard) >= p.majority() {
-		p.differs(now, out, o)
-		return
-	}
-	out.Add(p.begin(now, o))
-}
-
-// mostDiffering is how often a read finds that the copies differ before it makes
-// them agree by a round of its own.
-const mostDiffering = 3
-
-// differs goes on with a read whose copies differ. Mostly they do because a write
-// is on its way to them, which a round of the read's own would turn away: so it
-// asks again after about the time of a round, and proposes only after some of these.
-func (p *Proposer) differs(now int64, out *wire.Outputs, o *operation) {
-	o.differed++
-	if o.differed >= mostDiffering {
-		o.proposes = true
-		out.Add(p.begin(now, o))
-		return
-	}
-	o.phase = phaseWait
-	o.phaseEnds = now + p.pace()/2 + p.random.Int63n(p.pace())
-}
-
 func (p *Proposer) promised(now int64, out *wire.Outputs, o *operation, from string, told *wire.Promise) {
 	if !told.Ok {
 		if Less(o.ballot, told.Ballot) {
--- a/internal/controlplane/register/writes.go
+++ b/internal/controlplane/register/writes.go
@@ -159,14 +159,18 @@
 		if now < asked.ends {
 			return false
 		}
-		fate := FateNone
-		if asked.sentVersion > 0 || asked.given != "" {
-			fate = FateUnknown
-		}
-		out.Answers = append(out.Answers, wire.Answer{Call: asked.call, Body: Outcome{Key: o.key, Fate: fate}})
+		out.Answers = append(out.Answers, wire.Answer{Call: asked.call, Body: Outcome{Key: o.key, Fate: asked.unanswered()}})
 		return true
 	})
 	if len(o.writes) == 0 {
 		delete(p.ops, o.op)
 	}
 }
+
+// unanswered is the fate of a write that ran out of time.
+func (w *write) unanswered() Fate {
+	if w.sentVersion > 0 || w.given != "" {
+		return FateUnknown
+	}
+	return FateNone
+}
