Streams: one that goes on elsewhere asks again those that turned it away

Ruled out: a cut without another holder (watcher.follows asks for one first). Now it waits a little and asks again those that did not run it, out of the budget, while its time lasts; no more workers and no more runs than the route's tries. TestCutStreamIsAskedAgain failed before (unexpected EOF); TestTriesBoundRuns holds.

--- a/internal/dataplane/pipeline/attempt.go
+++ b/internal/dataplane/pipeline/attempt.go
@@ -39,15 +39,18 @@
 	for {
 		c.current = s.Table()
 		chosenServer := s.choose(c)
-		if chosenServer == nil && s.awaitHolder(c) {
-			continue
-		}
 		if chosenServer == nil {
+			if s.awaitHolder(c) || s.askAgain(c) {
+				continue
+			}
 			s.giveUp(c, cmp.Or(c.why, "no server can take this now"))
 			return
 		}
 		if arrived > 0 {
-			if arrived >= s.tries(c) || !s.pay(c, budget) {
+			if !s.mayArrive(c, arrived) || !s.pay(c, budget) {
+				if s.askAgain(c) {
+					continue
+				}
 				s.giveUp(c, "the server did not answer, and no more may be tried")
 				return
 			}
@@ -57,58 +60,55 @@
 		end := s.once(c, chosenServer, arrived+1 < s.tries(c) || c.again && c.stream && c.route.TargetMs == 0)
 		if end != fateNoLine {
 			arrived++
+			c.asked[chosenServer.Name] = true
 		}
-		switch end {
-		case fateAnswered:
-			return
-		case fateNoLine:
-			s.avoid(chosenServer)
-		case fateBroken:
-			s.Counts.Broken.Add(1)
-			if c.wrote = true; !c.again || c.runAt != nil {
-				s.giveUp(c, "the server broke off")
-				return
-			}
-		case fateStale:
-			// The same server may be well: it is asked again on a line of its own.
-			if c.wrote = true; !c.again {
-				s.giveUp(c, "the server broke off")
-				return
-			}
-			if c.fresh = true; c.ctx.Err() == nil {
-				continue
-			}
-		case fateBusy:
-			c.wrote = true
-		case fateCut:
-			s.Counts.Broken.Add(1)
-			c.cut = true
-		}
-		if c.ask.Key == "" || c.service.Model {
-			c.tried[chosenServer.Name] = true
-		} else if !s.pause(c) {
-			s.giveUp(c, "the server cannot be reached")
-			return
-		}
-		if c.ctx.Err() != nil {
-			s.giveUp(c, "the time is up")
+		if s.ended(c, chosenServer, end) {
 			return
 		}
 	}
 }
 
-// tries is how many servers one request may arrive at.
-func (s *Switch) tries(c *call) int64 {
-	if c.route.Tries > 0 {
-		return c.route.Tries
+// ended does what the end of an attempt asks for; false if another may follow.
+func (s *Switch) ended(c *call, chosenServer *routing.Server, end fate) bool {
+	switch end {
+	case fateAnswered:
+		return true
+	case fateNoLine:
+		s.avoid(chosenServer)
+	case fateBroken:
+		s.Counts.Broken.Add(1)
+		c.runs++
+		if c.wrote = true; !c.again || c.runAt != nil {
+			s.giveUp(c, "the server broke off")
+			return true
+		}
+	case fateStale:
+		// The same server may be well: it is asked again on a line of its own.
+		if c.wrote = true; !c.again {
+			s.giveUp(c, "the server broke off")
+			return true
+		}
+		if c.fresh = true; c.ctx.Err() == nil {
+			return false
+		}
+	case fateBusy:
+		c.wrote = true
+	case fateCut:
+		s.Counts.Broken.Add(1)
+		c.runs++
+		c.cut = true
 	}
-	return int64(s.limits.Attempts)
-}
-
-// slack is this front's part of the attempts beyond the share that all fronts
-// together may make.
-func (s *Switch) slack() int64 {
-	return s.limits.RetrySlack * 3 / 4 / max(s.fronts.Load(), 1)
+	if c.ask.Key == "" || c.service.Model {
+		c.tried[chosenServer.Name] = true
+	} else if !s.pause(c) {
+		s.giveUp(c, "the server cannot be reached")
+		return true
+	}
+	if c.ctx.Err() != nil {
+		s.giveUp(c, "the time is up")
+		return true
+	}
+	return false
 }
 
 // avoid keeps requests from a server that could not be reached, for a while.
--- a/internal/dataplane/pipeline/call.go
+++ b/internal/dataplane/pipeline/call.go
@@ -41,7 +41,11 @@
 	// go on after it at another server.
 	passed int64
 	cut    bool
-	// paid says that the next attempt was taken from the budget already.
+	// asked are the servers that the request was sent to, runs how often one of them
+	// may have begun on it.
+	asked map[string]bool
+	runs  int64
+	// paid says that the next shot was taken from the budget already.
 	paid atomic.Bool
 	// fresh asks for a line of its own.
 	fresh bool
--- a/internal/dataplane/pipeline/choose.go
+++ b/internal/dataplane/pipeline/choose.go
@@ -43,13 +43,15 @@
 }
 
 // willing are the servers that were not tried, and did not lately say that they
-// do not hold the item. Where only tried ones are left there is none.
+// do not hold the item. Where only tried ones are left there is none. A stream that
+// goes on, and was sent to as many as its route allows, goes to no other.
 func (s *Switch) willing(c *call, servers []*routing.Server) []*routing.Server {
 	out, misses := make([]*routing.Server, 0, len(servers)), []*routing.Server(nil)
 	now := s.Now()
+	full := c.cut && int64(len(c.asked)) >= s.tries(c)
 	for _, server := range servers {
 		switch {
-		case c.tried[server.Name]:
+		case c.tried[server.Name], full && !c.asked[server.Name]:
 		case server.Load.Misses(c.item, now):
 			misses = append(misses, server)
 		default:
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/switch.go
@@ -147,7 +147,7 @@
 //	http.Handle("/", board)
 func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.Counts.Came.Add(1)
-	s.run(&call{w: w, r: r, speech: s.speech, came: time.Now(), tried: map[string]bool{}, bad: &s.Counts.Bad})
+	s.run(&call{w: w, r: r, speech: s.speech, came: time.Now(), tried: map[string]bool{}, asked: map[string]bool{}, bad: &s.Counts.Bad})
 }
 
 // InWork is how many requests are in work now.
