News: configuration compressed, and told by the zone's own controller

Ruled out: processor time (0.013 of a core in an agent), gossip, demand, homes. Topics of the configuration and the worker list are compressed once (RFC 1951); a controller tells the fronts of its own zone itself, homes relay only for others.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -164,14 +164,15 @@
 			l.SetSeeds(l.boot.Seeds)
 		}
 	case topic.Name == controller.PolicyKey:
-		if table, faults, _ := l.boot.Form.Parse(topic.Body, topic.Step); table != nil && len(faults) == 0 {
+		body, _ := wire.Unpack(topic)
+		if table, faults, _ := l.boot.Form.Parse(body, topic.Step); table != nil && len(faults) == 0 {
 			l.policy = table.Placement()
 		}
 		l.versions[controller.PolicyKey] = topic.Step
 		l.members.Set("mark", fmt.Sprint(topic.Step))
 	case topic.Name == controller.DirectoryKey:
 		var list wire.WorkerList
-		if list.Unmarshal(topic.Body) == nil {
+		if body, err := wire.Unpack(topic); err == nil && list.Unmarshal(body) == nil {
 			l.learntList(topic.Step)
 			l.workers, l.rosters = map[string]wire.Worker{}, sortedRosters(&list)
 			for _, worker := range list.Workers {
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -17,7 +17,10 @@
 
 // rested is a front among others, long after its start, with nothing under way; a
 // controller told it of a policy. It is its zone's home of control and of a pool.
-func rested(fronts int) *Agent {
+func rested(fronts int) *Agent { return restedBy(fronts, "") }
+
+// restedBy is such a front with its controller in a zone.
+func restedBy(fronts int, zone string) *Agent {
 	var self string
 	for at := 0; ; at++ {
 		self = fmt.Sprintf("l1~a%d", at)
@@ -31,7 +34,7 @@
 	}
 	line := New(1, Boot{ID: self, Name: "l1", Addr: "10.0.1.1:1", Zone: "z", Proxy: proxyAddr, LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
 	line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
-	members := []wire.Member{{ID: "c1~z", Role: "controller", Addr: "10.0.0.1:1", Born: 5}}
+	members := []wire.Member{{ID: "c1~z", Role: "controller", Zone: zone, Addr: "10.0.0.1:1", Born: 5}}
 	for i := range fronts - 1 {
 		members = append(members, wire.Member{ID: fmt.Sprintf("l%d~b", i+2), Role: "agent", Zone: "z", Addr: fmt.Sprintf("10.0.1.%d:1", i+2), Born: 5})
 	}
@@ -130,6 +133,27 @@
 	}
 }
 
+// What binds all fronts, a controller tells each front of its own zone itself: the
+// home, whose link may be thin, passes on only what one of another zone told it.
+func TestHomeLeavesItsZoneToTheController(t *testing.T) {
+	for _, one := range []struct {
+		zone, topic string
+		peers       int
+	}{{"z", controller.PolicyKey, 0}, {"z", controller.DirectoryKey, 0}, {"z", "homes/llm/w1", 3}, {"y", controller.PolicyKey, 3}, {"y", controller.DirectoryKey, 3}} {
+		t.Run(one.topic+" from "+one.zone, func(t *testing.T) {
+			c := qt.New(t)
+			line, peers := restedBy(4, one.zone), 0
+			out := line.Hear(5010, "c1~z", &wire.News{Topics: []wire.Topic{{Name: one.topic, Term: 1, Step: 9, Body: []byte("{}")}}})
+			for _, send := range out.Sends {
+				if _, is := send.Body.(*wire.News); is && send.To != proxyAddr {
+					peers++
+				}
+			}
+			c.Check(peers, qt.Equals, one.peers)
+		})
+	}
+}
+
 // The proxy hears that all is as it was only now and then, and at once what changed;
 // one that was started again is told anew.
 func TestContactIsToldWhenItChanges(t *testing.T) {
--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -42,6 +42,9 @@
 		agents := l.members.Alive("agent")
 		for _, topic := range told.Topics {
 			// What a front that is no home asked for is for itself alone.
+			if binding(topic.Name) && l.inZone(from) {
+				continue
+			}
 			if distribution.Home(distribution.ServiceOf(topic.Name), l.boot.Zone, agents) == l.boot.ID {
 				l.passing[topic.Name] = topic
 			}
@@ -53,6 +56,17 @@
 	l.newsOut(now, out)
 }
 
+// binding tells whether a topic is in force at all fronts at once.
+func binding(topic string) bool {
+	return topic == controller.PolicyKey || topic == controller.DirectoryKey
+}
+
+// inZone tells whether a controller that stands is in this zone: it tells all fronts
+// here itself of what binds them all (controller.push).
+func (l *Agent) inZone(id string) bool {
+	return slices.ContainsFunc(l.members.Alive("controller"), func(one wire.Member) bool { return one.ID == id && one.Zone == l.boot.Zone })
+}
+
 // newsOut passes on and feeds what rose, unless something went out just before.
 func (l *Agent) newsOut(now int64, out *wire.Outputs) {
 	if now-l.newsMs < l.boot.ProbeMs/newsPerProbe {
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -44,7 +44,7 @@
 			f.view.Policy = table.Placement()
 		}
 		f.members.Set("mark", strconv.FormatInt(value.Version, 10))
-		topic := wire.Topic{Name: PolicyKey, Step: value.Version, Body: value.Body}
+		topic := wire.Pack(wire.Topic{Name: PolicyKey, Step: value.Version, Body: value.Body})
 		f.board.Put(topic)
 		f.push(out, topic, false)
 	case key == DirectoryKey:
@@ -53,7 +53,7 @@
 			f.listed = list
 			f.viewWorkers()
 		}
-		topic := wire.Topic{Name: DirectoryKey, Step: value.Version, Body: value.Body}
+		topic := wire.Pack(wire.Topic{Name: DirectoryKey, Step: value.Version, Body: value.Body})
 		f.board.Put(topic)
 		f.push(out, topic, false)
 	case strings.HasPrefix(key, ownerPrefix):
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -7,21 +7,28 @@
 	"applequay/internal/transport/wire"
 )
 
-// push tells each zone's home of a topic that it rose, at once; a home that
-// misses it asks for it a little later. What this node alone knows first goes to
-// all zones; what all controllers hear goes to those that this one looks after.
+// push tells the fronts of a topic that rose, at once. What this node alone knows
+// first (all) goes to each zone's home, which passes it on; a home that misses it
+// asks for it a little later. What all controllers hear binds all fronts: each
+// controller tells the zones that it looks after, and in its own zone every front
+// itself, since its link carries that sooner than any front's and nobody then waits
+// for a home that is slow or gone (toldByController in package agent).
 func (f *Controller) push(out *wire.Outputs, topic wire.Topic, all bool) {
 	agents := f.members.Alive("agent")
-	var zones []string
+	told := &wire.News{Topics: []wire.Topic{topic}}
+	homes := map[string]bool{}
 	for _, agent := range agents {
-		if !slices.Contains(zones, agent.Zone) {
-			zones = append(zones, agent.Zone)
+		if !all && agent.Zone == f.boot.Zone {
+			if f.looksAfter(agent.Zone) {
+				out.Send(agent.ID, wire.KindNews, told)
+			}
+			continue
 		}
-	}
-	for _, zone := range zones {
-		if home := distribution.Home(distribution.ServiceOf(topic.Name), zone, agents); home != "" && (all || f.looksAfter(zone)) {
-			out.Send(home, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
+		if homes[agent.Zone] || (!all && !f.looksAfter(agent.Zone)) {
+			continue
 		}
+		homes[agent.Zone] = true
+		out.Send(distribution.Home(distribution.ServiceOf(topic.Name), agent.Zone, agents), wire.KindNews, told)
 	}
 }
 
--- a/internal/controlplane/controller/rollout.go
+++ b/internal/controlplane/controller/rollout.go
@@ -64,7 +64,11 @@
 // writeStep writes what a step makes of the policy, if it still has the version
 // that the step began with.
 func (f *Controller) writeStep(now int64, out *wire.Outputs, kept wire.Topic, step func([]byte) ([]byte, error)) {
-	body, err := step(kept.Body)
+	stands, err := wire.Unpack(kept)
+	if err != nil {
+		return
+	}
+	body, err := step(stands)
 	if err != nil || kept.Step != f.rolling.version {
 		return
 	}
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -161,28 +161,32 @@
 }
 
 func (p *Feed) learn(topic wire.Topic) bool {
+	body, err := wire.Unpack(topic)
+	if err != nil {
+		return false
+	}
 	switch {
 	case topic.Name == "policy":
-		next, faults, _ := p.form.Parse(topic.Body, topic.Step)
+		next, faults, _ := p.form.Parse(body, topic.Step)
 		if next == nil || len(faults) > 0 {
 			return false
 		}
 		p.policy = next
 		return true
 	case topic.Name == "zone":
-		p.zone = string(topic.Body)
+		p.zone = string(body)
 		p.chain.Zone(p.zone)
 		return true
 	case topic.Name == "directory":
 		var list wire.WorkerList
-		if list.Unmarshal(topic.Body) != nil {
+		if list.Unmarshal(body) != nil {
 			return false
 		}
 		p.told.Workers, p.told.Rosters = list.Workers, list.Rosters
 		return true
 	case strings.HasPrefix(topic.Name, "homes/"):
 		var room wire.WorkerNews
-		if room.Unmarshal(topic.Body) != nil {
+		if room.Unmarshal(body) != nil {
 			return false
 		}
 		p.told.Rooms[room.Worker] = room
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -116,20 +116,21 @@
 		if !f.heard.Put(topic) {
 			continue
 		}
+		body, _ := wire.Unpack(topic)
 		switch {
 		case topic.Name == "policy":
-			table, _, _ := configuration.Parse(topic.Body, topic.Step)
+			table, _, _ := configuration.Parse(body, topic.Step)
 			f.items, f.version = table.Placement().Items, topic.Step
 			_, f.next = table.For(f.zone).Kinds[w.rolledBy]
 			w.facts.inForce(w.NowMs, f, topic.Step)
 		case topic.Name == "directory":
 			var list wire.WorkerList
-			if list.Unmarshal(topic.Body) == nil {
+			if list.Unmarshal(body) == nil {
 				f.list = list
 			}
 		case strings.HasPrefix(topic.Name, "homes/"):
 			var room wire.WorkerNews
-			if room.Unmarshal(topic.Body) == nil {
+			if room.Unmarshal(body) == nil {
 				f.rooms[room.Worker] = room
 			}
 		}
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -691,10 +691,12 @@
 	Name string `avro:"name"`
 	Term int64  `avro:"term"`
 	Step int64  `avro:"step"`
-	Body []byte `avro:"body"`
+	// The body is compressed (RFC 1951).
+	Packed bool   `avro:"packed"`
+	Body   []byte `avro:"body"`
 }
 
-var schemaTopic = schemaOf(`{"name":"Topic","type":"record","fields":[{"name":"name","type":"string"},{"name":"term","type":"long"},{"name":"step","type":"long"},{"name":"body","type":"bytes"}]}`)
+var schemaTopic = schemaOf(`{"name":"Topic","type":"record","fields":[{"name":"name","type":"string"},{"name":"term","type":"long"},{"name":"step","type":"long"},{"name":"packed","type":"boolean"},{"name":"body","type":"bytes"}]}`)
 
 // Schema returns the schema for Topic.
 func (o *Topic) Schema() avro.Schema {
