Fronts that start have a controller read the configuration at a majority

Ruled out: the push of changes, processor time. Now it asks controllers in turn for a majority's word; each makes one read for all who wait. The answer names the life that asked. TestFirstPolicy, TestFirstPolicyIsAskedForAgain ask the same of the new way: no register is read any more by a front, so what ends a read is a word or its time.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -58,8 +58,12 @@
 	rosters    []wire.Roster
 	fronts     map[string]*otherFront
 	asking     map[int64]*asking
-	// begun: the first read has ended; fedVersion was given on; newest was heard of.
-	begun, beginning   bool
+	// begun: a majority's word on the policy was heard, or is not to be had; it was
+	// first asked for at firstMs, and firstAsked times since. fedVersion was given on;
+	// newest was heard of.
+	begun              bool
+	firstMs            int64
+	firstAsked         int
 	fedVersion, newest int64
 	// passing is what the zone's peers are to be told, newsMs when news went last.
 	passing map[string]wire.Topic
@@ -115,7 +119,7 @@
 	case *wire.TicketTold:
 		l.toldTicket(now, &out, from, told)
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
-		return l.settleFirst(l.proposer.Hear(now, from, body))
+		return l.proposer.Hear(now, from, body)
 	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
 		return l.members.Hear(now, from, body)
 	case *wire.FoundTold:
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -4,7 +4,7 @@
 	"strconv"
 
 	"applequay/internal/controlplane/controller"
-	"applequay/internal/controlplane/register"
+	"applequay/internal/controlplane/distribution"
 	"applequay/internal/transport/wire"
 )
 
@@ -12,9 +12,6 @@
 // of, be it here or not.
 const newestFact = "newest"
 
-// firstCall is the read with which a front begins; operators' calls are above nought.
-const firstCall = -1
-
 // noteNewest gathers the newest policy version known to anyone, also to those that
 // went: a front that comes back must not fall behind what it went by before.
 func (l *Agent) noteNewest() {
@@ -35,50 +32,34 @@
 	l.newestOf = l.members.Version()
 }
 
-// begin makes sure, after a start, of the policy that clients get first: one
-// read at a majority, or, where the core cannot be reached, none older than any
-// that the other fronts have heard of.
+// begin makes sure, after a start, of the policy that clients get first: the one
+// that a controller reads for this front at a majority, or, where the core cannot be
+// reached, none older than any that the other fronts have heard of. The controllers
+// read it, one read for all who wait: a configuration may be large, a front's link
+// thin, and many fronts may start at once while changes follow one another.
 func (l *Agent) begin(now int64, out *wire.Outputs) {
 	if l.fedVersion == 0 || l.due(now, "newest", l.boot.ProbeMs) {
 		l.noteNewest()
 	}
-	if l.begun || l.proposer.Core().Epoch == 0 || !l.due(now, "first", l.boot.ProbeMs/2) {
+	voters := l.proposer.Core().Voters
+	if l.begun || len(voters) == 0 || !l.due(now, "first", l.boot.ProbeMs/2) {
 		return
 	}
-	// The core may have just started too: it is asked again soon, and the first
-	// answer counts. That there is none is known when the first question ends.
-	standing := l.members.Majority(l.proposer.Core().Voters)
-	if l.beginning && !standing {
+	// The core may have just started too: another controller is asked soon, and the
+	// first answer counts. That there is none is known when a call's time is over.
+	standing := l.members.Majority(voters)
+	if (l.firstMs == 0 && !standing) || (l.firstMs > 0 && now-l.firstMs >= l.boot.CallMs) {
+		l.begun = true
+		l.feed(out)
 		return
 	}
-	l.beginning = true
-	more := l.proposer.Read(now, firstCall, controller.PolicyKey, wire.Ballot{}, nil)
-	if !standing {
-		more = register.Hopeless(firstCall, controller.PolicyKey)
+	if l.firstMs == 0 {
+		l.firstMs = now
 	}
-	out.Add(l.settleFirst(more))
-}
-
-// settleFirst takes the outcome of the first read out of what is to be answered.
-func (l *Agent) settleFirst(out wire.Outputs) wire.Outputs {
-	answers := out.Answers
-	out.Answers = nil
-	for _, answer := range answers {
-		outcome, is := answer.Body.(register.Outcome)
-		if answer.Call != firstCall || !is {
-			out.Answers = append(out.Answers, answer)
-			continue
-		}
-		if l.begun && outcome.Fate != register.FateDone {
-			continue
-		}
-		l.begun = true
-		if outcome.Fate == register.FateDone && outcome.Has {
-			l.take(wire.Topic{Name: controller.PolicyKey, Step: outcome.Value.Version, Body: outcome.Value.Body})
-		}
-		l.feed(&out)
+	if standing {
+		l.firstAsked++
+		out.Send(voters[l.firstAsked%len(voters)].ID, wire.KindSubscribe, &wire.Subscribe{Service: distribution.ControlService, Confirm: true, Have: []wire.Topic{{Name: controller.PolicyKey, Step: l.versions[controller.PolicyKey]}}})
 	}
-	return out
 }
 
 // withheld tells whether the proxy is not to get the policy kept here: it
--- a/internal/controlplane/agent/first_test.go
+++ b/internal/controlplane/agent/first_test.go
@@ -21,9 +21,23 @@
 			return l.Hear(10, "l2~b", &wire.News{Topics: []wire.Topic{{Name: controller.PolicyKey, Step: version, Body: []byte("{}")}}})
 		}
 	}
+	// read is a majority's word by a controller, or, without a version, that none is had.
 	read := func(fate register.Fate, version int64) func(*Agent) wire.Outputs {
 		return func(l *Agent) wire.Outputs {
-			return l.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: version > 0, Value: wire.Value{Version: version, Body: []byte("{}")}}}}})
+			if fate != register.FateDone {
+				var out wire.Outputs
+				for now := int64(100); now <= 100+2*l.boot.CallMs; now += 100 {
+					out.Add(l.Tick(now, now))
+				}
+				return out
+			}
+			return l.Hear(10, "c1~z", &wire.News{Confirms: l.boot.ID, Topics: []wire.Topic{{Name: controller.PolicyKey, Step: version, Body: []byte("{}")}}})
+		}
+	}
+	// late is such a word for another life of this front.
+	late := func(version int64) func(*Agent) wire.Outputs {
+		return func(l *Agent) wire.Outputs {
+			return l.Hear(10, "c1~z", &wire.News{Confirms: "l1~earlier", Topics: []wire.Topic{{Name: controller.PolicyKey, Step: version, Body: []byte("{}")}}})
 		}
 	}
 	heard := func(version int) func(*Agent) wire.Outputs {
@@ -41,6 +55,7 @@
 		fed   []int64
 	}{
 		{"nothing before the first read", []func(*Agent) wire.Outputs{news(4), subscribe("s1~x")}, nil},
+		{"nothing by what was read for an earlier life", []func(*Agent) wire.Outputs{late(4), subscribe("s1~x")}, nil},
 		{"what the read found", []func(*Agent) wire.Outputs{read(register.FateDone, 5)}, []int64{5}},
 		{"older news after it", []func(*Agent) wire.Outputs{read(register.FateDone, 5), news(4)}, []int64{5}},
 		{"no core, and the peers have the newest", []func(*Agent) wire.Outputs{heard(4), news(4), read(register.FateNone, 0)}, []int64{4}},
@@ -72,29 +87,31 @@
 	}
 }
 
-// The first question may come before the core is up: it is asked again soon,
-// until the first answer, and questions that end without one change nothing then.
+// The first question may come before the core is up: it is asked again soon, of one
+// controller after the other, until the first answer. No register is read over this
+// front's link.
 func TestFirstPolicyIsAskedForAgain(t *testing.T) {
 	c := qt.New(t)
 	line := New(1, Boot{ID: "l1~a", Name: "l1", Addr: "10.0.1.1:1", Proxy: "10.0.2.1:1", LeaseMs: 3200, ProbeMs: 200, CallMs: 1600, KeyMs: 60000, Partitions: 1}, rand.New(rand.NewSource(1)))
-	line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}}})
-	asked := func(from, to int64) (queries int) {
+	line.proposer.Learn(wire.CoreSet{Epoch: 1, Voters: []wire.Voter{{ID: "c1~z", Addr: "10.0.0.1:1"}, {ID: "c2~z", Addr: "10.0.0.2:1"}}})
+	asked := map[string]int{}
+	ask := func(from, to int64) (questions int) {
 		for now := from; now < to; now += 25 {
 			for _, send := range line.Tick(now, now).Sends {
-				if _, is := send.Body.(*wire.Query); is {
-					queries++
+				c.Check(send.Kind, qt.Not(qt.Equals), wire.KindQuery)
+				if told, is := send.Body.(*wire.Subscribe); is && told.Confirm {
+					questions++
+					asked[send.To]++
 				}
 			}
 		}
-		return queries
+		return questions
 	}
-	c.Check(asked(25, 325) >= 3, qt.IsTrue)
+	c.Check(ask(25, 425) >= 3, qt.IsTrue)
+	c.Check(asked, qt.HasLen, 2)
 	c.Check(line.begun, qt.IsFalse)
-	answer := func(fate register.Fate) {
-		line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: fate, Has: fate == register.FateDone, Value: wire.Value{Version: 5, Body: []byte("{}")}}}}})
-	}
-	answer(register.FateDone)
-	answer(register.FateNone)
+	line.Hear(430, "c1~z", &wire.News{Confirms: "l1~a", Topics: []wire.Topic{{Name: controller.PolicyKey, Step: 5, Body: []byte("{}")}}})
 	c.Check(line.begun, qt.IsTrue)
 	c.Check(line.fedVersion, qt.Equals, int64(5))
+	c.Check(ask(450, 2450), qt.Equals, 0)
 }
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -39,7 +39,7 @@
 		members = append(members, wire.Member{ID: fmt.Sprintf("l%d~b", i+2), Role: "agent", Zone: "z", Addr: fmt.Sprintf("10.0.1.%d:1", i+2), Born: 5})
 	}
 	line.Hear(2, "c1~z", &wire.ProbeAck{Members: members})
-	line.settleFirst(wire.Outputs{Answers: []wire.Answer{{Call: firstCall, Body: register.Outcome{Fate: register.FateDone, Has: true, Value: wire.Value{Version: 5, Body: []byte("{}")}}}}})
+	line.Hear(3, "c1~z", &wire.News{Confirms: self, Topics: []wire.Topic{{Name: controller.PolicyKey, Step: 5, Body: []byte("{}")}}})
 	for now := int64(50); now <= 5000; now += 50 {
 		line.answerAll(now, line.Tick(now, now))
 	}
--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -38,6 +38,9 @@
 // told this front as their home. News of homes that comes in a burst goes together.
 func (l *Agent) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
 	told.Topics = slices.DeleteFunc(told.Topics, func(topic wire.Topic) bool { return !l.take(topic) })
+	if told.Confirms == l.boot.ID {
+		l.begun, l.newsMs = true, now-l.boot.ProbeMs
+	}
 	if l.members.Role(from) == "controller" {
 		agents := l.members.Alive("agent")
 		for _, topic := range told.Topics {
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -18,7 +18,7 @@
 	l.now = now
 	l.members.Clock(now, wallMs)
 	out.Add(l.members.Tick(now))
-	out.Add(l.settleFirst(l.proposer.Tick(now)))
+	out.Add(l.proposer.Tick(now))
 	l.begin(now, &out)
 	if l.proposer.Core().Epoch == 0 && l.due(now, "found", l.boot.ProbeMs) {
 		for _, seed := range l.boot.Seeds {
--- a/internal/controlplane/controller/confirm.go
+++ b/internal/controlplane/controller/confirm.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"applequay/internal/controlplane/register"
 	"applequay/internal/transport/wire"
@@ -12,10 +14,29 @@
 // at a majority that began since they asked; a controller that is cut off tells
 // them nothing.
 type confirming struct {
-	waits  []string
+	waits  []waiting
 	asking bool
 }
 
+// waiting is a subscriber with the version that it has; confirms says that it waits for
+// the majority's word even where that is the one it has.
+type waiting struct {
+	id       string
+	version  int64
+	confirms bool
+}
+
+// confirm notes a subscriber that waits for the majority's word on the policy.
+func (f *Controller) confirm(from string, asked *wire.Subscribe) {
+	one := waiting{id: from, confirms: true}
+	for _, topic := range asked.Have {
+		if topic.Name == PolicyKey {
+			one.version = topic.Step
+		}
+	}
+	f.confirming.waits = append(f.confirming.waits, one)
+}
+
 // confirmTick reads the policy once for all who wait.
 func (f *Controller) confirmTick(now int64, out *wire.Outputs) {
 	if f.confirming.asking || len(f.confirming.waits) == 0 {
@@ -26,23 +47,41 @@
 	if !f.members.Majority(f.proposer.Core().Voters) {
 		return
 	}
-	slices.Sort(waits)
+	slices.SortFunc(waits, func(a, b waiting) int {
+		return cmp.Or(strings.Compare(a.id, b.id), cmp.Compare(a.version, b.version))
+	})
 	waits = slices.Compact(waits)
 	f.confirming.asking = true
 	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
 		f.confirming.asking = false
-		if outcome.Fate != register.FateDone || !outcome.Has {
+		if outcome.Fate != register.FateDone {
 			return out
 		}
-		f.learn(now, &out, PolicyKey, outcome.Value)
-		if topic, known := f.board.Get(PolicyKey); known {
-			for _, subscriber := range waits {
-				out.Send(subscriber, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
-			}
+		if outcome.Has {
+			f.learn(now, &out, PolicyKey, outcome.Value)
 		}
+		f.confirmed(&out, waits)
 		return out
 	})
 	ballot, held := f.acceptor.Accepted(PolicyKey)
 	out.Add(f.proposer.Read(now, call, PolicyKey, ballot, held))
 }
+
+// confirmed tells those who wait what the majority holds: the policy kept here is no
+// older, and a read found none that is newer.
+func (f *Controller) confirmed(out *wire.Outputs, waits []waiting) {
+	topic, known := f.board.Get(PolicyKey)
+	for _, subscriber := range waits {
+		told := &wire.News{}
+		if known && subscriber.version < topic.Step {
+			told.Topics = []wire.Topic{topic}
+		}
+		if subscriber.confirms {
+			told.Confirms = subscriber.id
+		}
+		if subscriber.confirms || len(told.Topics) > 0 {
+			out.Send(subscriber.id, wire.KindNews, told)
+		}
+	}
+}
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -48,6 +48,10 @@
 // tellSubscriber answers with what is past the subscriber's versions, of the service
 // it names or of all; with the policy only once that is known to stand.
 func (f *Controller) tellSubscriber(out *wire.Outputs, from string, asked *wire.Subscribe) {
+	if asked.Confirm {
+		f.confirm(from, asked)
+		return
+	}
 	kind, body := f.board.Answers(asked)
 	if news, is := body.(*wire.News); is {
 		news.Topics = f.withoutUnconfirmed(from, news.Topics)
@@ -67,6 +71,6 @@
 	if at < 0 {
 		return topics
 	}
-	f.confirming.waits = append(f.confirming.waits, subscriber)
+	f.confirming.waits = append(f.confirming.waits, waiting{id: subscriber})
 	return slices.Delete(topics, at, at+1)
 }
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -719,9 +719,11 @@
 	Have    []Topic `avro:"have"`
 	Sum     int64   `avro:"sum"`
 	Tell    bool    `avro:"tell"`
+	// The configuration alone is asked for, as a majority holds it from now on.
+	Confirm bool `avro:"confirm"`
 }
 
-var schemaSubscribe = schemaOf(`{"name":"Subscribe","type":"record","fields":[{"name":"service","type":"string"},{"name":"have","type":{"type":"array","items":"Topic"}},{"name":"sum","type":"long"},{"name":"tell","type":"boolean"}]}`)
+var schemaSubscribe = schemaOf(`{"name":"Subscribe","type":"record","fields":[{"name":"service","type":"string"},{"name":"have","type":{"type":"array","items":"Topic"}},{"name":"sum","type":"long"},{"name":"tell","type":"boolean"},{"name":"confirm","type":"boolean"}]}`)
 
 // Schema returns the schema for Subscribe.
 func (o *Subscribe) Schema() avro.Schema {
@@ -741,9 +743,11 @@
 // News is a generated struct.
 type News struct {
 	Topics []Topic `avro:"topics"`
+	// The subscriber for whom the configuration was read at a majority since it asked; empty where nobody asked for that.
+	Confirms string `avro:"confirms"`
 }
 
-var schemaNews = schemaOf(`{"name":"News","type":"record","fields":[{"name":"topics","type":{"type":"array","items":"Topic"}}]}`)
+var schemaNews = schemaOf(`{"name":"News","type":"record","fields":[{"name":"topics","type":{"type":"array","items":"Topic"}},{"name":"confirms","type":"string"}]}`)
 
 // Schema returns the schema for News.
 func (o *News) Schema() avro.Schema {
