Partitions: permits of an owner that lost the store's key count no more

Ruled out: the checker, loads that go on after restarts, two owners at once. Change: messages of an owner known to have a successor are refused; posts leave only under the lease; first orders of loads leave within half a lease of their permit; a new owner waits half a lease and the longest load; sendings are kept by task.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -130,6 +130,7 @@
 			return wire.Outputs{}
 		})
 	}
+	n.control.Leaves = n.core.Leaves
 	n.control.Special = func(now int64, send wire.Send) {
 		order, ok := send.Body.(*wire.Order)
 		if !ok {
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -229,8 +229,7 @@
 
 func (f *Controller) acked(now int64, ack *wire.PostAck) wire.Outputs {
 	var out wire.Outputs
-	var number int64
-	if _, err := fmt.Sscanf(ack.Sender, "p%d", &number); err == nil {
+	if number, is := partition.Sender(ack.Sender); is {
 		if owned := f.mine(now, number); owned != nil {
 			out = owned.Acked(now, ack)
 		}
--- a/internal/controlplane/controller/controller_test.go
+++ b/internal/controlplane/controller/controller_test.go
@@ -158,3 +158,19 @@
 	c.Check(ready[0].To+ready[1].To, qt.Equals, "bc")
 	c.Check(gate.Durable(3).Sends, qt.HasLen, 1)
 }
+
+// What a partition says to another leaves only while its owner may take turns.
+func TestPostsEndWithTheLease(t *testing.T) {
+	c := qt.New(t)
+	a := newAlone(nil)
+	a.run(3500)
+	post := func(sender string, fence int64) wire.Send {
+		return wire.Send{To: "c2~1", Kind: wire.KindPost, Body: &wire.Post{Sender: sender, SenderFence: fence}}
+	}
+	c.Assert(a.fence() > 0, qt.IsTrue)
+	c.Check(a.f.Leaves(a.now, post("p0", a.fence())), qt.IsTrue)
+	c.Check(a.f.Leaves(a.now, post("p0", a.fence()+1)), qt.IsFalse)
+	c.Check(a.f.Leaves(a.now+3200, post("p0", a.fence())), qt.IsFalse)
+	c.Check(a.f.Leaves(a.now+3200, post("front/l1", 1)), qt.IsTrue)
+	c.Check(a.f.Leaves(a.now+3200, wire.Send{To: "c2~1", Kind: wire.KindNews, Body: &wire.News{}}), qt.IsTrue)
+}
--- a/internal/controlplane/controller/owners.go
+++ b/internal/controlplane/controller/owners.go
@@ -203,5 +203,26 @@
 //	if until, ok := core.May(now, order); ok { ... }
 func (f *Controller) May(now int64, order *wire.Order) (int64, bool) {
 	fence, ok := f.holder.Mine(now, order.Partition)
+	if owned := f.owned[order.Partition]; ok && owned != nil {
+		ok = owned.Leaves(now, order)
+	}
 	return f.holder.Until(order.Partition), ok && fence == order.Fence
 }
+
+// Leaves tells whether a message may still leave: what a partition says to
+// another is for the time of its owner's lease, which can run out while the
+// journal syncs or the process is frozen.
+//
+//	if core.Leaves(now, send) { ... }
+func (f *Controller) Leaves(now int64, send wire.Send) bool {
+	post, is := send.Body.(*wire.Post)
+	if !is {
+		return true
+	}
+	number, of := partition.Sender(post.Sender)
+	if !of {
+		return true
+	}
+	fence, held := f.holder.Mine(now, number)
+	return held && fence == post.SenderFence
+}
--- a/internal/controlplane/eventloop/eventloop.go
+++ b/internal/controlplane/eventloop/eventloop.go
@@ -50,6 +50,9 @@
 	tick    time.Duration
 	// Special takes sends to "worker" and "platform"; it must not block.
 	Special func(now int64, send wire.Send)
+	// Leaves tells, if it is there, whether a message may still leave: what it
+	// rests on may have run out while it waited for the disk.
+	Leaves func(now int64, send wire.Send) bool
 	// Page is the newest page, made when somebody asks.
 	Page *Pages
 	// FreePct tells how much of the data folder's disk is free, if there is one.
@@ -185,7 +188,9 @@
 
 func (p *Loop) release(now int64, ready wire.Outputs) {
 	for _, send := range ready.Sends {
-		p.send(now, send)
+		if p.Leaves == nil || p.Leaves(now, send) {
+			p.send(now, send)
+		}
 	}
 	for _, answer := range ready.Answers {
 		if waiter, ok := p.answers[answer.Call]; ok {
--- a/internal/controlplane/partition/keys.go
+++ b/internal/controlplane/partition/keys.go
@@ -4,10 +4,21 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 func boxName(partition int64) string { return fmt.Sprintf("p%d", partition) }
 
+// Sender tells which partition sends under a name; false if it is a front's.
+//
+//	number, is := partition.Sender(post.Sender)
+func Sender(name string) (int64, bool) {
+	digits, is := strings.CutPrefix(name, "p")
+	number, err := strconv.ParseInt(digits, 10, 64)
+	return number, is && err == nil
+}
+
 // Of tells which partition a key belongs to.
 //
 //	partition := partition.Of("worker/w3", 12)
--- a/internal/controlplane/partition/orders.go
+++ b/internal/controlplane/partition/orders.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"fmt"
+	"maps"
 	"slices"
 
 	"applequay/internal/transport/wire"
@@ -60,7 +60,7 @@
 func (p *Partition) pause(now int64, name string, last int64) int64 {
 	at := p.pad(name)
 	for _, task := range p.state.Tasks {
-		sent := p.sentAt[taskKey(task)]
+		sent := p.sentAt[task.ID]
 		if task.Worker != name || sent == 0 || (task.Op != "load" && !at.single) {
 			continue
 		}
@@ -109,8 +109,6 @@
 	return !slices.ContainsFunc(p.state.Workers[name].Residents, func(r wire.Resident) bool { return r.State != residentReady })
 }
 
-func taskKey(task wire.Task) string { return fmt.Sprintf("t%d", task.ID) }
-
 // orderTo is the receiver of orders: the daemon hands them to the worker.
 const orderTo = "worker"
 
@@ -135,8 +133,7 @@
 func (p *Partition) dispatch(now int64, out *wire.Outputs) {
 	for _, task := range p.state.Tasks {
 		worker, listed := p.view.Workers[task.Worker]
-		key := taskKey(task)
-		if !listed || worker.Leaving || now < task.NotBeforeMs || !p.mayOrder(now, task.Worker) || (p.sentAt[key] > 0 && now-p.sentAt[key] < 2*p.limits.PollMs) {
+		if !listed || worker.Leaving || now < task.NotBeforeMs || !p.mayOrder(now, task.Worker) || (p.sentAt[task.ID] > 0 && now-p.sentAt[task.ID] < 2*p.limits.PollMs) {
 			continue
 		}
 		if at := p.pad(task.Worker); (at.single && !p.mayHand(now, task)) || (!at.single && p.waits(task)) {
@@ -144,15 +141,58 @@
 		}
 		if p.overrun(task) {
 			// One that did not arrive gives its permit back as one that never left.
-			delete(p.sentAt, key)
+			delete(p.sentAt, task.ID)
 			continue
 		}
-		p.sentAt[key] = now
+		p.sentAt[task.ID] = now
 		out.After(orderTo, wire.KindOrder, &wire.Order{Partition: p.state.Partition, Worker: task.Worker, Addr: worker.Addr, Fence: p.state.Fence,
 			Seq: task.Seq, Op: task.Op, Item: task.Item, Base: task.Base, SizeMb: task.SizeMb, MbPerS: task.MbPerS, LoadMs: p.view.Policy.Items[task.Item].LoadMs, Taken: p.pad(task.Worker).taken})
 	}
 }
 
+// mostSent is how many sendings of tasks that are done are remembered at most.
+const mostSent = 64
+
+// forgetSent drops what was noted of the orders of tasks that are done. What was
+// noted of the others stays: an order that left is never taken for one that did
+// not.
+func (p *Partition) forgetSent() {
+	if len(p.sentAt)+len(p.left) <= 2*(len(p.state.Tasks)+mostSent) {
+		return
+	}
+	open := map[int64]bool{}
+	for _, task := range p.state.Tasks {
+		open[task.ID] = true
+	}
+	maps.DeleteFunc(p.sentAt, func(id, _ int64) bool { return !open[id] })
+	maps.DeleteFunc(p.left, func(id int64, _ bool) bool { return !open[id] })
+}
+
+// Leaves tells whether an order may leave now that the journal has let it go. A
+// load leaves for the first time within half a lease of its permit, or not at
+// all: its permit then goes back (see expire).
+//
+//	if owned.Leaves(now, order) { ... }
+func (p *Partition) Leaves(now int64, order *wire.Order) bool {
+	if order.Op != "load" {
+		return true
+	}
+	at := slices.IndexFunc(p.state.Tasks, func(t wire.Task) bool { return t.Worker == order.Worker && t.Seq == order.Seq })
+	if at < 0 {
+		return false
+	}
+	task := p.state.Tasks[at]
+	late := slices.ContainsFunc(p.state.Workers[task.Worker].Residents, func(r wire.Resident) bool {
+		return r.State == residentLoading && r.Seq == task.Seq && r.Turn >= 0 && now-r.SinceMs > p.limits.LeaseMs/2
+	})
+	if late && !p.left[task.ID] {
+		delete(p.sentAt, task.ID)
+		return false
+	}
+	p.left[task.ID] = true
+	return true
+}
+
 // waits tells whether an order must let another go first: the worker takes
 // them in their order, and refuses one older than the last it took.
 func (p *Partition) waits(task wire.Task) bool {
--- a/internal/controlplane/partition/pad.go
+++ b/internal/controlplane/partition/pad.go
@@ -72,7 +72,8 @@
 	case seen.Busy:
 		// It was not taken and never will be: it waits for a look.
 		one.turnedMs = now
-		delete(p.sentAt, taskKey(task))
+		delete(p.sentAt, task.ID)
+		delete(p.left, task.ID)
 	default:
 		buffered := wire.Buffered{Key: WorkerKey(seen.Worker), Kind: int64(wire.KindSeen), Body: wire.Encode(seen)}
 		p.log(&out, wire.KindTaskCompleted, &wire.TaskCompleted{Ids: []int64{task.ID}, Key: buffered.Key, Kind: buffered.Kind, Body: buffered.Body})
@@ -106,7 +107,7 @@
 // unanswered tells whether an order left of which it is not known that it is done,
 // beside some.
 func (p *Partition) unanswered(worker string, but func(t wire.Task) bool) bool {
-	return slices.ContainsFunc(p.state.Tasks, func(t wire.Task) bool { return t.Worker == worker && !but(t) && p.sentAt[taskKey(t)] > 0 })
+	return slices.ContainsFunc(p.state.Tasks, func(t wire.Task) bool { return t.Worker == worker && !but(t) && p.sentAt[t.ID] > 0 })
 }
 
 // mayHand tells whether a worker that takes one order at a time may be handed
@@ -114,7 +115,7 @@
 // turned one away it showed what it holds.
 func (p *Partition) mayHand(now int64, task wire.Task) bool {
 	one := p.pad(task.Worker)
-	sent := p.sentAt[taskKey(task)]
+	sent := p.sentAt[task.ID]
 	if one.took[task.ID] {
 		return false
 	}
@@ -137,7 +138,7 @@
 	}
 	for _, task := range p.state.Tasks {
 		there := slices.ContainsFunc(seen.Loaded, func(l wire.Loaded) bool { return l.Item == task.Item })
-		if task.Worker == seen.Worker && one.took[task.ID] && now-p.sentAt[taskKey(task)] > p.limits.DarkMs && there == (task.Op == "unload") {
+		if task.Worker == seen.Worker && one.took[task.ID] && now-p.sentAt[task.ID] > p.limits.DarkMs && there == (task.Op == "unload") {
 			ids = append(ids, task.ID)
 		}
 	}
--- a/internal/controlplane/partition/partition.go
+++ b/internal/controlplane/partition/partition.go
@@ -49,7 +49,9 @@
 	looked    map[string]int64
 	polled    map[string]int64
 	heard     map[string]int64
-	sentAt    map[string]int64
+	sentAt    map[int64]int64      // when a task's order was last handed out, by task
+	left      map[int64]bool       // tasks whose orders left this node
+	boxSent   map[string]batchSent // the last sending of each outbox
 	pads      map[string]*pad
 	lacking   map[string]int64 // since when an item that is wanted has no home
 	silent    map[string]int64 // since when looks at a worker go unanswered
@@ -72,7 +74,7 @@
 //	owned := partition.New(now, state, view, limits, "c1~7f", startedMs)
 func New(now int64, state *wire.PartitionState, view *View, limits Limits, self string, quiet int64) *Partition {
 	p := &Partition{state: state, view: view, limits: limits, self: self, since: now,
-		looked: map[string]int64{}, polled: map[string]int64{}, pads: map[string]*pad{}, lacking: map[string]int64{}, silent: map[string]int64{}, refused: map[string]int64{}, heard: map[string]int64{}, sentAt: map[string]int64{}, acked: map[string]int64{}, filledMs: map[string]int64{}, askers: map[string]map[string]bool{}, published: map[string][]byte{}}
+		looked: map[string]int64{}, polled: map[string]int64{}, pads: map[string]*pad{}, lacking: map[string]int64{}, silent: map[string]int64{}, refused: map[string]int64{}, heard: map[string]int64{}, sentAt: map[int64]int64{}, left: map[int64]bool{}, boxSent: map[string]batchSent{}, acked: map[string]int64{}, filledMs: map[string]int64{}, askers: map[string]map[string]bool{}, published: map[string][]byte{}}
 	p.refresh(now, quiet)
 	return p
 }
@@ -140,6 +142,9 @@
 	var out wire.Outputs
 	ack := &wire.PostAck{Sender: post.Sender, SenderFence: post.SenderFence, Partition: post.Partition, Fence: p.state.Fence, Pos: post.Pos, Known: true}
 	fence, pos := dedup(p.state, post.Sender)
+	// What an owner said that is known to have a successor counts no more: the
+	// successor knows nothing of a permit that it gave.
+	fence = max(fence, p.state.Outboxes[post.Sender].Fence)
 	switch {
 	case post.Fence != p.state.Fence || post.SenderFence < fence:
 		ack.Refused = true
@@ -185,6 +190,7 @@
 //	out := owned.Tick(now)
 func (p *Partition) Tick(now int64) wire.Outputs {
 	var out wire.Outputs
+	p.forgetSent()
 	p.renewals(now, &out)
 	p.openings(now, &out)
 	p.polls(now, &out)
--- a/internal/controlplane/partition/resend.go
+++ b/internal/controlplane/partition/resend.go
@@ -1,12 +1,15 @@
 package partition
 
 import (
-	"fmt"
 	"sort"
 
 	"applequay/internal/transport/wire"
 )
 
+// batchSent is the last sending of an outbox: the receiver's fence, the position
+// of the last message, and when.
+type batchSent struct{ fence, last, at int64 }
+
 // renewals notices partitions that have a new owner and says again what they
 // have not answered.
 func (p *Partition) renewals(now int64, out *wire.Outputs) {
@@ -39,17 +42,13 @@
 		if !ok || owner.Fence != box.Fence {
 			continue
 		}
-		last := fmt.Sprintf("%s/%d", name, box.Msgs[len(box.Msgs)-1].Pos)
-		if now-p.sentAt[last] < p.limits.ResendMs && p.sentAt[last] > 0 {
+		last := box.Msgs[len(box.Msgs)-1].Pos
+		if sent := p.boxSent[name]; sent.fence == box.Fence && sent.last == last && now-sent.at < p.limits.ResendMs {
 			continue
 		}
-		delete(p.sentAt, last)
-		p.sentAt[last] = now
+		p.boxSent[name] = batchSent{fence: box.Fence, last: last, at: now}
 		for _, msg := range box.Msgs[:min(len(box.Msgs), 64)] {
 			out.After(owner.ID, wire.KindPost, &wire.Post{Sender: boxName(p.state.Partition), SenderFence: p.state.Fence, Partition: box.Partition, Fence: box.Fence, Pos: msg.Pos, Kind: msg.Kind, Key: msg.Key, Body: msg.Body})
 		}
 	}
-	if len(p.sentAt) > 256 {
-		p.sentAt = map[string]int64{}
-	}
 }
--- a/internal/controlplane/partition/store.go
+++ b/internal/controlplane/partition/store.go
@@ -56,8 +56,13 @@
 		case !fresh:
 			turn.FreeMs = now + period
 		case !p.first():
-			// Turns of the owner before may be used for half a lease more.
-			turn.FreeMs = p.since + max(period, p.limits.LeaseMs)
+			// An order may leave for half a lease yet under a permit of the owner
+			// before, and its load then takes its whole period.
+			turn.FreeMs = p.since + max(p.limits.LeaseMs, period+p.limits.LeaseMs/2)
+			if p.gapUs() > 0 {
+				// Here the pace bounds what begins, and a period is twice a load.
+				turn.FreeMs = p.since + max(p.limits.LeaseMs, period)
+			}
 		}
 		store.Turns = append(store.Turns, turn)
 	}
--- a/internal/controlplane/partition/workers.go
+++ b/internal/controlplane/partition/workers.go
@@ -134,12 +134,12 @@
 // store's key, which does not know of the turn, waits no longer than a lease.
 func (p *Partition) expire(now int64, e *effects, worker *wire.WorkerState) {
 	for _, task := range p.state.Tasks {
-		if task.Worker != worker.Name || task.Op != "load" || p.sentAt[taskKey(task)] > 0 || slices.Contains(e.step.Done, task.ID) {
+		if task.Worker != worker.Name || task.Op != "load" || p.sentAt[task.ID] > 0 || slices.Contains(e.step.Done, task.ID) {
 			continue
 		}
 		at := slices.IndexFunc(worker.Residents, func(r wire.Resident) bool { return r.State == residentLoading && r.Seq == task.Seq })
 		if at >= 0 && now-worker.Residents[at].SinceMs > p.limits.LeaseMs/2 {
-			p.permitBack(e, worker, worker.Residents[at], false)
+			p.permitBack(e, worker, worker.Residents[at], p.left[task.ID])
 			worker.Residents[at].State = residentQueued
 			e.step.Done = append(e.step.Done, task.ID)
 		}
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -104,6 +104,9 @@
 
 func (e *controllerNode) release(ready wire.Outputs) {
 	for _, send := range ready.Sends {
+		if !e.core.Leaves(e.Clock(), send) {
+			continue
+		}
 		switch {
 		case send.To == e.ID:
 			e.local = append(e.local, send)
--- a/internal/simulation/explorer/machine.go
+++ b/internal/simulation/explorer/machine.go
@@ -141,6 +141,9 @@
 
 func (m *machine) release(ready wire.Outputs) {
 	for _, send := range ready.Sends {
+		if !m.core.Leaves(m.clock(), send) {
+			continue
+		}
 		switch send.To {
 		case m.id:
 			m.inner = append(m.inner, send)
