Transport: what is sent back while a batch is handled goes with its answer

Acks of probes, of posts, promises, votes on leases and the answers to asks for news each took a request of their own.

A batch's answer is now held back until the receiver has handled it, and where what it sends back waits for the disk, until that lasts, for a thirty-second of a call's patience at most; messages for the sender go with it (200 with a batch in place of 204). Answers hold 16 KiB, since the time of what is longer goes by its length. Messages that wait on the line already are not overtaken. A resting proxy says what it has to say when it hears its agent's word of contact, so that goes with the answer; the count of fronts goes beside a word of contact. What waits at a proxy is told every 200 ms, twice what its agent heeds.

Ruled out: frames over upgraded connections (a protocol of our own).

--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -140,21 +140,22 @@
 }
 
 // contact tells the proxy that keys may be sent, and which old lists
-// still matter for them.
-func (l *Agent) contact(now int64, out *wire.Outputs) {
+// still matter for them; false if nothing is to be told.
+func (l *Agent) contact(now int64, out *wire.Outputs) bool {
 	l.tellList()
 	l.watchFronts(now)
 	l.settle(now)
 	if !l.inTouch() {
 		l.toldContact = wire.Contact{}
-		return
+		return false
 	}
 	told := wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4, GraceMs: l.graceMs()}
 	if told == l.toldContact && !l.due(now, "unchanged", 2*l.boot.ProbeMs) {
-		return
+		return false
 	}
 	l.toldContact, l.timers["unchanged"] = told, now
 	out.Send(l.boot.Proxy, wire.KindContact, &told)
+	return true
 }
 
 // sortedRosters are those of a list by the versions that replaced them.
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -27,10 +27,8 @@
 	}
 	l.subscribe(now, &out)
 	l.ticketsTick(now, &out)
-	if l.due(now, "contact", l.boot.ProbeMs) {
-		l.contact(now, &out)
-	}
-	l.fleet(now, &out)
+	told := l.due(now, "contact", l.boot.ProbeMs) && l.contact(now, &out)
+	l.fleet(now, told, &out)
 	l.wantsTick(now, &out)
 	l.resend(now, &out)
 	l.newsOut(now, &out)
@@ -38,10 +36,10 @@
 }
 
 // fleet tells the proxy how many fronts there are: when that changes, and now and
-// then in case it missed it.
-func (l *Agent) fleet(now int64, out *wire.Outputs) {
+// then in case it missed it, then beside a word of contact if there is one.
+func (l *Agent) fleet(now int64, beside bool, out *wire.Outputs) {
 	fronts := int64(max(len(l.members.Alive("agent")), 1))
-	if fronts != l.toldFronts || l.due(now, "fleet", 4*l.boot.ProbeMs) {
+	if fronts != l.toldFronts || (beside && l.due(now, "fleet", 3*l.boot.ProbeMs)) || l.due(now, "fleet", 8*l.boot.ProbeMs) {
 		l.toldFronts, l.timers["fleet"] = fronts, now
 		out.Send(l.boot.Proxy, wire.KindFleet, &wire.Fleet{Fronts: fronts})
 	}
--- a/internal/controlplane/controller/gate.go
+++ b/internal/controlplane/controller/gate.go
@@ -38,6 +38,11 @@
 //	last := gate.Written()
 func (g *Gate) Written() int64 { return g.written }
 
+// Held is how many steps wait for the disk.
+//
+//	if gate.Held() > before { ... }
+func (g *Gate) Held() int { return len(g.held) }
+
 // Durable says how many records last, and returns what that lets go.
 //
 //	ready := gate.Durable(last)
--- a/internal/controlplane/eventloop/eventloop.go
+++ b/internal/controlplane/eventloop/eventloop.go
@@ -46,8 +46,12 @@
 	next    int64
 	addrs   map[string]string
 	local   []transport.Arrived
-	epoch   time.Time
-	tick    time.Duration
+	heard   []transport.Arrived // in this step
+	// unsynced are messages to which something is sent back once records last.
+	unsynced []unsynced
+	durable  int64
+	epoch    time.Time
+	tick     time.Duration
 	// Special takes sends to "worker" and "platform"; it must not block.
 	Special func(now int64, send wire.Send)
 	// Page is the newest page, made when somebody asks.
@@ -126,15 +130,7 @@
 		case <-ctx.Done():
 			return nil
 		case message := <-p.inbox:
-			p.hear(message)
-			for more := true; more; {
-				select {
-				case message := <-p.inbox:
-					p.hear(message)
-				default:
-					more = false
-				}
-			}
+			p.hearAll(message)
 		case <-timer.C:
 			now := p.Now()
 			p.ticked, p.tickAt = now, never
@@ -151,12 +147,13 @@
 			if wrote.Err != nil {
 				return wrote.Err
 			}
-			p.busy = false
+			p.busy, p.durable = false, wrote.Count
 			p.release(p.Now(), p.gate.Durable(wrote.Count))
 		}
 		p.drain()
 		p.flush()
 		p.arm(timer)
+		p.tellHeard(p.durable)
 	}
 }
 
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -44,8 +44,9 @@
 	put     func(*routing.Table)
 	chain   *pipeline.Switch
 	current func() *routing.Table
-	// aliveAt is when the agent heard of this process last, talliedAt of its demand.
-	aliveAt, talliedAt time.Time
+	// aliveAt is when the agent heard of this process last, talliedAt of its demand,
+	// wantedAt of all that waits.
+	aliveAt, talliedAt, wantedAt time.Time
 }
 
 // New makes a feed for the agent at an address.
@@ -98,6 +99,12 @@
 			return nil
 		case message := <-p.inbox:
 			p.hear(message)
+			if _, is := message.Body.(*wire.Contact); is && resting {
+				// What is due goes with the answer, and this process need not wake for it.
+				p.round()
+				timer.Reset(restEvery + reportEvery)
+			}
+			message.Heard()
 		case hold := <-p.holds:
 			p.held(hold)
 		case one := <-p.works:
@@ -109,10 +116,9 @@
 			p.waiting[p.nextID] = ask.back
 			p.perform(p.book.Take(p.clock(), p.nextID, ask.call))
 		case <-timer.C:
-			p.perform(p.book.Tick(p.clock()))
-			p.report()
+			p.round()
 			if resting = !p.waits(); resting {
-				timer.Reset(restEvery)
+				timer.Reset(restEvery + reportEvery)
 			} else {
 				timer.Reset(reportEvery)
 			}
@@ -124,6 +130,12 @@
 	}
 }
 
+// round does what is due.
+func (p *Feed) round() {
+	p.perform(p.book.Tick(p.clock()))
+	p.report()
+}
+
 func (p *Feed) hear(message transport.Arrived) {
 	switch told := message.Body.(type) {
 	case *wire.Contact:
--- a/internal/dataplane/feed/feed_test.go
+++ b/internal/dataplane/feed/feed_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +12,9 @@
 
 	"applequay/internal/configuration"
 	"applequay/internal/controlplane/idempotency"
+	"applequay/internal/dataplane/pipeline"
+	"applequay/internal/dataplane/protocol"
+	"applequay/internal/dataplane/upstream"
 	"applequay/internal/transport"
 	"applequay/internal/transport/wire"
 )
@@ -30,3 +36,44 @@
 		seen[op] = true
 	}
 }
+
+// While nothing waits, what a proxy has to say goes with the answers to its agent's
+// words of contact, and takes no batch of its own.
+func TestRestingProxySpeaksInAnswers(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	serve := func(handler http.Handler) (addr string, posts *atomic.Int64) {
+		posts = &atomic.Int64{}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			posts.Add(1)
+			handler.ServeHTTP(w, r)
+		}))
+		c.Cleanup(server.Close)
+		return server.Listener.Addr().String(), posts
+	}
+	reports := make(chan wire.Record, 64)
+	router := http.NewServeMux()
+	agentAddr, agentPosts := serve(router)
+	agent := transport.New(ctx, "l1", agentAddr, "127.0.0.1:0", 8*time.Second, transport.FrontDepth)
+	router.Handle("/trunk", agent.Handler(func(one transport.Arrived) bool {
+		reports <- one.Body
+		one.Heard()
+		return true
+	}))
+	proxyRouter := http.NewServeMux()
+	proxyAddr, _ := serve(proxyRouter)
+	cable := transport.New(ctx, "s1", proxyAddr, "127.0.0.1:0", 8*time.Second, transport.FrontDepth)
+	p := New(agentAddr, cable, configuration.Native)
+	p.Serve(pipeline.New(pipeline.Limits{}, upstream.New(time.Second), p, protocol.Own{}, time.Now()))
+	proxyRouter.Handle("/trunk", cable.Handler(p.Deliver))
+	go func() { _ = p.Run(ctx) }()
+	<-time.After(2 * restEvery)
+	began, before := agentPosts.Load(), len(reports)
+	for range 6 {
+		agent.Send(proxyAddr, wire.KindContact, &wire.Contact{KeyMs: 60000, AnswerMs: 800, GraceMs: 6400})
+		<-time.After(restEvery - slack)
+	}
+	c.Check(len(reports)-before >= 4, qt.IsTrue, qt.Commentf("%d messages", len(reports)-before))
+	c.Check(agentPosts.Load()-began <= 1, qt.IsTrue, qt.Commentf("%d batches", agentPosts.Load()-began))
+}
--- a/internal/dataplane/feed/report.go
+++ b/internal/dataplane/feed/report.go
@@ -12,6 +12,7 @@
 	reportEvery = 100 * time.Millisecond
 	restEvery   = 4 * reportEvery
 	aliveEvery  = 2 * restEvery
+	wantEvery   = 2 * reportEvery // what is wanted for the first time is told at once
 	slack       = reportEvery / 2
 )
 
@@ -53,7 +54,8 @@
 		p.tally(past)
 	}
 	told.Came, told.Bad = p.counts.Came.Load(), p.counts.Bad.Load()
-	if len(told.Wants) > 0 || alive {
+	_, wanted := due(&p.wantedAt, wantEvery)
+	if (wanted && len(told.Wants) > 0) || alive {
 		p.cable.Send(p.agent, wire.KindReport, told)
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -22,6 +22,17 @@
 	From, Addr string
 	Kind       wire.Kind
 	Body       wire.Record
+	heard      func()
+}
+
+// Heard tells the transport that this message was handled, and with it all that
+// came before it: the answer to its batch need not be held back any longer.
+//
+//	defer message.Heard()
+func (a Arrived) Heard() {
+	if a.heard != nil {
+		a.heard()
+	}
 }
 
 // Counts are what a transport carried; they only rise.
@@ -38,14 +49,16 @@
 
 const (
 	mostBody   = 64 << 20
-	mostAnswer = 4 << 10 // an answer says nothing; what is more is not read
+	mostAnswer = 4 << 10 // of an answer that holds no batch; what is more is not read
 	batchMost  = 128
 	// A front keeps a connection to each of its peers, on which little goes.
 	answerBuffer = 1 << 10
 	batchBuffer  = 2 << 10
 	bodyAtOnce   = 64 << 10 // of a batch's memory, for the length that was announced
 	batchBytes   = 1 << 20
+	answerBytes  = 16 << 10 // what is longer takes a batch, whose time goes by its length
 	silentWaits  = 4        // after so many waits without a sign a connection is given up
+	answerPart   = 32       // the part of a wait for which an answer is held back until its messages are handled
 	slowestLink  = 64 << 10 // bytes a second that a link is allowed to be slow
 )
 
@@ -58,6 +71,8 @@
 	wait       time.Duration
 	ctx        context.Context
 	Counts     *Counts
+	replies    replies
+	deliver    func(Arrived) bool
 }
 
 // New makes a transport for a node that others reach at addr and that listens at
@@ -73,21 +88,28 @@
 	}
 	transport := &http.Transport{DialContext: socket.Again(dialer.DialContext, wait/8), MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		ReadBufferSize: answerBuffer, WriteBufferSize: batchBuffer}
-	return &Transport{self: self, addr: addr, lines: map[string]chan wire.Message{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}}
+	return &Transport{self: self, addr: addr, lines: map[string]chan wire.Message{}, client: socket.Client(transport), depth: depth, wait: wait, ctx: ctx, Counts: &Counts{}, replies: newReplies(),
+		deliver: func(Arrived) bool { return false }}
 }
 
-// Send puts a message on the line to an address; a full line loses it.
+// Send puts a message into the answer to a batch from an address, if one waits for
+// it, or else on the line to there; a full line loses it.
 //
 //	cable.Send("127.0.0.1:7101", wire.KindQuery, body)
 func (t *Transport) Send(addr string, kind wire.Kind, body wire.Record) {
+	message := wire.Message{Kind: int64(kind), Body: wire.Encode(body)}
 	line, ok := t.lines[addr]
+	// What already waits on the line stays before what comes after it.
+	if len(line) == 0 && t.replies.add(addr, message) {
+		return
+	}
 	if !ok {
 		line = make(chan wire.Message, t.depth)
 		t.lines[addr] = line
 		go t.run(addr, line)
 	}
 	select {
-	case line <- wire.Message{Kind: int64(kind), Body: wire.Encode(body)}:
+	case line <- message:
 	default:
 		t.Counts.LostMessages.Add(1)
 	}
@@ -137,11 +159,28 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = answer.Body.Close() }()
+	switch answer.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusOK:
+		return t.answered(answer)
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, mostAnswer))
-	_ = answer.Body.Close()
-	if answer.StatusCode != http.StatusNoContent {
-		return oops.Errorf("answered %d", answer.StatusCode)
+	return oops.Errorf("answered %d", answer.StatusCode)
+}
+
+// answered takes in the messages that an answer holds.
+func (t *Transport) answered(answer *http.Response) error {
+	body, err := readBatch(io.LimitReader(answer.Body, mostBody), answer.ContentLength)
+	if err != nil {
+		return err
 	}
+	var batch wire.Messages
+	if err := batch.Unmarshal(body); err != nil {
+		return err
+	}
+	t.hand(&batch, nil)
 	return nil
 }
 
@@ -149,48 +188,3 @@
 func (t *Transport) patience(size int64) time.Duration {
 	return t.wait + time.Duration(size)*time.Second/slowestLink
 }
-
-// read takes a batch in, in no more time than its sender gives it: one that was
-// cut off in the middle keeps neither its connection nor its memory here.
-func (t *Transport) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	bounded := control.SetReadDeadline(time.Now().Add(t.patience(min(max(r.ContentLength, 0), mostBody)))) == nil
-	var body bytes.Buffer
-	body.Grow(int(min(max(r.ContentLength, 0), bodyAtOnce)) + bytes.MinRead)
-	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, mostBody))
-	if err == nil && bounded {
-		_ = control.SetReadDeadline(time.Time{})
-	}
-	return body.Bytes(), err
-}
-
-// Handler takes batches in and hands each message on. Deliver must not block
-// for long; messages it turns away are lost.
-//
-//	router.Handle("/trunk", cable.Handler(deliver)).Methods("POST")
-func (t *Transport) Handler(deliver func(Arrived) bool) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := t.read(w, r)
-		if err != nil {
-			http.Error(w, "too large, or not all there in time", http.StatusRequestEntityTooLarge)
-			return
-		}
-		var batch wire.Messages
-		if err := batch.Unmarshal(body); err != nil {
-			http.Error(w, oops.Wrapf(err, "letters").Error(), http.StatusBadRequest)
-			return
-		}
-		for _, message := range batch.Messages {
-			record, err := wire.Decode(wire.Kind(message.Kind), message.Body)
-			if err != nil {
-				continue
-			}
-			t.Counts.HeardMessages.Add(1)
-			if !deliver(Arrived{From: batch.From, Addr: batch.Addr, Kind: wire.Kind(message.Kind), Body: record}) {
-				t.Counts.LostMessages.Add(1)
-			}
-		}
-		w.Header()["Date"] = nil
-		w.WriteHeader(http.StatusNoContent)
-	})
-}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -157,3 +157,78 @@
 		})
 	}
 }
+
+// node is a transport that listens; handle says what its receiver does.
+type node struct {
+	*Transport
+	posts atomic.Int64
+	heard chan Arrived
+}
+
+func newNode(c *qt.C, id string, handle func(n *node, one Arrived)) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	n := &node{heard: make(chan Arrived, 64)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := listener.Addr().String()
+	n.Transport = New(ctx, id, addr, "127.0.0.1:0", 2*time.Second, FrontDepth)
+	inner := n.Handler(func(one Arrived) bool {
+		n.heard <- one
+		go handle(n, one)
+		return true
+	})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.posts.Add(1)
+		inner.ServeHTTP(w, r)
+	}))
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	c.Cleanup(server.Close)
+	return n
+}
+
+// What a receiver sends back while it handles a batch goes with the answer; what is
+// longer than an answer holds, or comes after the answer went, goes by itself.
+func TestAnswersCarryWhatIsSentBack(t *testing.T) {
+	c := qt.New(t)
+	back := func(size int) wire.Record { return &wire.Chosen{Key: "policy", Value: make([]byte, size)} }
+	cases := []struct {
+		name   string
+		handle func(n *node, one Arrived)
+		posts  int64
+	}{
+		{"at once", func(n *node, one Arrived) { n.Send(one.Addr, wire.KindChosen, back(10)); one.Heard() }, 0},
+		{"twice heard", func(n *node, one Arrived) { n.Send(one.Addr, wire.KindChosen, back(10)); one.Heard(); one.Heard() }, 0},
+		{"long", func(n *node, one Arrived) { n.Send(one.Addr, wire.KindChosen, back(answerBytes)); one.Heard() }, 1},
+		{"after it was handled", func(n *node, one Arrived) {
+			one.Heard()
+			<-time.After(50 * time.Millisecond)
+			n.Send(one.Addr, wire.KindChosen, back(10))
+		}, 1},
+		{"never handled", func(n *node, one Arrived) { <-time.After(time.Second); n.Send(one.Addr, wire.KindChosen, back(10)) }, 1},
+		{"elsewhere", func(n *node, one Arrived) {
+			n.Send("127.0.0.1:1", wire.KindChosen, back(10))
+			n.Send(one.Addr, wire.KindChosen, back(10))
+			one.Heard()
+		}, 0},
+	}
+	for _, one := range cases {
+		c.Run(one.name, func(c *qt.C) {
+			asker := newNode(c, "n1~1", func(_ *node, one Arrived) { one.Heard() })
+			other := newNode(c, "n2~1", one.handle)
+			asker.Send(other.addr, wire.KindQuery, &wire.Query{Op: 1, Key: "policy"})
+			select {
+			case got := <-asker.heard:
+				c.Check(got.From, qt.Equals, "n2~1")
+				c.Check(got.Addr, qt.Equals, other.addr)
+				c.Check(got.Body.(*wire.Chosen).Key, qt.Equals, "policy")
+			case <-time.After(20 * time.Second):
+				c.Fatal("nothing came back")
+			}
+			c.Check(asker.posts.Load(), qt.Equals, one.posts)
+			c.Check(other.posts.Load(), qt.Equals, int64(1))
+		})
+	}
+}
