Membership: messages tell what changed; news is asked for where sums differ

And fronts asked for news 7 times a second, mostly to hear nothing.

Of a member that changed a message now holds what changed, which those who know the rest apply; who missed a turn in between finds it by sums. Whoever hears from another what it would tell counts that for two messages of its own (rumour mongering with feedback; Demers and others, 1987). Answers to sums leave out what is being told anyway. Probes and acks carry two sums of what the sender has of the news, and how long ago its control topics were as new as those of a controller in touch with a majority; ages go on between fronts that have the same. A front asks its homes only if someone differs, or nobody agreed for four probes, and a controller only if that age is over three probes, the time between asks until now.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -69,6 +69,7 @@
 	toldFronts  int64
 	toldContact wire.Contact
 	youngAsked  int
+	agreement   agreement
 	// turns counts how often homes were asked.
 	turns int
 	// newestOf and frontsOf are the versions of the members that were looked at.
@@ -116,7 +117,14 @@
 		l.toldTicket(now, &out, from, told)
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
 		return l.settleFirst(l.proposer.Hear(now, from, body))
-	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
+	case *wire.Probe:
+		l.compare(now, &told.Board)
+		l.members.Tell(l.sums(now))
+		return l.members.Hear(now, from, body)
+	case *wire.ProbeAck:
+		l.compare(now, &told.Board)
+		return l.members.Hear(now, from, body)
+	case *wire.ProbeVia:
 		return l.members.Hear(now, from, body)
 	case *wire.FoundTold:
 		if core, ok := register.ParseCore(told.Core); ok {
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -17,6 +17,7 @@
 	var out wire.Outputs
 	l.now = now
 	l.members.Clock(now, wallMs)
+	l.members.Tell(l.sums(now))
 	out.Add(l.members.Tick(now))
 	out.Add(l.settleFirst(l.proposer.Tick(now)))
 	l.begin(now, &out)
@@ -61,8 +62,10 @@
 }
 
 // subscribe asks the zone's home of each service for what is past the versions
-// here, which is little: homes pass on what they are told; a home asks a controller. Once in a while, and while the core is deaf to
-// it, a home asks its zone's peers too, and a front that knows nothing asks all.
+// here, which is little: homes pass on what they are told; a home asks a controller.
+// It asks only if others were heard that do not have the same, or none that has.
+// Once in a while, and while the core is deaf to it, a home asks its zone's peers
+// too, and a front that knows nothing asks all.
 func (l *Agent) subscribe(now int64, out *wire.Outputs) {
 	if l.young(now) {
 		if voters := l.proposer.Core().Voters; len(voters) > 0 && l.due(now, "young", l.boot.ProbeMs/2) {
@@ -75,11 +78,11 @@
 	if !l.due(now, "subscribe", 2*l.boot.ProbeMs) {
 		return
 	}
-	agents := l.members.Alive("agent")
 	l.turns++
+	agents := l.members.Alive("agent")
+	control, homes := l.lacks(now)
 	for _, service := range l.services() {
-		if service != distribution.ControlService && l.turns%2 == 0 && !l.young(now) {
-			// What a worker holds may be a little later than what binds all.
+		if (service == distribution.ControlService && !control) || (service != distribution.ControlService && !homes) {
 			continue
 		}
 		if home := distribution.Home(service, l.boot.Zone, agents); home != l.boot.ID && home != "" {
@@ -88,7 +91,7 @@
 			l.askAnyController(out, service)
 		}
 	}
-	if _, knows := l.board.Get(controller.PolicyKey); knows && !l.due(now, "peers", 8*l.boot.ProbeMs) {
+	if _, knows := l.board.Get(controller.PolicyKey); knows && (!l.due(now, "peers", 8*l.boot.ProbeMs) || !(control || homes)) {
 		return
 	}
 	all := l.board.Asks("")
@@ -99,13 +102,25 @@
 	}
 }
 
+// lacks tells whether control topics, and homes, may have been missed.
+func (l *Agent) lacks(now int64) (control, homes bool) {
+	control = l.agreement.control.asks(now, agreedProbes*l.boot.ProbeMs)
+	// What a worker holds may be a little later than what binds all.
+	if l.turns%2 == 1 || l.young(now) {
+		homes = l.agreement.homes.asks(now, agreedProbes*l.boot.ProbeMs)
+	}
+	return control || l.young(now), homes || l.young(now)
+}
+
 // askController asks a controller itself what must be in force everywhere in time
 // (configuration, worker list): the zone's home may be cut off from the
-// controllers while it stands well among the fronts. A question holds a sum.
+// controllers while it stands well among the fronts. It need not ask while it knows
+// by others that it has what a controller had a moment ago. A question holds a sum.
 func (l *Agent) askController(now int64, out *wire.Outputs) {
-	if !l.young(now) && l.due(now, "controller", 3*l.boot.ProbeMs) {
-		l.askAnyController(out, distribution.ControlService)
+	if l.young(now) || now-l.agreement.coreMs < 3*l.boot.ProbeMs || !l.due(now, "controller", 3*l.boot.ProbeMs) {
+		return
 	}
+	l.askAnyController(out, distribution.ControlService)
 }
 
 // askAnyController asks one of the controllers that stand, or any if none does.
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -167,6 +167,7 @@
 	case *wire.FoundAsk, *wire.FoundTold, *wire.Found:
 		out = f.foundHeard(now, from, body)
 	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
+		f.members.Tell(f.sums())
 		out = f.members.Hear(now, from, body)
 	case *wire.GrantAsk:
 		out = f.leaseRequested(now, from, told)
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -63,3 +63,13 @@
 	f.confirming.waits = append(f.confirming.waits, subscriber)
 	return slices.Delete(topics, at, at+1)
 }
+
+// sums are what this node's probes say of its news. It vouches for its control topics
+// only while it may be in touch with a majority.
+func (f *Controller) sums() wire.BoardSums {
+	out := f.board.Sums()
+	if f.founded() && f.members.Majority(f.proposer.Core().Voters) {
+		out.AgeMs = 1
+	}
+	return out
+}
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -16,6 +16,7 @@
 	f.members.Clock(now, wallMs)
 	f.view.WallMs = f.members.Wall(now)
 	f.foundTick(now, &out)
+	f.members.Tell(f.sums())
 	out.Add(f.members.Tick(now))
 	out.Add(f.proposer.Tick(now))
 	f.readRepairTick(now, &out)
--- a/internal/controlplane/distribution/subscribe.go
+++ b/internal/controlplane/distribution/subscribe.go
@@ -61,6 +61,19 @@
 	return wire.KindNone, nil
 }
 
+// Sums tell others in short what this board has, of control topics and of homes.
+//
+//	picture.Tell(board.Sums())
+func (b *Board) Sums() wire.BoardSums {
+	out := wire.BoardSums{Control: int64(b.sums[ControlService])}
+	for service, sum := range b.sums {
+		if service != ControlService {
+			out.Homes += int64(sum)
+		}
+	}
+	return out
+}
+
 // sum tells the versions of a service, or of all, in one number; nought if there
 // are none.
 func (b *Board) sum(service string) int64 {
--- a/internal/controlplane/membership/gossip.go
+++ b/internal/controlplane/membership/gossip.go
@@ -16,7 +16,7 @@
 	case *wire.Probe:
 		m.merge(now, from, told.Members)
 		m.heardClock(now, from, told.WallMs)
-		out.Send(from, wire.KindProbeAck, &wire.ProbeAck{Seq: told.Seq, WallMs: now + m.offset, Members: m.telling(from, told.Sums)})
+		out.Send(from, wire.KindProbeAck, &wire.ProbeAck{Seq: told.Seq, WallMs: now + m.offset, Members: m.telling(from, told.Sums), Board: m.board})
 	case *wire.ProbeAck:
 		m.merge(now, from, told.Members)
 		m.heardClock(now, from, told.WallMs)
@@ -42,7 +42,7 @@
 		kept.heardMs = now
 	}
 	if sent.forWhom != "" {
-		out.Send(sent.forWhom, wire.KindProbeAck, &wire.ProbeAck{Seq: sent.forSeq, WallMs: now + m.offset, Members: m.telling(sent.forWhom, nil)})
+		out.Send(sent.forWhom, wire.KindProbeAck, &wire.ProbeAck{Seq: sent.forSeq, WallMs: now + m.offset, Members: m.telling(sent.forWhom, nil), Board: m.board})
 	}
 }
 
@@ -55,6 +55,12 @@
 			continue
 		}
 		kept, ok := m.table[member.ID]
+		if member.Since > 0 {
+			if !ok || !applies(&kept.member, &member) {
+				continue // sums find it
+			}
+			member = changed(kept.member, &member)
+		}
 		if !ok {
 			if wire.Standing(member.Standing) != wire.StandingRemoved {
 				m.replaced(now, from, member)
@@ -76,8 +82,11 @@
 			}
 			// A higher turn with nothing else new answers a doubt that others have.
 			stands := kept.member.Standing != member.Standing || maps.Equal(kept.member.Fact, member.Fact)
+			kept.change = m.change(kept, &member)
 			kept.member = member
 			m.changed(member.ID, stands)
+		case same && !self && member.Standing == kept.member.Standing:
+			m.heardAgain(member.ID)
 		}
 		if self {
 			kept.heardMs = now
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -29,6 +29,9 @@
 	since   int64
 	heardMs int64
 	hash    uint64 // of its id
+	// change is what became new of it lately, for those who know the rest; nil
+	// where only the whole member will do.
+	change *wire.Member
 	// offset is the member's wall clock less this node's monotonic one.
 	offset   int64
 	offsetAt int64
@@ -59,7 +62,8 @@
 	// version rises with whatever changes in the table or in this node itself.
 	version int64
 	// kept is what was made of the table at a version.
-	kept listed
+	kept  listed
+	board wire.BoardSums
 	// told is how often each of those that changed lately was told of.
 	told map[string]*rumour
 }
@@ -155,7 +159,7 @@
 	}
 	for _, seed := range m.seedsNow() {
 		m.nextSeq++
-		out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling("", nil), Sums: m.sums(bucketsFor(len(m.table)))})
+		out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling("", nil), Sums: m.sums(bucketsFor(len(m.table))), Board: m.board})
 	}
 	return out
 }
@@ -180,7 +184,7 @@
 func (m *Members) send(now int64, out *wire.Outputs, target string, sent *probe) {
 	m.nextSeq++
 	m.probes[m.nextSeq] = sent
-	out.Send(target, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling(target, nil), Sums: m.sums(bucketsFor(len(m.table)))})
+	out.Send(target, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling(target, nil), Sums: m.sums(bucketsFor(len(m.table))), Board: m.board})
 }
 
 // overdue asks others about those who did not answer, then suspects them.
--- a/internal/controlplane/membership/sums.go
+++ b/internal/controlplane/membership/sums.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/bits"
+	"slices"
 
 	"applequay/internal/transport/wire"
 )
@@ -62,7 +63,12 @@
 			out = append(out, id)
 		}
 	}
-	if len(out) <= mostDiffering || 2*empty > len(sums) {
+	if 2*empty > len(sums) {
+		return out
+	}
+	// What is being told anyway goes round without sums; who stands is not left to that.
+	out = slices.DeleteFunc(out, func(id string) bool { return m.told[id] != nil && !m.told[id].stands })
+	if len(out) <= mostDiffering {
 		return out
 	}
 	from := m.random.Intn(len(out))
@@ -70,7 +76,7 @@
 }
 
 // mostDiffering is how many members an answer holds for sums that differ.
-const mostDiffering = 2 * tellMost
+const mostDiffering = 32
 
 func (m *Members) hash(id string) uint64 {
 	sum := fnv.New64a()
--- a/internal/controlplane/membership/sums_test.go
+++ b/internal/controlplane/membership/sums_test.go
@@ -179,3 +179,71 @@
 		c.Check(r.now-began < 4000, qt.IsTrue, qt.Commentf("gone after %d ms with %d in 100 lost", r.now-began, percent))
 	}
 }
+
+// behind is how many of what members know of each other is old.
+func (r *ring) behind() (count int) {
+	for _, at := range r.all {
+		for _, member := range at.All() {
+			if member.Turn != r.all[member.ID].self.Turn {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Where all members have something new at once, as when all fronts take up a list of
+// workers, all know it soon, and messages hold little more than what changed.
+func TestAllChangeAtOnce(t *testing.T) {
+	c := qt.New(t)
+	r := newRing(94)
+	for _, one := range r.all {
+		one.Set("settings", "12/3200/200")
+	}
+	r.run(15000)
+	bytes, cut := 0, r.cut
+	r.watch = func(body wire.Record) { bytes += len(wire.Encode(body)) }
+	for _, one := range r.all {
+		one.Set("list", "12@1764660000000")
+	}
+	r.run(1000)
+	c.Check(r.behind() < 94*94/20, qt.IsTrue, qt.Commentf("after a second %d of %d", r.behind(), 94*94))
+	r.run(1000)
+	c.Check(r.behind(), qt.Equals, 0)
+	r.run(4000)
+	r.watch, r.cut = nil, cut
+	// What is new of 94 members takes some 40 bytes each; 94 members hear it several times.
+	c.Check(bytes < 4_500_000, qt.IsTrue, qt.Commentf("%d bytes", bytes))
+}
+
+// A change is made to what is known of a member, or left to sums where that is too old.
+func TestChangesNeedWhatWasBefore(t *testing.T) {
+	c := qt.New(t)
+	whole := wire.Member{ID: "m1", Name: "m", Role: "agent", Addr: "10.0.0.1:1", Born: 5, Turn: 3, Fact: map[string]string{"list": "1@0", "mark": "4"}}
+	cases := []struct {
+		name   string
+		change wire.Member
+		turn   int64
+		list   string
+	}{
+		{"the next turn", wire.Member{ID: "m1", Born: 5, Turn: 4, Since: 4, Fact: map[string]string{"list": "2@0"}}, 4, "2@0"},
+		{"several turns", wire.Member{ID: "m1", Born: 5, Turn: 9, Since: 2, Fact: map[string]string{"list": "2@0"}}, 9, "2@0"},
+		{"a turn in between was missed", wire.Member{ID: "m1", Born: 5, Turn: 6, Since: 5, Fact: map[string]string{"list": "2@0"}}, 3, "1@0"},
+		{"old", wire.Member{ID: "m1", Born: 5, Turn: 2, Since: 1, Fact: map[string]string{"list": "0@0"}}, 3, "1@0"},
+		{"of another life", wire.Member{ID: "m1", Born: 6, Turn: 4, Since: 4, Fact: map[string]string{"list": "2@0"}}, 3, "1@0"},
+		{"of somebody unknown", wire.Member{ID: "m2", Born: 5, Turn: 4, Since: 4, Fact: map[string]string{"list": "2@0"}}, 3, "1@0"},
+	}
+	for _, one := range cases {
+		c.Run(one.name, func(c *qt.C) {
+			at := newRing(1).all["n0"]
+			at.Hear(1, "n9", &wire.ProbeAck{Members: []wire.Member{whole}})
+			at.Hear(2, "n9", &wire.ProbeAck{Members: []wire.Member{one.change}})
+			c.Assert(at.table, qt.HasLen, 1)
+			got := at.table["m1"].member
+			c.Check(got.Turn, qt.Equals, one.turn)
+			c.Check(got.Fact, qt.DeepEquals, map[string]string{"list": one.list, "mark": "4"})
+			c.Check([]string{got.Name, got.Role, got.Addr}, qt.DeepEquals, []string{"m", "agent", "10.0.0.1:1"})
+		})
+	}
+	c.Check(whole.Fact["list"], qt.Equals, "1@0", qt.Commentf("nobody else's copy changes"))
+}
--- a/internal/simulation/load_test.go
+++ b/internal/simulation/load_test.go
@@ -108,3 +108,28 @@
 	small, large := perFront(12), perFront(48)
 	c.Check(large < small*3/2, qt.IsTrue, qt.Commentf("%.0f bytes each in 4 s with 12 fronts, %.0f with 48", small, large))
 }
+
+// asks are how many messages of a kind fronts send in all that went by.
+func (l loads) asks(kind string) (count int64) {
+	for way, one := range l {
+		if strings.HasPrefix(way, "l>") && !strings.Contains(way, " loop ") && strings.HasSuffix(way, kind) {
+			count += one.messages
+		}
+	}
+	return count
+}
+
+// Fronts at rest ask nobody for news but now and then a controller: that all have the
+// same they know from probes.
+func TestRestingFrontsAskForNothing(t *testing.T) {
+	t.Parallel()
+	each(qt.New(t), func(c *qt.C, shape Shape) {
+		shape.Fronts, shape.LossPercent = 12, 0
+		w := steady(shape, 5, 9000)
+		seen := w.watched(16000, 24000)
+		a := float64(seen.asks("KindSubscribe")) / 8 / float64(shape.Fronts)
+		probes := float64(seen.asks("KindProbe")) / 8 / float64(shape.Fronts)
+		c.Check(probes > 4 && probes < 8, qt.IsTrue, qt.Commentf("%.2f probes a second and front", probes))
+		c.Check(a < 1, qt.IsTrue, qt.Commentf("%.2f asks a second and front", a))
+	})
+}
--- a/internal/transport/wire/codec.go
+++ b/internal/transport/wire/codec.go
@@ -43,7 +43,7 @@
 	KindTicketWish:    func() Record { return &TicketWish{} }, KindTicketDone: func() Record { return &TicketDone{} },
 	KindTicketAsk: func() Record { return &TicketAsk{} }, KindTicketTold: func() Record { return &TicketTold{} },
 	KindContact: func() Record { return &Contact{} }, KindWaits: func() Record { return &Waits{} },
-	KindBare: func() Record { return &Bare{} }, KindTally: func() Record { return &Tally{} }, KindFleet: func() Record { return &Fleet{} },
+	KindBare: func() Record { return &Bare{} }, KindTally: func() Record { return &Tally{} }, KindTallies: func() Record { return &Tallies{} }, KindFleet: func() Record { return &Fleet{} },
 	KindWriteAsk: func() Record { return &WriteAsk{} },
 }
 
--- a/internal/transport/wire/kind.go
+++ b/internal/transport/wire/kind.go
@@ -70,6 +70,7 @@
 	KindTally
 	KindFleet
 	KindWriteAsk
+	KindTallies
 )
 
 // Verdict is what a worker's partition says to an item that asked for a home.
--- a/internal/transport/wire/kind_gen.go
+++ b/internal/transport/wire/kind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTakenKindTicketWishKindTicketDoneKindTicketAskKindTicketToldKindContactKindBareKindWaitsKindTallyKindFleetKindWriteAsk"
+const _KindName = "KindNoneKindPrepareKindPromiseKindAcceptKindAcceptedKindQueryKindChosenKindKeysAskKindKeysToldKindFoundAskKindFoundToldKindFoundKindProbeKindProbeAckKindProbeViaKindGrantAskKindGrantToldKindGrantBackKindPostKindPostAckKindSubscribeKindNewsKindReportKindWantKindUseKindHomeAskKindHomeToldKindPermitAskKindPermitGivenKindPermitBackKindSeenKindMessagesReceivedKindMessagesSentKindTaskCompletedKindStepCompletedKindPeerRenewedKindEventKindAcceptorRecordKindAdoptRecordKindOrderKindSnapshotKindWorkerNewsKindWorkerListKindOwnerKindCoreSetKindSealRecordKindHandoverKindHandoverTakenKindTicketWishKindTicketDoneKindTicketAskKindTicketToldKindContactKindBareKindWaitsKindTallyKindFleetKindWriteAskKindTallies"
 
-var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576, 590, 604, 617, 631, 642, 650, 659, 668, 677, 689}
+var _KindIndex = [...]uint16{0, 8, 19, 30, 40, 52, 61, 71, 82, 94, 106, 119, 128, 137, 149, 161, 173, 186, 199, 207, 218, 231, 239, 249, 257, 264, 275, 287, 300, 315, 329, 337, 357, 373, 390, 407, 422, 431, 449, 464, 473, 485, 499, 513, 522, 533, 547, 559, 576, 590, 604, 617, 631, 642, 650, 659, 668, 677, 689, 700}
 
-const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertakenkindticketwishkindticketdonekindticketaskkindtickettoldkindcontactkindbarekindwaitskindtallykindfleetkindwriteask"
+const _KindLowerName = "kindnonekindpreparekindpromisekindacceptkindacceptedkindquerykindchosenkindkeysaskkindkeystoldkindfoundaskkindfoundtoldkindfoundkindprobekindprobeackkindprobeviakindgrantaskkindgranttoldkindgrantbackkindpostkindpostackkindsubscribekindnewskindreportkindwantkindusekindhomeaskkindhometoldkindpermitaskkindpermitgivenkindpermitbackkindseenkindmessagesreceivedkindmessagessentkindtaskcompletedkindstepcompletedkindpeerrenewedkindeventkindacceptorrecordkindadoptrecordkindorderkindsnapshotkindworkernewskindworkerlistkindownerkindcoresetkindsealrecordkindhandoverkindhandovertakenkindticketwishkindticketdonekindticketaskkindtickettoldkindcontactkindbarekindwaitskindtallykindfleetkindwriteaskkindtallies"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -82,9 +82,10 @@
 	_ = x[KindTally-(55)]
 	_ = x[KindFleet-(56)]
 	_ = x[KindWriteAsk-(57)]
+	_ = x[KindTallies-(58)]
 }
 
-var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken, KindTicketWish, KindTicketDone, KindTicketAsk, KindTicketTold, KindContact, KindBare, KindWaits, KindTally, KindFleet, KindWriteAsk}
+var _KindValues = []Kind{KindNone, KindPrepare, KindPromise, KindAccept, KindAccepted, KindQuery, KindChosen, KindKeysAsk, KindKeysTold, KindFoundAsk, KindFoundTold, KindFound, KindProbe, KindProbeAck, KindProbeVia, KindGrantAsk, KindGrantTold, KindGrantBack, KindPost, KindPostAck, KindSubscribe, KindNews, KindReport, KindWant, KindUse, KindHomeAsk, KindHomeTold, KindPermitAsk, KindPermitGiven, KindPermitBack, KindSeen, KindMessagesReceived, KindMessagesSent, KindTaskCompleted, KindStepCompleted, KindPeerRenewed, KindEvent, KindAcceptorRecord, KindAdoptRecord, KindOrder, KindSnapshot, KindWorkerNews, KindWorkerList, KindOwner, KindCoreSet, KindSealRecord, KindHandover, KindHandoverTaken, KindTicketWish, KindTicketDone, KindTicketAsk, KindTicketTold, KindContact, KindBare, KindWaits, KindTally, KindFleet, KindWriteAsk, KindTallies}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:8]:     KindNone,
@@ -145,6 +146,7 @@
 	_KindName[659:668]: KindTally,
 	_KindName[668:677]: KindFleet,
 	_KindName[677:689]: KindWriteAsk,
+	_KindName[689:700]: KindTallies,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -206,6 +208,7 @@
 	_KindLowerName[659:668]: KindTally,
 	_KindLowerName[668:677]: KindFleet,
 	_KindLowerName[677:689]: KindWriteAsk,
+	_KindLowerName[689:700]: KindTallies,
 }
 
 var _KindNames = []string{
@@ -267,6 +270,7 @@
 	_KindName[659:668],
 	_KindName[668:677],
 	_KindName[677:689],
+	_KindName[689:700],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -382,19 +382,21 @@
 
 // Member is a generated struct.
 type Member struct {
-	ID       string            `avro:"id"`
-	Name     string            `avro:"name"`
-	Role     string            `avro:"role"`
-	Zone     string            `avro:"zone"`
-	Addr     string            `avro:"addr"`
-	Born     int64             `avro:"born"`
-	Turn     int64             `avro:"turn"`
-	Standing int64             `avro:"standing"`
-	Outward  string            `avro:"outward"`
-	Fact     map[string]string `avro:"fact"`
+	ID       string `avro:"id"`
+	Name     string `avro:"name"`
+	Role     string `avro:"role"`
+	Zone     string `avro:"zone"`
+	Addr     string `avro:"addr"`
+	Born     int64  `avro:"born"`
+	Turn     int64  `avro:"turn"`
+	Standing int64  `avro:"standing"`
+	Outward  string `avro:"outward"`
+	// 0 for a whole member; else only what changed since the turn before this number: facts set since, and nothing of what never changes.
+	Since int64             `avro:"since"`
+	Fact  map[string]string `avro:"fact"`
 }
 
-var schemaMember = schemaOf(`{"name":"Member","type":"record","fields":[{"name":"id","type":"string"},{"name":"name","type":"string"},{"name":"role","type":"string"},{"name":"zone","type":"string"},{"name":"addr","type":"string"},{"name":"born","type":"long"},{"name":"turn","type":"long"},{"name":"standing","type":"long"},{"name":"outward","type":"string"},{"name":"fact","type":{"type":"map","values":"string"}}]}`)
+var schemaMember = schemaOf(`{"name":"Member","type":"record","fields":[{"name":"id","type":"string"},{"name":"name","type":"string"},{"name":"role","type":"string"},{"name":"zone","type":"string"},{"name":"addr","type":"string"},{"name":"born","type":"long"},{"name":"turn","type":"long"},{"name":"standing","type":"long"},{"name":"outward","type":"string"},{"name":"since","type":"long"},{"name":"fact","type":{"type":"map","values":"string"}}]}`)
 
 // Schema returns the schema for Member.
 func (o *Member) Schema() avro.Schema {
@@ -411,15 +413,40 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
+// What a node has of the news: a sum of the versions of control topics, one of the homes, and how long ago its control topics were at least as new as a controller's, plus 1; 0 if it does not know.
+type BoardSums struct {
+	Control int64 `avro:"control"`
+	Homes   int64 `avro:"homes"`
+	AgeMs   int64 `avro:"ageMs"`
+}
+
+var schemaBoardSums = schemaOf(`{"name":"BoardSums","type":"record","fields":[{"name":"control","type":"long"},{"name":"homes","type":"long"},{"name":"ageMs","type":"long"}]}`)
+
+// Schema returns the schema for BoardSums.
+func (o *BoardSums) Schema() avro.Schema {
+	return schemaBoardSums
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *BoardSums) Unmarshal(b []byte) error {
+	return unmarshal(o, b)
+}
+
+// Marshal encodes the receiver.
+func (o *BoardSums) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
 // Probe is a generated struct.
 type Probe struct {
-	Seq     int64    `avro:"seq"`
-	WallMs  int64    `avro:"wallMs"`
-	Members []Member `avro:"members"`
-	Sums    []int64  `avro:"sums"`
+	Seq     int64     `avro:"seq"`
+	WallMs  int64     `avro:"wallMs"`
+	Members []Member  `avro:"members"`
+	Sums    []int64   `avro:"sums"`
+	Board   BoardSums `avro:"board"`
 }
 
-var schemaProbe = schemaOf(`{"name":"Probe","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}},{"name":"sums","type":{"type":"array","items":"long"}}]}`)
+var schemaProbe = schemaOf(`{"name":"Probe","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}},{"name":"sums","type":{"type":"array","items":"long"}},{"name":"board","type":"BoardSums"}]}`)
 
 // Schema returns the schema for Probe.
 func (o *Probe) Schema() avro.Schema {
@@ -438,12 +465,13 @@
 
 // ProbeAck is a generated struct.
 type ProbeAck struct {
-	Seq     int64    `avro:"seq"`
-	WallMs  int64    `avro:"wallMs"`
-	Members []Member `avro:"members"`
+	Seq     int64     `avro:"seq"`
+	WallMs  int64     `avro:"wallMs"`
+	Members []Member  `avro:"members"`
+	Board   BoardSums `avro:"board"`
 }
 
-var schemaProbeAck = schemaOf(`{"name":"ProbeAck","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}}]}`)
+var schemaProbeAck = schemaOf(`{"name":"ProbeAck","type":"record","fields":[{"name":"seq","type":"long"},{"name":"wallMs","type":"long"},{"name":"members","type":{"type":"array","items":"Member"}},{"name":"board","type":"BoardSums"}]}`)
 
 // Schema returns the schema for ProbeAck.
 func (o *ProbeAck) Schema() avro.Schema {
@@ -1042,6 +1070,28 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
+// What fronts told one controller, for the others.
+type Tallies struct {
+	Tallies []Tally `avro:"tallies"`
+}
+
+var schemaTallies = schemaOf(`{"name":"Tallies","type":"record","fields":[{"name":"tallies","type":{"type":"array","items":"Tally"}}]}`)
+
+// Schema returns the schema for Tallies.
+func (o *Tallies) Schema() avro.Schema {
+	return schemaTallies
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *Tallies) Unmarshal(b []byte) error {
+	return unmarshal(o, b)
+}
+
+// Marshal encodes the receiver.
+func (o *Tallies) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
 // Fleet is a generated struct.
 type Fleet struct {
 	Fronts int64 `avro:"fronts"`
