Agent: one owner hears what clients ask for, and tells the other controllers

A front now tells one owner that stands well, another each time, so that one who cannot pass it on is no lasting harm; what counts for 4 s is said again after 1.6 s at the latest. A controller passes on what fronts told it to the other controllers, all of a tenth of a second together.

--- a/internal/controlplane/agent/tallies.go
+++ b/internal/controlplane/agent/tallies.go
@@ -16,8 +16,8 @@
 )
 
 // tallied takes what the proxy counted, and now and then passes it on to
-// all who own a partition: which item stays, and which has to make way, is
-// worked out from all that is asked for. It is soft and in no log.
+// one who owns a partition, who tells the others: which item stays, and which has to
+// make way, is worked out from all that is asked for. It is soft and in no log.
 func (l *Agent) tallied(now int64, out *wire.Outputs, told *wire.Tally) {
 	l.tallyMs = now
 	if now-l.toldMs < tallyEvery || len(l.told)+len(told.Demands) == 0 {
@@ -27,17 +27,33 @@
 		return
 	}
 	l.toldMs, l.told = now, told.Demands
-	passed := &wire.Tally{Front: l.boot.ID, Demands: told.Demands}
-	var owners []string
+	if owner := l.anyOwner(); owner != "" {
+		out.Send(owner, wire.KindTally, &wire.Tally{Front: l.boot.ID, Demands: told.Demands})
+	}
+}
+
+// anyOwner is one of those who own a partition, another each time, so that one who
+// cannot pass on what it is told is no lasting harm; of those that stand well, if
+// any does.
+func (l *Agent) anyOwner() string {
+	var owners, well []string
 	for _, owner := range l.owners {
-		if !slices.Contains(owners, owner.ID) {
-			owners = append(owners, owner.ID)
+		if slices.Contains(owners, owner.ID) {
+			continue
+		}
+		owners = append(owners, owner.ID)
+		if standing, _ := l.members.Standing(owner.ID); standing == wire.StandingWell {
+			well = append(well, owner.ID)
 		}
 	}
-	slices.Sort(owners)
-	for _, owner := range owners {
-		out.Send(owner, wire.KindTally, passed)
+	if len(well) > 0 {
+		owners = well
 	}
+	if len(owners) == 0 {
+		return ""
+	}
+	slices.Sort(owners)
+	return owners[l.random.Intn(len(owners))]
 }
 
 // changed tells whether demands differ by more than a little.
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -61,6 +61,7 @@
 	kept         map[int64]*wire.PartitionState
 	owned        map[int64]*partition.Partition
 	versions     map[string]int64
+	tallies      map[string]wire.Tally // that fronts told, for the other controllers
 	calls        map[int64]func(now int64, outcome register.Outcome) wire.Outputs
 	nextCall     int64
 	founding     founding
@@ -115,7 +116,7 @@
 		view:     &partition.View{Policy: configuration.Empty(), Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Owners: map[int64]wire.Owner{}, Count: boot.Partitions},
 		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, versions: map[string]int64{},
 		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
-		handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
+		tallies: map[string]wire.Tally{}, handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
 		founding: newFounding(), coordinator: coordinator{failed: map[string]int64{}, heard: map[string]int64{}},
 	}
 	f.holder.NumberFrom(random.Int63n(numbers))
@@ -185,8 +186,8 @@
 		out = f.handedOver(from, told)
 	case *wire.HandoverTaken:
 		out = f.handoverTaken(now, from, told)
-	case *wire.Tally:
-		f.view.Demands.Note(now, told)
+	case *wire.Tally, *wire.Tallies:
+		f.tallied(now, body)
 	case *wire.Subscribe:
 		f.tellSubscriber(&out, from, told)
 	case *wire.News:
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -24,6 +24,7 @@
 	f.ownersTick(now, &out)
 	f.movesTick(now, &out)
 	f.newsTick(now, &out)
+	f.talliesTick(now, &out)
 	f.confirmTick(now, &out)
 	f.recallTick(now, &out)
 	f.platformTick(now, &out)
--- a/internal/controlplane/partition/demand.go
+++ b/internal/controlplane/partition/demand.go
@@ -55,6 +55,15 @@
 	d.fronts[tally.Front] = front{atMs: now, tally: tally}
 }
 
+// NoteAll takes what fronts told another controller.
+//
+//	view.Demands.NoteAll(now, told)
+func (d *Demands) NoteAll(now int64, told *wire.Tallies) {
+	for at := range told.Tallies {
+		d.Note(now, &told.Tallies[at])
+	}
+}
+
 // Sum adds up what the fronts said lately; it does so only now and then.
 //
 //	view.Demands.Sum(now, view.Policy)
