--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -54,7 +54,7 @@
 	health.Control(gauges, control.Page)
 	gauges.Routes(router)
 	operators := mux.NewRouter()
-	start.Desk(operators, control, settings.Ms(given.CallMs)*2, stop)
+	start.OperatorPages(operators, control, settings.Ms(given.CallMs)*2, stop)
 	go start.Watch(work, log, func(next *settings.Boot) { control.Seeds(work, next.Seeds) })
 	go func() {
 		// SIGTERM: the proxy beside is fed while it takes clients' leave.
--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -170,7 +170,7 @@
 	health.Journal(gauges, n.writer)
 	gauges.Routes(router)
 	operators := mux.NewRouter()
-	n.start.Desk(operators, n.control, patience, stop)
+	n.start.OperatorPages(operators, n.control, patience, stop)
 	return append(n.start.Served(operators, gauges.Standing(n.start.ReadyPath)),
 		supervisor.Child{Name: "control", Run: n.control.Run, Vital: true},
 		supervisor.Child{Name: "journal", Run: n.writer.Run, Vital: true},
--- a/internal/controlplane/adminapi/adminapi.go
+++ b/internal/controlplane/adminapi/adminapi.go
@@ -20,8 +20,8 @@
 // mostPolicy bounds an operator's body.
 const mostPolicy = 32 << 20
 
-// Desk answers operators from one node's control thread.
-type Desk struct {
+// Server answers operators from one node's control thread.
+type Server struct {
 	control *eventloop.Loop
 	form    configuration.Form
 	wait    time.Duration
@@ -37,7 +37,7 @@
 	if form == nil {
 		form = configuration.Native
 	}
-	d := &Desk{control: control, form: form, wait: wait, drain: drain}
+	d := &Server{control: control, form: form, wait: wait, drain: drain}
 	router.HandleFunc("/v1/policy", d.getPolicy).Methods(http.MethodGet)
 	router.HandleFunc("/v1/policy", d.setPolicy).Methods(http.MethodPut)
 	router.HandleFunc("/v1/policy", d.patchPolicy).Methods(http.MethodPatch)
@@ -74,7 +74,7 @@
 	Policy  json.RawMessage `json:"policy"`
 }
 
-func (d *Desk) read(r *http.Request) (register.Outcome, bool) {
+func (d *Server) read(r *http.Request) (register.Outcome, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), d.wait)
 	defer cancel()
 	outcome := d.control.Read(ctx, controller.PolicyKey)
@@ -82,7 +82,7 @@
 }
 
 // reaches tells whether a majority answers now.
-func (d *Desk) reaches(r *http.Request) bool {
+func (d *Server) reaches(r *http.Request) bool {
 	_, reached := d.read(r)
 	return reached
 }
@@ -93,7 +93,7 @@
 	Say(w, http.StatusServiceUnavailable, Refusal{Error: "no majority of the core answers", Applied: "no"})
 }
 
-func (d *Desk) getPolicy(w http.ResponseWriter, r *http.Request) {
+func (d *Server) getPolicy(w http.ResponseWriter, r *http.Request) {
 	outcome, ok := d.read(r)
 	if !ok {
 		w.Header().Set("Retry-After", "2")
@@ -107,7 +107,7 @@
 	Say(w, http.StatusOK, Policy{Version: outcome.Value.Version, Policy: body})
 }
 
-func (d *Desk) body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+func (d *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostPolicy))
 	if err != nil {
 		Say(w, http.StatusRequestEntityTooLarge, Refusal{Error: "the body is too large", Applied: "no"})
@@ -135,7 +135,7 @@
 }
 
 // largest is the room of the largest worker of each pool.
-func (d *Desk) largest() map[string]int64 {
+func (d *Server) largest() map[string]int64 {
 	out := map[string]int64{}
 	if page := d.control.Page.Load(); page != nil {
 		for _, worker := range page.Workers {
--- a/internal/controlplane/adminapi/change.go
+++ b/internal/controlplane/adminapi/change.go
@@ -23,7 +23,7 @@
 
 // written reads the body: the native form, or objects where the content type
 // is YAML or the query says form=objects.
-func (d *Desk) written(w http.ResponseWriter, r *http.Request) (written, bool) {
+func (d *Server) written(w http.ResponseWriter, r *http.Request) (written, bool) {
 	body, ok := d.body(w, r)
 	if !ok {
 		return written{}, false
@@ -41,7 +41,7 @@
 	return out, true
 }
 
-func (d *Desk) setPolicy(w http.ResponseWriter, r *http.Request) {
+func (d *Server) setPolicy(w http.ResponseWriter, r *http.Request) {
 	version, ok := expected(w, r)
 	if !ok {
 		return
@@ -60,7 +60,7 @@
 	}
 }
 
-func (d *Desk) patchPolicy(w http.ResponseWriter, r *http.Request) {
+func (d *Server) patchPolicy(w http.ResponseWriter, r *http.Request) {
 	version, ok := expected(w, r)
 	if !ok {
 		return
@@ -89,7 +89,7 @@
 	d.change(w, r, table.Version, told)
 }
 
-func (d *Desk) refuse(w http.ResponseWriter, faults configuration.Faults, syntax bool) {
+func (d *Server) refuse(w http.ResponseWriter, faults configuration.Faults, syntax bool) {
 	status := http.StatusUnprocessableEntity
 	if syntax {
 		status = http.StatusBadRequest
@@ -99,7 +99,7 @@
 
 // next is the version that a policy gives itself; nought where its form leaves
 // that to the register.
-func (d *Desk) next(body []byte) int64 {
+func (d *Server) next(body []byte) int64 {
 	if marker, ok := d.form.(configuration.Marker); ok {
 		if version, said := marker.VersionOf(body); said {
 			return version
@@ -108,7 +108,7 @@
 	return 0
 }
 
-func (d *Desk) change(w http.ResponseWriter, r *http.Request, version int64, told written) {
+func (d *Server) change(w http.ResponseWriter, r *http.Request, version int64, told written) {
 	if !told.syntax {
 		// All faults at once: those of the form, and those of what it says.
 		table, more, syntax := d.form.Parse(told.body, 0)
--- a/internal/controlplane/adminapi/doctor.go
+++ b/internal/controlplane/adminapi/doctor.go
@@ -227,7 +227,7 @@
 	}
 }
 
-func (d *Desk) doctor(w http.ResponseWriter, _ *http.Request) {
+func (d *Server) doctor(w http.ResponseWriter, _ *http.Request) {
 	if page := d.page(w); page != nil {
 		Say(w, http.StatusOK, map[string]any{"node": page.ID, "findings": Findings(page, time.Now().UnixMilli())})
 	}
--- a/internal/controlplane/adminapi/pages.go
+++ b/internal/controlplane/adminapi/pages.go
@@ -36,7 +36,7 @@
 	Workers []Worker `json:"workers"`
 }
 
-func (d *Desk) page(w http.ResponseWriter) *controller.Page {
+func (d *Server) page(w http.ResponseWriter) *controller.Page {
 	page := d.control.Page.Load()
 	if page == nil {
 		Say(w, http.StatusServiceUnavailable, Refusal{Error: "this node has only just started"})
@@ -44,7 +44,7 @@
 	return page
 }
 
-func (d *Desk) homes(w http.ResponseWriter, _ *http.Request) {
+func (d *Server) homes(w http.ResponseWriter, _ *http.Request) {
 	page := d.page(w)
 	if page == nil {
 		return
@@ -79,7 +79,7 @@
 	Missing []string         `json:"missing"`
 }
 
-func (d *Desk) openings(w http.ResponseWriter, _ *http.Request) {
+func (d *Server) openings(w http.ResponseWriter, _ *http.Request) {
 	page := d.page(w)
 	if page == nil {
 		return
@@ -118,7 +118,7 @@
 	Facts    map[string]string `json:"facts,omitempty"`
 }
 
-func (d *Desk) members(w http.ResponseWriter, _ *http.Request) {
+func (d *Server) members(w http.ResponseWriter, _ *http.Request) {
 	page := d.page(w)
 	if page == nil {
 		return
@@ -162,7 +162,7 @@
 	Fence     int64  `json:"fence"`
 }
 
-func (d *Desk) core(w http.ResponseWriter, _ *http.Request) {
+func (d *Server) core(w http.ResponseWriter, _ *http.Request) {
 	page := d.page(w)
 	if page == nil {
 		return
@@ -175,7 +175,7 @@
 	Say(w, http.StatusOK, out)
 }
 
-func (d *Desk) standing(w http.ResponseWriter, _ *http.Request) {
+func (d *Server) standing(w http.ResponseWriter, _ *http.Request) {
 	page := d.page(w)
 	if page == nil {
 		return
@@ -183,7 +183,7 @@
 	Say(w, http.StatusOK, map[string]any{"id": page.ID, "role": page.Role, "marks": page.Versions, "owned": len(page.Owned), "recovered": page.Recovered, "swept": page.Rereplicated, "epoch": page.Core.Epoch, "members": len(page.Members)})
 }
 
-func (d *Desk) drained(w http.ResponseWriter, _ *http.Request) {
+func (d *Server) drained(w http.ResponseWriter, _ *http.Request) {
 	Say(w, http.StatusAccepted, map[string]string{"drain": "started"})
 	d.drain()
 }
--- a/internal/controlplane/adminapi/rollout.go
+++ b/internal/controlplane/adminapi/rollout.go
@@ -39,7 +39,7 @@
 
 // rollOut makes of an operator's policy one that is rolled out over zones, on
 // top of the one that stands.
-func (d *Desk) rollOut(w http.ResponseWriter, r *http.Request, version int64, told written, how asked) {
+func (d *Server) rollOut(w http.ResponseWriter, r *http.Request, version int64, told written, how asked) {
 	roller, ok := d.form.(configuration.Roller)
 	if !ok {
 		lacks(w, "are in force everywhere at once")
@@ -67,12 +67,12 @@
 	d.change(w, r, table.Version, told)
 }
 
-func (d *Desk) underWay(w http.ResponseWriter, version int64) {
+func (d *Server) underWay(w http.ResponseWriter, version int64) {
 	Say(w, http.StatusConflict, Refusal{Error: "a roll-out is under way: halt it, or set a whole policy", Version: &version, Applied: "no"})
 }
 
 // standingPolicy reads the policy that stands, if it has the version expected.
-func (d *Desk) standingPolicy(w http.ResponseWriter, r *http.Request, version int64) ([]byte, *configuration.Table, bool) {
+func (d *Server) standingPolicy(w http.ResponseWriter, r *http.Request, version int64) ([]byte, *configuration.Table, bool) {
 	current, ok := d.read(r)
 	if !ok {
 		unreached(w)
@@ -92,7 +92,7 @@
 }
 
 // halt stops a roll-out: all fronts go by the old policy again.
-func (d *Desk) halt(w http.ResponseWriter, r *http.Request) {
+func (d *Server) halt(w http.ResponseWriter, r *http.Request) {
 	version, ok := expected(w, r)
 	if !ok {
 		return
--- a/internal/controlplane/controller/coordinator.go
+++ b/internal/controlplane/controller/coordinator.go
@@ -34,7 +34,7 @@
 
 func (f *Controller) coordinatorTick(now int64, out *wire.Outputs) {
 	core := f.proposer.Core()
-	if !f.founded() || f.leaving || !voterOf(core.Voters, f.boot.ID) || !f.due(now, "steward", f.boot.ProbeMs/4) {
+	if !f.founded() || f.leaving || !voterOf(core.Voters, f.boot.ID) || !f.due(now, "coordinator", f.boot.ProbeMs/4) {
 		return
 	}
 	s := &f.coordinator
@@ -80,7 +80,7 @@
 		if outcome.Has {
 			f.learn(now, &out, register.CoreKey, outcome.Value)
 			f.tellSet(&out, before)
-			delete(f.timers, "steward")
+			delete(f.timers, "coordinator")
 		}
 		return out
 	})
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -142,7 +142,7 @@
 // bring here what this node missed. What is chosen is told at once and asked for
 // as news, so a turn now and then is enough.
 func (f *Controller) readRepairTick(now int64, out *wire.Outputs) {
-	if !f.founded() || !f.due(now, "sweep", f.often(now, f.boot.LeaseMs/8)) {
+	if !f.founded() || !f.due(now, "read repair", f.often(now, f.boot.LeaseMs/8)) {
 		return
 	}
 	keys := f.acceptor.Keys()
--- a/internal/controlplane/orders/native.go
+++ b/internal/controlplane/orders/native.go
@@ -76,10 +76,10 @@
 	return socket.Client(transport), socket.Once(transport)
 }
 
-// Native is the desk of the product's own workers and directory.
+// Native speaks to the product's own workers and directory.
 //
-//	desk := orders.Native("127.0.0.1:7900")
-func Native(directory string) Desk {
+//	workers := orders.Native("127.0.0.1:7900")
+func Native(directory string) Workers {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}
 	looks, once := Clients(transport)
 	return &native{looks: looks, once: once, directory: directory}
--- a/internal/controlplane/orders/native_test.go
+++ b/internal/controlplane/orders/native_test.go
@@ -51,22 +51,22 @@
 	server.Start()
 	c.Cleanup(server.Close)
 	addr := strings.TrimPrefix(server.URL, "http://")
-	desk, ctx := Native(addr), context.Background()
+	workers, ctx := Native(addr), context.Background()
 	for at, op := range []string{"look", "load", "look", "look"} {
-		_, err := desk.Order(ctx, &wire.Order{Worker: "w1", Addr: addr, Op: op, Seq: 7})
+		_, err := workers.Order(ctx, &wire.Order{Worker: "w1", Addr: addr, Op: op, Seq: 7})
 		c.Assert(err, qt.IsNil)
 		c.Check(conns.Load(), qt.Equals, int64(min(at+1, 2)), qt.Commentf("%s, call %d", op, at))
 	}
 	c.Check(orders.Load(), qt.Equals, int64(1))
 	for range 2 {
-		_, err := desk.List(ctx)
+		_, err := workers.List(ctx)
 		c.Assert(err, qt.IsNil)
 	}
 	c.Check([]int64{lists.Load(), conns.Load()}, qt.DeepEquals, []int64{2, 4})
 	bad.Store(true)
-	_, err := desk.Order(ctx, &wire.Order{Worker: "w1", Addr: addr, Op: "load", Seq: 8})
+	_, err := workers.Order(ctx, &wire.Order{Worker: "w1", Addr: addr, Op: "load", Seq: 8})
 	c.Check(err, qt.IsNotNil)
-	_, err = desk.List(ctx)
+	_, err = workers.List(ctx)
 	c.Check(err, qt.IsNotNil)
 	c.Check([]int64{orders.Load(), lists.Load(), away.Load()}, qt.DeepEquals, []int64{2, 3, 0})
 }
--- a/internal/controlplane/orders/orders.go
+++ b/internal/controlplane/orders/orders.go
@@ -1,5 +1,5 @@
 // Package orders hands a partition's orders to workers, and reads the
-// platform's worker list, through the desk that is spoken to.
+// platform's worker list, through one interface for both.
 package orders
 
 import (
@@ -9,9 +9,9 @@
 	"applequay/internal/transport/wire"
 )
 
-// Desk is how workers and the list of them are spoken to. Both calls block;
+// Workers is how workers and the list of them are spoken to. Both calls block;
 // neither decides anything.
-type Desk interface {
+type Workers interface {
 	// Order hands a worker one order, or looks at it, and tells what it showed.
 	Order(ctx context.Context, order *wire.Order) (*wire.Seen, error)
 	// List reads the whole list of workers, sorted by name.
@@ -27,10 +27,10 @@
 // Dispatcher sends for the control thread: one line per worker, so that orders to
 // one worker keep their order.
 type Dispatcher struct {
-	ctx   context.Context
-	desk  Desk
-	wait  time.Duration
-	lines map[string]chan Job
+	ctx     context.Context
+	workers Workers
+	wait    time.Duration
+	lines   map[string]chan Job
 	// Saw takes what workers showed, List what the platform listed.
 	Saw  func(seen *wire.Seen)
 	List func(version int64, list Listing)
@@ -44,18 +44,18 @@
 	Until time.Time
 }
 
-// New makes a clerk at a desk; wait is how long a worker or the platform may take.
+// New makes a dispatcher that speaks to workers; wait is how long a worker or the platform may take.
 //
-//	clerk := orders.New(ctx, orders.Native("127.0.0.1:7900"), time.Second)
-func New(ctx context.Context, desk Desk, wait time.Duration) *Dispatcher {
-	return &Dispatcher{ctx: ctx, desk: desk, wait: wait, lines: map[string]chan Job{}}
+//	dispatcher := orders.New(ctx, orders.Native("127.0.0.1:7900"), time.Second)
+func New(ctx context.Context, workers Workers, wait time.Duration) *Dispatcher {
+	return &Dispatcher{ctx: ctx, workers: workers, wait: wait, lines: map[string]chan Job{}}
 }
 
 // Send puts an order on its worker's line; a full line loses it. A look behind
 // something else is left out: what waits shows as much, and a worker that hangs
 // is not to be caught up with.
 //
-//	clerk.Send(orders.Job{Order: *order, Until: until})
+//	dispatcher.Send(orders.Job{Order: *order, Until: until})
 func (c *Dispatcher) Send(job Job) {
 	name := job.Order.Worker
 	line, ok := c.lines[name]
@@ -88,7 +88,7 @@
 	ctx, done := context.WithTimeout(c.ctx, c.wait)
 	defer done()
 	if job.Order.Op == "list" {
-		if list, err := c.desk.List(ctx); err == nil {
+		if list, err := c.workers.List(ctx); err == nil {
 			c.List(job.Order.Seq, list)
 		} else {
 			c.Failed(err)
@@ -100,7 +100,7 @@
 	if time.Now().Before(job.Until) {
 		leased, ended := context.WithDeadline(ctx, job.Until)
 		defer ended()
-		if seen, err := c.desk.Order(leased, &job.Order); err == nil {
+		if seen, err := c.workers.Order(leased, &job.Order); err == nil {
 			c.Saw(seen)
 		}
 	}
--- a/internal/dataplane/pipeline/call.go
+++ b/internal/dataplane/pipeline/call.go
@@ -45,7 +45,7 @@
 	// may have begun on it.
 	asked map[string]bool
 	runs  int64
-	// paid says that the next shot was taken from the budget already.
+	// paid says that the next attempt was taken from the budget already.
 	paid atomic.Bool
 	// fresh asks for a line of its own.
 	fresh bool
--- a/internal/settings/start.go
+++ b/internal/settings/start.go
@@ -43,13 +43,13 @@
 	Settings *Boot
 	// Form is how operators write policies.
 	Form configuration.Form
-	// Desk adds the operators' pages to a router; see adminapi.Routes.
-	Desk func(router *mux.Router, control *eventloop.Loop, wait time.Duration, drain func())
+	// OperatorPages adds the operators' pages to a router; see adminapi.Routes.
+	OperatorPages func(router *mux.Router, control *eventloop.Loop, wait time.Duration, drain func())
 	// Speech is how clients and servers speak.
 	Speech protocol.Speech
 	// Workers is how workers and the list of them are spoken to; holder names who
 	// gives the orders.
-	Workers func(holder string) orders.Desk
+	Workers func(holder string) orders.Workers
 	// ReadyPath is where it is told whether a process is ready.
 	ReadyPath string
 
@@ -65,7 +65,7 @@
 //	start := settings.Must("controller", settings.PartNode|settings.PartDisk, settings.Own{Args: os.Args[1:], Help: os.Stderr})
 func Must(program string, parts Part, source Source) *Start {
 	start := &Start{Form: configuration.Native, Speech: protocol.Own{}, ReadyPath: "/standing", source: source, program: program, parts: parts, hup: make(chan os.Signal, 1)}
-	start.Desk = func(router *mux.Router, control *eventloop.Loop, wait time.Duration, drain func()) {
+	start.OperatorPages = func(router *mux.Router, control *eventloop.Loop, wait time.Duration, drain func()) {
 		adminapi.Routes(router, control, start.Form, wait, drain)
 	}
 	// From here on SIGHUP ends no process, whether or not anyone looks.
@@ -81,7 +81,7 @@
 		os.Exit(ExitSettings)
 	}
 	start.Settings = settings
-	start.Workers = func(string) orders.Desk { return orders.Native(settings.Directory) }
+	start.Workers = func(string) orders.Workers { return orders.Native(settings.Directory) }
 	settings.tune()
 	return start
 }
--- a/internal/simulation/explorer/facts.go
+++ b/internal/simulation/explorer/facts.go
@@ -87,7 +87,7 @@
 func (f *facts) chosen(key string, value wire.Value) {
 	at := fmt.Sprintf("%s@%d", key, value.Version)
 	if key == register.CoreKey {
-		return // a set may be told with and without its sweep
+		return // a set may be told before and after its re-replication
 	}
 	if old, ok := f.bodies[at]; ok && old != string(value.Body) && f.clash == "" {
 		f.clash = fmt.Sprintf("%s was %q and %q", at, old, value.Body)
--- a/internal/simulation/repair_test.go
+++ b/internal/simulation/repair_test.go
@@ -9,7 +9,7 @@
 )
 
 // Copies that a machine missed while it was away, or lost with its disk, are
-// mended by reads and the sweep, without anybody writing. REPAIR_SHOW=1 prints
+// mended by reads and by read repair, without anybody writing. REPAIR_SHOW=1 prints
 // how many were missing and how long it took.
 func TestRepair(t *testing.T) {
 	t.Parallel()
