Simulator: the roll-out test unpacks the policy that it reads from a front's board

The configuration on a board is compressed since; the test rolled out what it read there as it stood (faults: no JSON). What it checks is unchanged.

--- a/internal/simulation/rollout_test.go
+++ b/internal/simulation/rollout_test.go
@@ -9,6 +9,7 @@
 
 	"applequay/internal/configuration"
 	"applequay/internal/controlplane/register"
+	"applequay/internal/transport/wire"
 )
 
 // roll writes a policy that is rolled out over all zones, and runs on; bad is
@@ -25,9 +26,11 @@
 	f := w.fronts[0]
 	kept, ok := f.line.Board().Get("policy")
 	c.Assert(ok, qt.IsTrue)
-	_, faults, _ := configuration.Parse(kept.Body, kept.Step)
+	stands, err := wire.Unpack(kept)
+	c.Assert(err, qt.IsNil)
+	_, faults, _ := configuration.Parse(stands, kept.Step)
 	c.Assert(faults, qt.HasLen, 0)
-	body, err := configuration.Roll(kept.Body, next, zones, pauseMs, 5)
+	body, err := configuration.Roll(stands, next, zones, pauseMs, 5)
 	c.Assert(err, qt.IsNil)
 	_, faults, _ = configuration.Parse(body, 0)
 	c.Assert(faults, qt.HasLen, 0)
