Founding: any founder that still knows the founders can found, and none twice

Ruled out: syncing the list sooner (a window stays); founding by any founder without more (two sets, where one was wiped and its word comes late). Change: a founder proposes where all below it answered that they know of no founders; who is asked by one that proposes is bound to it, durably, before it answers, and takes up only what that one made or has.

--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -8,13 +8,18 @@
 )
 
 // founding is how the first core set comes about: once, and only if every
-// founder answers and none knows of a core set. The founders are the machines
-// named in the boot, or, where none are and the system starts for the very first
-// time, its seeds. All others join, and so does a machine whose disk was lost: it
-// hears of the set there is, and never founds another.
+// founder's address answers and none knows of a core set. The founders are the
+// machines named in the boot, or, where none are and the system starts for the
+// very first time, its seeds. All others join, and so does a machine whose disk
+// was lost: it hears of the set there is, and never founds another.
+//
+// The founder with the lowest address proposes the set, or, where those below it
+// answered that they know of no founders (they were killed before they had that on
+// disk, and were started again as machines that join), the next. Who is asked by
+// one that proposes is bound to it from then on, durably (register.Acceptor.Bind),
+// and takes up no other's set.
 type founding struct {
-	told  map[string]wire.FoundTold
-	bound string
+	told map[string]wire.FoundTold
 }
 
 // founders are the addresses of those who found the first set; none if it has
@@ -31,9 +36,10 @@
 	return nil
 }
 
-// noteFounders keeps the seeds of the very first start.
+// noteFounders keeps the seeds of the very first start. Who is bound to a founder
+// by then may have said that it is none, and stays so.
 func (f *Controller) noteFounders(out *wire.Outputs) {
-	if f.boot.Bootstrap && len(f.boot.Core) == 0 && slices.Contains(f.boot.Seeds, f.boot.Addr) && len(f.acceptor.Founders()) == 0 {
+	if f.acceptor.Bound() == "" && f.boot.Bootstrap && len(f.boot.Core) == 0 && slices.Contains(f.boot.Seeds, f.boot.Addr) && len(f.acceptor.Founders()) == 0 {
 		out.Add(f.acceptor.Found(f.boot.Seeds))
 	}
 }
@@ -52,14 +58,23 @@
 		return
 	}
 	f.noteFounders(out)
+	if f.proposes() {
+		out.Add(f.acceptor.Bind(f.voter()))
+	}
+	asked := &wire.FoundAsk{Voter: f.voter(), Propose: f.acceptor.Bound() == f.boot.ID}
 	addrs := append(slices.Clone(f.founders()), f.boot.Seeds...)
 	for _, member := range f.members.Alive("") {
 		addrs = append(addrs, member.Addr)
 	}
 	slices.Sort(addrs)
 	for _, addr := range slices.Compact(addrs) {
-		if addr != f.boot.Addr {
-			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: f.voter()})
+		switch {
+		case addr == f.boot.Addr:
+		case asked.Propose:
+			// Nobody is bound to a founder that may forget that it is one.
+			out.After(addr, wire.KindFoundAsk, asked)
+		default:
+			out.Send(addr, wire.KindFoundAsk, asked)
 		}
 	}
 	if founders := f.founders(); len(founders) == 1 && founders[0] == f.boot.Addr {
@@ -67,24 +82,38 @@
 	}
 }
 
+// proposes tells whether this machine is the founder that proposes the first set:
+// no address below its own is a founder's any more.
+func (f *Controller) proposes() bool {
+	founders := f.founders()
+	for _, addr := range founders {
+		told, ok := f.founding.told[addr]
+		if addr < f.boot.Addr && (!ok || told.Founder) {
+			return false
+		}
+	}
+	return slices.Contains(founders, f.boot.Addr)
+}
+
 func (f *Controller) foundHeard(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
 	switch told := body.(type) {
 	case *wire.FoundAsk:
-		if founders := f.founders(); len(founders) > 0 && told.Voter.Addr == slices.Min(founders) {
-			f.founding.bound = told.Voter.ID
+		f.noteFounders(&out)
+		if told.Propose && !f.founded() {
+			out.Add(f.acceptor.Bind(told.Voter))
 		}
-		out.After(from, wire.KindFoundTold, &wire.FoundTold{Voter: f.voter(), Founded: f.founded(), Core: f.chosenCore()})
+		out.After(from, wire.KindFoundTold, &wire.FoundTold{Voter: f.voter(), Founded: f.founded(), Core: f.chosenCore(), Founder: len(f.founders()) > 0, Bound: f.acceptor.Bound()})
 	case *wire.FoundTold:
 		if core, ok := register.ParseCore(told.Core); told.Founded && ok {
-			f.adopt(now, &out, core, told.Core)
+			f.adopt(now, &out, core, told.Core, told.Voter.ID)
 			return out
 		}
 		f.founding.told[told.Voter.Addr] = *told
 		f.found(now, &out)
 	case *wire.Found:
-		if core, ok := register.ParseCore(told.Core); ok && f.founding.bound == told.By {
-			f.adopt(now, &out, core, told.Core)
+		if core, ok := register.ParseCore(told.Core); ok {
+			f.adopt(now, &out, core, told.Core, told.By)
 		}
 	}
 	return out
@@ -99,13 +128,14 @@
 	return wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
 }
 
-// found proposes the first core set, once all answered; the machine with the
-// lowest address does it.
+// found makes the first core set, once all founders' addresses answered that they
+// are bound to this machine.
 func (f *Controller) found(now int64, out *wire.Outputs) {
 	founders := f.founders()
-	if f.founded() || len(founders) == 0 || slices.Min(founders) != f.boot.Addr {
+	if f.founded() || !slices.Contains(founders, f.boot.Addr) || f.acceptor.Bound() != f.boot.ID {
 		return
 	}
+	// The first voter is the one that made the set (see takesUp).
 	core := coreOf(1, []wire.Voter{f.voter()})
 	core.Rereplicated = true
 	for _, addr := range founders {
@@ -113,13 +143,13 @@
 		if addr == f.boot.Addr {
 			continue
 		}
-		if !ok {
+		if !ok || told.Bound != f.boot.ID {
 			return
 		}
 		core.Voters = append(core.Voters, told.Voter)
 	}
 	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
-	f.adopt(now, out, core, value)
+	f.adopt(now, out, core, value, f.boot.ID)
 	for _, voter := range core.Voters {
 		if voter.ID != f.boot.ID {
 			out.After(voter.ID, wire.KindFound, &wire.Found{By: f.boot.ID, Core: value})
@@ -127,10 +157,14 @@
 	}
 }
 
-// adopt takes a founding core set that names this identity. One that does not
+// adopt takes a founding core set that names this identity, as another has it,
+// if this machine is bound to nobody else (see takesUp). One that does not name it
 // only tells the proposer whom to ask: the coordinators will let this node in.
-func (f *Controller) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte) {
+func (f *Controller) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte, from string) {
 	if core.Epoch == 1 && voterOf(core.Voters, f.boot.ID) && !f.founded() {
+		if !f.takesUp(core, from) {
+			return
+		}
 		first := wire.Ballot{N: 1, By: "founding"}
 		record := &wire.AcceptorRecord{Key: register.CoreKey, Promised: first, Accepted: first, Value: value}
 		f.acceptor.Replay(record)
@@ -139,6 +173,14 @@
 	f.learnCore(now, out, core)
 }
 
+// takesUp tells whether a first set may be taken up, by the founder that this
+// machine is bound to: that one made it, or has it itself; or the founder is this
+// machine, and made none yet.
+func (f *Controller) takesUp(core wire.CoreSet, from string) bool {
+	bound := f.acceptor.Bound()
+	return bound != "" && (bound == f.boot.ID || bound == core.Voters[0].ID || bound == from)
+}
+
 // SetSeeds takes the seeds of settings that were read again.
 //
 //	core.SetSeeds([]string{"10.0.0.7:7100"})
--- a/internal/controlplane/register/acceptor.go
+++ b/internal/controlplane/register/acceptor.go
@@ -17,6 +17,7 @@
 	epochKey    = "#epoch"
 	chosenKey   = "#core"
 	foundersKey = "#founders"
+	boundKey    = "#bound"
 )
 
 type cell struct {
@@ -32,6 +33,10 @@
 	chosen []byte // the newest core set known to be chosen
 	// founders are who was to found the first set, if this copy is of one of them.
 	founders []string
+	// bound are the founders that this copy was bound to, the last one still, and
+	// that one's address.
+	bound     []string
+	boundAddr string
 }
 
 // NewAcceptor makes a copy with nothing in it.
@@ -55,6 +60,10 @@
 		a.founders = strings.Split(string(record.Value), ",")
 		return
 	}
+	if record.Key == boundKey {
+		a.bound, a.boundAddr = strings.Split(string(record.Value), ","), record.Promised.By
+		return
+	}
 	kept := a.cell(record.Key)
 	if Less(kept.promised, record.Promised) {
 		kept.promised = record.Promised
@@ -72,6 +81,9 @@
 	if len(a.founders) > 0 {
 		out = append(out, a.foundersRecord())
 	}
+	if len(a.bound) > 0 {
+		out = append(out, a.boundRecord())
+	}
 	for _, key := range a.Keys() {
 		kept := a.cells[key]
 		out = append(out, wire.AcceptorRecord{Key: key, Promised: kept.promised, Accepted: kept.accepted, Value: kept.value})
--- a/internal/controlplane/register/coreset.go
+++ b/internal/controlplane/register/coreset.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"slices"
 	"strings"
 
 	"applequay/internal/transport/wire"
@@ -60,6 +61,37 @@
 	return out
 }
 
+// Bound is the identity of the founder whose set alone this copy may take up as
+// the first; empty if it was never asked by one that proposes.
+//
+//	if told.By == acceptor.Bound() { ... }
+func (a *Acceptor) Bound() string {
+	if len(a.bound) == 0 {
+		return ""
+	}
+	return a.bound[len(a.bound)-1]
+}
+
+// Bind binds this copy to a founder. Bindings pass on by rising addresses, or to
+// another identity at the same one, and never back: a founder that lost it makes
+// no first set any more that this copy takes up.
+//
+//	out := acceptor.Bind(told.Voter)
+func (a *Acceptor) Bind(founder wire.Voter) wire.Outputs {
+	var out wire.Outputs
+	if slices.Contains(a.bound, founder.ID) || (len(a.bound) > 0 && founder.Addr < a.boundAddr) {
+		return out
+	}
+	a.bound, a.boundAddr = append(a.bound, founder.ID), founder.Addr
+	record := a.boundRecord()
+	out.Write(wire.KindAcceptorRecord, &record)
+	return out
+}
+
+func (a *Acceptor) boundRecord() wire.AcceptorRecord {
+	return wire.AcceptorRecord{Key: boundKey, Promised: wire.Ballot{By: a.boundAddr}, Value: []byte(strings.Join(a.bound, ","))}
+}
+
 func (a *Acceptor) foundersRecord() wire.AcceptorRecord {
 	return wire.AcceptorRecord{Key: foundersKey, Value: []byte(strings.Join(a.founders, ","))}
 }
--- a/internal/simulation/explorer/lives.go
+++ b/internal/simulation/explorer/lives.go
@@ -23,8 +23,9 @@
 		}
 		m.disk = m.disk.older()
 	}
-	// Who has never synced anything is still at its very first start.
-	m.start(w.model.Unfounded && m.at < w.model.Admitted && m.wipes == 0 && len(m.disk.writes) == 0)
+	// The very first start comes once: a founder that crashed before it synced
+	// anything starts again as one that joins.
+	m.start(false)
 	return true
 }
 
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -313,10 +313,11 @@
 
 // FoundAsk is a generated struct.
 type FoundAsk struct {
-	Voter Voter `avro:"voter"`
+	Voter   Voter `avro:"voter"`
+	Propose bool  `avro:"propose"`
 }
 
-var schemaFoundAsk = schemaOf(`{"name":"FoundAsk","type":"record","fields":[{"name":"voter","type":"Voter"}]}`)
+var schemaFoundAsk = schemaOf(`{"name":"FoundAsk","type":"record","fields":[{"name":"voter","type":"Voter"},{"name":"propose","type":"boolean"}]}`)
 
 // Schema returns the schema for FoundAsk.
 func (o *FoundAsk) Schema() avro.Schema {
@@ -338,9 +339,11 @@
 	Voter   Voter  `avro:"voter"`
 	Founded bool   `avro:"founded"`
 	Core    []byte `avro:"core"`
+	Founder bool   `avro:"founder"`
+	Bound   string `avro:"bound"`
 }
 
-var schemaFoundTold = schemaOf(`{"name":"FoundTold","type":"record","fields":[{"name":"voter","type":"Voter"},{"name":"founded","type":"boolean"},{"name":"core","type":"bytes"}]}`)
+var schemaFoundTold = schemaOf(`{"name":"FoundTold","type":"record","fields":[{"name":"voter","type":"Voter"},{"name":"founded","type":"boolean"},{"name":"core","type":"bytes"},{"name":"founder","type":"boolean"},{"name":"bound","type":"string"}]}`)
 
 // Schema returns the schema for FoundTold.
 func (o *FoundTold) Schema() avro.Schema {
