--- a/internal/simulation/explorer/disk.go
+++ b/internal/simulation/explorer/disk.go
@@ -15,7 +15,9 @@
 	// before is the disk as it was at the checkpoint before, or half as long ago.
 	before *disk
 	copies map[string]held
-	sum    sum
+	// founded says that a core set lasts here.
+	founded bool
+	sum     sum
 }
 
 // held is a durable copy of a register.
@@ -55,6 +57,7 @@
 }
 
 func (d *disk) copy(record *wire.AcceptorRecord) {
+	d.founded = d.founded || record.Key == register.CoreKey
 	if record.Accepted.N == 0 {
 		return
 	}
--- a/internal/simulation/explorer/explorer_test.go
+++ b/internal/simulation/explorer/explorer_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/transport/wire"
 )
 
 // TestMain lets the heap grow ninefold before it is swept: worlds are small and
@@ -34,6 +36,8 @@
 	{"founding", 40, 1, 4},
 	{"founding-wiped", 20, 2, 4},
 	{"handover", 40, 1, 4},
+	{"partitions", 2, 1, 16},
+	{"handed-back", 2, 1, 6},
 }
 
 func report(c *qt.C, found Report) {
@@ -64,6 +68,34 @@
 	}
 }
 
+// Every opening can be taken, and breaks nothing.
+func TestOpenings(t *testing.T) {
+	c := qt.New(t)
+	for _, model := range Models() {
+		world := New(model, 1)
+		c.Check(world.Broken(), qt.Equals, "", qt.Commentf(model.Name))
+		c.Check(world.left, qt.Equals, model.Budget, qt.Commentf(model.Name))
+	}
+}
+
+// What is held on a link stays until it is freed, and other kinds go on.
+func TestSlowAndFlush(t *testing.T) {
+	c := qt.New(t)
+	model, _ := ModelOf("leases")
+	world := New(model, 1)
+	for _, step := range (script{}).slowsKind("GrantAsk", "", "c3", "c1").rounds(20) {
+		c.Assert(world.Take(step), qt.IsTrue)
+	}
+	c.Assert(world.holds("c3", "c1"), qt.IsTrue)
+	c.Check(world.holds("c3", "c2"), qt.IsFalse)
+	for _, m := range world.queue {
+		c.Check(m.kind, qt.Equals, wire.KindGrantAsk)
+	}
+	c.Check(world.Take(Step{Do: Flush, From: "c3", Node: "c1"}), qt.IsTrue)
+	c.Check(world.holds("c3", "c1"), qt.IsFalse)
+	c.Check(world.Take(Step{Do: Flush, From: "c3", Node: "c1"}), qt.IsFalse)
+}
+
 // length is how long the walks of a model are.
 func length(model Model) int {
 	if model.Unclosed {
--- a/internal/simulation/explorer/facts.go
+++ b/internal/simulation/explorer/facts.go
@@ -47,12 +47,13 @@
 	acked   map[string]int64
 	// fences is the highest fence under which each lease was held, and by whom.
 	fences map[int64]wire.Owner
+	logs   logs
 	notes  []string
 	sum    sum
 }
 
 func newFacts() facts {
-	return facts{bodies: map[string]string{}, names: map[string]int64{}, cores: map[int64]wire.CoreSet{}, tellers: map[int64]map[string]bool{}, due: map[string]map[string]int64{}, acked: map[string]int64{}, fences: map[int64]wire.Owner{}}
+	return facts{bodies: map[string]string{}, names: map[string]int64{}, cores: map[int64]wire.CoreSet{}, tellers: map[int64]map[string]bool{}, due: map[string]map[string]int64{}, acked: map[string]int64{}, fences: map[int64]wire.Owner{}, logs: newLogs()}
 }
 
 func (f *facts) note(format string, args ...any) {
@@ -113,6 +114,7 @@
 
 // wrote looks at what a machine writes: the core sets that it knows to be chosen.
 func (f *facts) wrote(m *machine, write wire.Write) {
+	f.logs.wrote(m, write)
 	if write.Kind != wire.KindAcceptorRecord {
 		return
 	}
@@ -137,6 +139,19 @@
 	}
 }
 
+// unfound takes note that a machine crashed before a first set lasted there: what
+// nobody else heard of either was never founded.
+func (f *facts) unfound(id string) {
+	tellers := f.tellers[1]
+	if f.newest.Epoch != 1 || !tellers[id] {
+		return
+	}
+	delete(tellers, id)
+	if len(tellers) == 0 {
+		f.cores, f.newest, f.tellers = map[int64]wire.CoreSet{}, wire.CoreSet{}, map[int64]map[string]bool{}
+	}
+}
+
 func (f *facts) coreSeen(w *World, core wire.CoreSet) {
 	if old, ok := f.cores[core.Epoch]; ok {
 		if fmt.Sprint(old.Voters, old.Joining) != fmt.Sprint(core.Voters, core.Joining) && f.clash == "" {
--- a/internal/simulation/explorer/history.go
+++ b/internal/simulation/explorer/history.go
@@ -24,9 +24,12 @@
 	// Round lets one tick pass on every machine and delivers what is not held and
 	// not in focus; with "all" it delivers what is in focus too.
 	Round Action = "round"
-	// Slow has all in focus on a link held back from now on, Quick no longer.
+	// Slow has all in focus on a link held back from now on, or what is of one kind
+	// or about one register; Quick no longer. Flush frees all that is held on a link, or has
+	// it lost.
 	Slow  Action = "slow"
 	Quick Action = "quick"
+	Flush Action = "flush"
 	// Crash stops a machine, Start starts it with its disk, an empty one or an
 	// older one; Stall keeps its disk from syncing, Sync lets it.
 	Crash Action = "crash"
@@ -53,6 +56,7 @@
 	WithOlder    = "older"
 	WithUnsynced = "unsynced"
 	WithAll      = "all"
+	WithLost     = "lost"
 )
 
 // Step is one choice of a history.
--- a/internal/simulation/explorer/invariants.go
+++ b/internal/simulation/explorer/invariants.go
@@ -26,8 +26,14 @@
 		{"acknowledged versions are held", acknowledgedVersionsAreHeld},
 		{"no vote before copies", noVoteBeforeCopies},
 		{"majorities meet", majoritiesMeet},
+		{"all founders found", allFoundersFound},
 		{"one holder per lease", oneHolderPerLease},
 		{"fences rise", fencesRise},
+		{"one log per partition", oneLogPerPartition},
+		{"messages are taken once", messagesAreTakenOnce},
+		{"an order number names one order", anOrderNumberNamesOneOrder},
+		{"turns are a lease apart", turnsAreALeaseApart},
+		{"permits are not exceeded", permitsAreNotExceeded},
 	}
 }
 
@@ -153,6 +159,16 @@
 	return ""
 }
 
+// allFoundersFound: the first core set has a seat for every founder, so that one
+// of them may go as soon as something is acknowledged.
+func allFoundersFound(w *World) string {
+	first, founded := w.facts.cores[1]
+	if founded && w.model.Unfounded && len(first.Voters) < w.model.Admitted {
+		return fmt.Sprintf("the first core set is %s, of %d founders", names(first), w.model.Admitted)
+	}
+	return ""
+}
+
 // oneHolderPerLease: no two machines hold one lease at the same moment.
 func oneHolderPerLease(w *World) string {
 	holder := map[int64]string{}
@@ -167,6 +183,23 @@
 	return ""
 }
 
+// leasesAreHeld: when all faults are over, each lease has a holder. It is no
+// invariant of what comes before.
+func leasesAreHeld(w *World) string {
+	held := map[int64]bool{}
+	for _, m := range w.machines {
+		for _, hold := range m.owned {
+			held[hold.Partition] = true
+		}
+	}
+	for number := range w.model.Partitions {
+		if !held[number] {
+			return fmt.Sprintf("lease %d has no holder, all faults being over", number)
+		}
+	}
+	return ""
+}
+
 // fencesRise: who holds a lease does so under a fence above all under which
 // another held it; nobody goes on under an old one.
 func fencesRise(w *World) string {
--- a/internal/simulation/explorer/machine.go
+++ b/internal/simulation/explorer/machine.go
@@ -26,8 +26,10 @@
 	told           bool // it knows that its disk stalls
 	stalledAt      int64
 	lives, wipes   int
-	nextCall       int64
-	calls          map[int64]*Op
+	// calm is how many rounds all had been well when it crashed last.
+	calm     int
+	nextCall int64
+	calls    map[int64]*Op
 	// local sums up all that this machine took in, in its order.
 	local sum
 	// owned are the leases that it believes it has.
@@ -39,8 +41,15 @@
 	return &machine{world: w, at: at, name: name, addr: name + ":1", id: name + "~0"}
 }
 
-// clock is the machine's own monotonic time; clocks differ.
-func (m *machine) clock() int64 { return m.world.now + int64(m.at)*100_000 }
+// clock is the machine's own monotonic time; clocks differ, and some may run at
+// other rates than the world's.
+func (m *machine) clock() int64 {
+	now := m.world.now
+	if rates := m.world.model.ClockRates; m.at < len(rates) {
+		now = now * rates[m.at] / perMille
+	}
+	return now + int64(m.at)*100_000
+}
 
 // small is a source of random numbers that costs nothing to seed (splitmix64).
 type small uint64
@@ -79,7 +88,7 @@
 	}
 	m.core = controller.New(m.clock(), controller.Boot{
 		ID: m.id, Name: m.name, Addr: m.addr, Zone: "z", Born: w.now, Seeds: seeds, Partitions: w.model.Partitions, Bootstrap: first,
-		LeaseMs: w.model.leaseMs(), PollMs: pollMs, ProbeMs: w.model.probeMs(), CallMs: callMs, CatchUpMs: catchUpMs,
+		LeaseMs: w.model.leaseMs(), PollMs: m.world.model.pollMs(), ProbeMs: w.model.probeMs(), CallMs: callMs, CatchUpMs: catchUpMs,
 	}, rand.New(&source), &snapshot, m.disk.writes)
 	m.local = m.local.word(m.id).number(uint64(m.lives)).number(uint64(m.disk.sum))
 	m.remember("start", nil)
@@ -87,6 +96,10 @@
 
 // crash ends a life; what was not synced is lost.
 func (m *machine) crash() {
+	m.calm = m.world.calm
+	if !m.disk.founded {
+		m.world.facts.unfound(m.id)
+	}
 	m.up, m.frozen, m.pending, m.owned, m.calls = false, false, nil, nil, nil
 	m.remember("crash", nil)
 }
@@ -122,6 +135,9 @@
 // sync makes what was written last, and lets go what waited for it.
 func (m *machine) sync() {
 	if len(m.pending) > 0 {
+		for _, write := range m.pending {
+			m.world.facts.logs.lasts(m, write)
+		}
 		m.disk.append(m.pending)
 		if len(m.disk.writes) > mostWrites {
 			m.disk.checkpoint(wire.Encode(m.core.Snapshot()))
@@ -148,6 +164,7 @@
 		case m.id:
 			m.inner = append(m.inner, send)
 		case "worker", "platform":
+			m.world.fleet.sends(m, send)
 		default:
 			m.world.facts.said(m, send)
 			m.world.send(m, send)
@@ -177,7 +194,7 @@
 		m.perform(m.core.Read(m.clock(), m.nextCall, controller.PolicyKey))
 		return
 	}
-	m.perform(m.core.Change(m.clock(), m.nextCall, register.Write{Key: controller.PolicyKey, Expected: op.Expected, Body: []byte(op.Name), Name: op.Name}))
+	m.perform(m.core.Change(m.clock(), m.nextCall, register.Write{Key: controller.PolicyKey, Expected: op.Expected, Body: op.body(), Name: op.Name}))
 }
 
 // tick lets time be noticed.
