Explorer: a promise and its disk, complete to seven steps (promises)

Cause: "promise not written" and "answer a prepare before the sync" were found sometimes or not at all: the search of registers ended before it came there. Change: a model that begins after one promise, with a second proposer about to ask.

--- a/internal/simulation/explorer/explorer_test.go
+++ b/internal/simulation/explorer/explorer_test.go
@@ -36,6 +36,7 @@
 	{"founding", 40, 1, 4},
 	{"founding-wiped", 20, 2, 4},
 	{"handover", 40, 1, 4},
+	{"promises", 7, -1, 0},
 	{"partitions", 2, 1, 16},
 	{"handed-back", 2, 1, 6},
 }
