Explorer: core sets that change twice, and what they must not forget

Cause: walks of core-set and set-of-five do not draw two losses in one lease, a grantor replaced under a running lease, or a value at the smallest majority. Change: models two-losses, new-grantor, missed-sets, two-changes and old-set. Only the prepare's look at the epoch left out does no harm: the answer tells the epoch, and the proposer drops it.

--- a/internal/simulation/explorer/explorer_test.go
+++ b/internal/simulation/explorer/explorer_test.go
@@ -37,6 +37,11 @@
 	{"founding-wiped", 20, 2, 4},
 	{"handover", 40, 1, 4},
 	{"promises", 7, -1, 0},
+	{"two-losses", 5, 1, 6},
+	{"new-grantor", 5, 1, 6},
+	{"missed-sets", 2, 1, 6},
+	{"two-changes", 2, 1, 6},
+	{"old-set", 8, 1, 6},
 	{"partitions", 2, 1, 16},
 	{"handed-back", 2, 1, 6},
 }
