Explorer: leases with slow clocks, late words and grantors that forgot

Cause: "lease counted from the answer, without margin", "a late give-back ends a new grant" and "keep an old fence" were not found: clocks ran alike, words came at once, and grantors remembered the fence. Change: models lease-clocks (the holder's clock a tenth slower), lease-given-back, lease-restarts and lease-adoption (a fence is chosen, the record of its state is lost).

--- a/internal/simulation/explorer/explorer_test.go
+++ b/internal/simulation/explorer/explorer_test.go
@@ -42,6 +42,10 @@
 	{"missed-sets", 2, 1, 6},
 	{"two-changes", 2, 1, 6},
 	{"old-set", 8, 1, 6},
+	{"lease-clocks", 12, 1, 6},
+	{"lease-given-back", 12, 1, 6},
+	{"lease-restarts", 12, 1, 6},
+	{"lease-adoption", 2, 1, 4},
 	{"partitions", 2, 1, 16},
 	{"handed-back", 2, 1, 6},
 }
