Explorer: a founder that founds twice (founding-twice)

Cause: "a founding set from anyone" broke no rule that a model could see. Change: a founder that lost its disk before anybody heard of its set is told again that the system starts for the first time, and what it told before arrives late.

--- a/internal/simulation/explorer/directed.go
+++ b/internal/simulation/explorer/directed.go
@@ -17,5 +17,5 @@
 // directedModels begin where one mechanism alone keeps a rule: their openings
 // lead there, and what is searched is what may happen next.
 func directedModels() []Model {
-	return slices.Concat(registerModels(), setModels(), leaseModels(), partitionModels())
+	return slices.Concat(registerModels(), setModels(), leaseModels(), foundingModels(), partitionModels())
 }
--- a/internal/simulation/explorer/explorer_test.go
+++ b/internal/simulation/explorer/explorer_test.go
@@ -46,6 +46,7 @@
 	{"lease-given-back", 12, 1, 6},
 	{"lease-restarts", 12, 1, 6},
 	{"lease-adoption", 2, 1, 4},
+	{"founding-twice", 14, 2, 6},
 	{"partitions", 2, 1, 16},
 	{"handed-back", 2, 1, 6},
 }
