Explorer: one disk is lost at a time, also of two that crash in one moment

A fault of "a disk is lost only by a machine that crashed after CatchUpMs of calm". Change: once one is wiped, the others that crashed with it keep their disks.

--- a/internal/simulation/explorer/explorer_test.go
+++ b/internal/simulation/explorer/explorer_test.go
@@ -107,6 +107,21 @@
 	c.Check(world.Take(Step{Do: Flush, From: "c3", Node: "c1"}), qt.IsFalse)
 }
 
+// Of two machines that crash in one moment, all having been well, one may lose
+// its disk.
+func TestOneDiskAtATime(t *testing.T) {
+	c := qt.New(t)
+	model, _ := ModelOf("core-set")
+	model.Settle, model.Budget.Wipes = 2*catchUpMs/tickMs, 2
+	world := New(model, 1)
+	for _, step := range (script{}).does(Crash, "c3", "c4") {
+		c.Assert(world.Take(step), qt.IsTrue)
+	}
+	c.Check(world.Take(Step{Do: Start, Node: "c3", With: WithEmpty}), qt.IsTrue)
+	c.Check(world.Take(Step{Do: Start, Node: "c4", With: WithEmpty}), qt.IsFalse)
+	c.Check(world.Take(Step{Do: Start, Node: "c4"}), qt.IsTrue)
+}
+
 // length is how long the walks of a model are.
 func length(model Model) int {
 	if model.Unclosed {
--- a/internal/simulation/explorer/lives.go
+++ b/internal/simulation/explorer/lives.go
@@ -13,7 +13,11 @@
 		if !w.mayWipe(m) || !w.spend(&w.left.Wipes) {
 			return false
 		}
+		// Another that crashed in the same moment keeps its disk.
 		w.calm = 0
+		for _, other := range w.machines {
+			other.calm = 0
+		}
 		w.facts.forget(m.id)
 		m.wipes++
 		m.disk, m.id = disk{}, fmt.Sprintf("%s~%d", m.name, m.wipes)
