Core set: a new voter of unknown age vouches for no further newcomer

Cause: a newcomer gets its vote only where a majority of the set that it comes into had its time to catch up, but a voter whose age was not known yet counted as one of these. Of six machines, two gone and two new that died at once, the set kept four of eight voters. Change: a voter that was seen to come in within CatchUpMs and said no age does not count.

--- a/internal/controlplane/controller/coordinator.go
+++ b/internal/controlplane/controller/coordinator.go
@@ -28,6 +28,8 @@
 	aloneAt int64
 	// heard is when this node itself last heard from each voter.
 	heard map[string]int64
+	// admitted is when voters were seen to come into the set.
+	admitted map[string]int64
 	// sizes are how many voters there were lately.
 	sizes []sized
 }
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -88,6 +88,7 @@
 	}
 	f.core = core
 	f.noteSize(now, known, core)
+	f.noteAdmitted(now, known, core)
 	if voterOf(known.Voters, f.boot.ID) && !voterOf(core.Voters, f.boot.ID) {
 		f.outSince = core.Epoch
 	}
--- a/internal/controlplane/controller/voters.go
+++ b/internal/controlplane/controller/voters.go
@@ -134,7 +134,11 @@
 	for _, voter := range core.Voters {
 		standing, _ := f.stands(now, voter.ID)
 		age, known := f.ageMs(now, voter.ID)
-		ripe := !known || age >= f.boot.CatchUpMs || oldest-age <= f.togetherMs()
+		ripe := age >= f.boot.CatchUpMs || oldest-age <= f.togetherMs()
+		if !known {
+			at, lately := f.coordinator.admitted[voter.ID]
+			ripe = !lately || now-at >= f.boot.CatchUpMs
+		}
 		if ripe && (standing == wire.StandingWell || standing == wire.StandingLeaving) {
 			settled[voter.ID] = true
 		}
@@ -164,6 +168,22 @@
 // be off.
 func (f *Controller) grantedMs() int64 { return f.boot.LeaseMs/2 + f.boot.LeaseMs/16 }
 
+// noteAdmitted remembers when voters were seen to come into the set. Of one that came
+// lately and has not said yet how long it has been up, it isn't known that it had
+// its time to catch up; of the others, nothing was heard since this node started.
+func (f *Controller) noteAdmitted(now int64, core, next wire.CoreSet) {
+	admitted := map[string]int64{}
+	for _, voter := range next.Voters {
+		switch at, seen := f.coordinator.admitted[voter.ID]; {
+		case seen:
+			admitted[voter.ID] = at
+		case core.Epoch > 0 && !voterOf(core.Voters, voter.ID):
+			admitted[voter.ID] = now
+		}
+	}
+	f.coordinator.admitted = admitted
+}
+
 // mayShrink: within one lease the set loses no more than one voter of all it had.
 // Majorities before and after then meet, so that a grant given by the one is
 // known to the other; who is newly admitted grants nothing for a lease.
--- a/internal/controlplane/controller/voters_test.go
+++ b/internal/controlplane/controller/voters_test.go
@@ -104,3 +104,26 @@
 		})
 	}
 }
+
+// A voter that came into the set a moment ago and has not said yet how long it has
+// been up counts for nobody else's admission: it may die before it caught up. One
+// that was there before counts, though its age isn't known.
+func TestNewVoterOfUnknownAge(t *testing.T) {
+	c := qt.New(t)
+	f := New(1, Boot{ID: "a", Name: "a", Addr: "a:1", Partitions: 1, LeaseMs: 3000, PollMs: 500, ProbeMs: 200, CallMs: 1600, CatchUpMs: 4000, Born: 1}, rand.New(rand.NewSource(1)), &wire.Snapshot{}, nil)
+	before := wire.CoreSet{Epoch: 7, Rereplicated: true}
+	var told []wire.Member
+	for _, id := range []string{"a", "b", "c", "d"} {
+		told = append(told, wire.Member{ID: id, Name: id, Addr: id + ":1", Role: "controller", Born: 1})
+		before.Voters = append(before.Voters, wire.Voter{ID: id, Name: id, Addr: id + ":1"})
+	}
+	after := before
+	after.Epoch++
+	before.Voters = before.Voters[:3]
+	f.Hear(5000, "z", &wire.Probe{Members: told})
+	f.noteAdmitted(9000, before, after)
+	c.Check(f.settledVoters(10000, after), qt.DeepEquals, map[string]bool{"a": true, "b": true, "c": true})
+	f.noteAdmitted(10000, after, after)
+	c.Check(f.settledVoters(12900, after), qt.HasLen, 3)
+	c.Check(f.settledVoters(13000, after), qt.HasLen, 4)
+}
--- a/internal/simulation/losses_test.go
+++ b/internal/simulation/losses_test.go
@@ -48,4 +48,6 @@
 	}{{"planned", []int{3, 5, 6}}, {"gone", []int{5}}, {"dying", []int{3, 5, 6}}, {"empty-twice", []int{5}}} {
 		playLosses(c, []string{one.kind}, one.sizes, 3, 1, 1)
 	}
+	playLosses(c, []string{"dying"}, []int{6}, 3, 3, 3)
+	playLosses(c, []string{"dying"}, []int{6}, 3, 13, 13)
 }
