Register: a read whose copies differ proposes within its time

Cause: the explorer's walk of handed-back (lease 0 has no holder, all faults being over): after a stalled disk the learned pace was half a call, a read waited longer between its questions than it had in all, and so never made differing copies agree; no owner of that partition could read its register. Change: a read proposes after a quarter of its time, above the ballots that it saw; waits between attempts end with a phase; only rounds count as attempts.

--- a/internal/controlplane/register/manners.go
+++ b/internal/controlplane/register/manners.go
@@ -162,6 +162,6 @@
 func (p *Proposer) again(now int64, o *operation, seen wire.Ballot) {
 	p.counter = max(p.counter, seen.N)
 	o.phase = phaseWait
-	wait := p.pace() * int64(min(o.attempts, 4))
+	wait := min(p.pace()*int64(min(o.attempts, 4)), p.limits.PhaseMs)
 	o.phaseEnds = now + 1 + p.random.Int63n(max(wait, 1))
 }
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -147,10 +147,9 @@
 		return out
 	}
 	p.Rounds++
-	o.attempts++
 	o.epoch = p.core.Epoch
 	o.heard, o.best, o.bestValue, o.agreed, o.behind = map[string]bool{}, wire.Ballot{}, nil, 0, nil
-	o.phaseEnds, o.began = now+max(p.limits.PhaseMs, 2*p.pace()), now
+	o.phaseEnds, o.began = now+max(p.limits.PhaseMs, min(2*p.pace(), p.limits.CallMs/2)), now
 	if !asks || o.keys {
 		o.phaseEnds = now + p.patience()
 	}
@@ -161,6 +160,7 @@
 		o.phase = phaseQuery
 	default:
 		o.phase = phasePrepare
+		o.attempts++
 		p.counter++
 		o.ballot = wire.Ballot{N: p.counter, By: p.id}
 	}
--- a/internal/controlplane/register/reads.go
+++ b/internal/controlplane/register/reads.go
@@ -68,7 +68,7 @@
 	}
 	// Others may agree with the newest; who is away is not waited for.
 	if len(o.heard) >= p.majority() {
-		o.phaseEnds = min(o.phaseEnds, now+p.pace())
+		o.phaseEnds = min(o.phaseEnds, now+p.readPace())
 	}
 }
 
@@ -86,20 +86,28 @@
 // them agree by a round of its own.
 const mostDiffering = 3
 
+// readShare: after this part of its time a read whose copies differ proposes.
+const readShare = 4
+
 // differs goes on with a read whose copies differ. Mostly they do because a write
 // is on its way to them, which a round of the read's own would turn away: so it
 // asks again after about the time of a round, and proposes only after some of these.
 func (p *Proposer) differs(now int64, out *wire.Outputs, o *operation) {
 	o.differed++
-	if o.differed >= mostDiffering {
+	if o.differed >= mostDiffering || now-o.asked >= p.limits.CallMs/readShare {
 		o.proposes = true
+		p.counter = max(p.counter, o.best.N)
 		out.Add(p.begin(now, o))
 		return
 	}
 	o.phase = phaseWait
-	o.phaseEnds = now + p.pace()/2 + p.random.Int63n(p.pace())
+	o.phaseEnds = now + p.readPace()/2 + p.random.Int63n(p.readPace())
 }
 
+// readPace is how long a read leaves to a write that is on its way: what is left of
+// its time must do for a round of its own.
+func (p *Proposer) readPace() int64 { return max(1, min(p.pace(), p.limits.CallMs/(2*readShare))) }
+
 // mendOne gives a chosen value to a controller whose copy a read found old.
 func (p *Proposer) mendOne(out *wire.Outputs, found mend, to string) {
 	if len(found.value) > 0 {
--- a/internal/controlplane/register/reads_test.go
+++ b/internal/controlplane/register/reads_test.go
@@ -51,3 +51,24 @@
 	c.Check(b.outcomes["q/1"].Value.Version, qt.Equals, int64(2))
 	c.Check(rounds, qt.Equals, 0)
 }
+
+// A read whose copies go on to differ ends within its time, also where rounds were
+// slow before: it then proposes what is there.
+func TestReadEndsWhereRoundsWereSlow(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "p", "q")
+	b.change("p", 1, 0, "one")
+	b.pass = func(_, to string, body wire.Record) bool { return !isAccept(body) || to == "x" }
+	b.change("p", 2, 1, "two")
+	b.pass = func(from, to string, _ wire.Record) bool { return from != "z" && to != "z" }
+	q := b.proposers["q"]
+	q.roundMs = q.limits.CallMs / 2
+	b.carry("q", 0, q.Read(0, 1, "policy", wire.Ballot{}, nil))
+	for now := int64(20); now < q.limits.CallMs; now += 20 {
+		b.tick("q", now)
+	}
+	outcome, ended := b.outcomes["q/1"]
+	c.Assert(ended, qt.IsTrue)
+	c.Check(outcome.Fate, qt.Equals, FateDone)
+	c.Check(outcome.Value.Version, qt.Equals, int64(2))
+}
