Settings: the test of bounded connections waits until they rest

The server is right: only what rests makes room. Change: the test waits for each connection to rest, and a request that does not arrive is a failure after 20 s. Its assertions are the same.

--- a/internal/settings/conns_test.go
+++ b/internal/settings/conns_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,15 +49,36 @@
 	return !ok || !late.Timeout()
 }
 
+// waitForIdle waits until so many connections rest: a client has its answer before
+// the server says that the connection rests, and only what rests makes room.
+func (s *Clients) waitForIdle(c *qt.C, count int) {
+	for until := time.Now().Add(20 * time.Second); ; {
+		idle := 0
+		s.conns.open.Range(func(key, _ any) bool {
+			if key.(*conn).state.Load() == connIdle {
+				idle++
+			}
+			return true
+		})
+		if idle == count {
+			return
+		}
+		c.Assert(time.Now().Before(until), qt.IsTrue, qt.Commentf("%d connections rest, not %d", idle, count))
+		runtime.Gosched()
+	}
+}
+
 // Of clients' connections there are never more than may be: the one that rested
 // longest makes room, and where none rests the newcomer is closed unread.
 func TestConnectionsAreBounded(t *testing.T) {
 	c := qt.New(t)
-	d := echo(c, &Clients{Idle: time.Minute, Most: 2})
+	side := &Clients{Idle: time.Minute, Most: 2}
+	d := echo(c, side)
 	oldest, newer := d.call(c), d.call(c)
-	for _, one := range []*client{oldest, newer} {
+	for at, one := range []*client{oldest, newer} {
 		one.ask(c)
 		one.answer(c)
+		side.waitForIdle(c, at+1)
 	}
 	third := d.call(c)
 	third.ask(c)
@@ -65,7 +87,11 @@
 	for _, one := range []*client{newer, third} {
 		_, err := fmt.Fprint(one, "GET /waits HTTP/1.1\r\nHost: x\r\n\r\n")
 		c.Assert(err, qt.IsNil)
-		<-d.came
+		select {
+		case <-d.came:
+		case <-time.After(20 * time.Second):
+			c.Fatal("a request on a connection that was to stay does not arrive")
+		}
 	}
 	fourth := d.call(c)
 	c.Check(fourth.ends(c, 5*time.Second), qt.IsTrue, qt.Commentf("all are at work"))
