--- a/test.sh
+++ b/test.sh
@@ -33,8 +33,8 @@
 mapfile -t packages < <(go list ./... | grep -v /testbed/fleet)
 FLAGS=-partial tests -timeout 1800s "${packages[@]}"
 FLAGS=-partial tests -timeout 1800s ./internal/testbed/fleet
-# What comes from outside: each fuzz target for two seconds (./fuzz.sh 120 by hand).
-./fuzz.sh 2
+# What comes from outside: each fuzz target with 1000 new inputs (./fuzz.sh 120 by hand: seconds).
+./fuzz.sh 1000x
 # Data races, where goroutines share something; the state machines have none.
 FLAGS=-partial tests -race ./internal/dataplane/... ./internal/transport/... ./internal/settings ./internal/supervisor \
   ./internal/controlplane/{eventloop,adminapi,orders,journal} ./platform/...
