--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -59,7 +59,7 @@
 	front := mux.NewRouter().SkipClean(true)
 	front.PathPrefix("/").Handler(board)
 	side := given.ClientsSide(front)
-	side.Leave = board.Leave
+	side.Leave, side.Log = board.Leave, log
 	side.IdleTold = func() time.Duration { return settings.Ms(board.Table().Policy.Limits.IdleMs) }
 	go start.Watch(work, log, func(*settings.Boot) {})
 	clients := func(context.Context) error {
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"applequay/internal/supervisor"
@@ -58,118 +57,7 @@
 	return out
 }
 
-// Clients serves clients, and lets them go in order: from the end of its
-// context it goes on taking new ones for Notice, with answers that say that the
-// connection closes; then it takes no more and ends when no request is in work,
-// or after Drain from the beginning. Leave is called three quarters on, for those
-// who only wait; shortly before the end the contexts of all requests end, so
-// that what is still in work gets an answer and no connection is just closed.
-type Clients struct {
-	Addr       string
-	Handler    http.Handler
-	Head, Idle time.Duration
-	HeadBytes  int
-	// Most is how many connections there may be at a time; nought for any number.
-	Most int64
-	// IdleTold is how long a connection may be idle by the policy in force; Idle
-	// where it is nought or nil.
-	IdleTold      func() time.Duration
-	Notice, Drain time.Duration
-	Leave         func()
-	conns         conns
-	leaving       atomic.Bool
-}
-
-// clientsFiles is the part of a process's descriptors that clients may take:
-// requests in work take one more each, and connections to servers wait idle.
-const clientsFiles = 2
-
-// ClientsSide is the clients' side as the settings have it.
-//
-//	clients := settings.ClientsSide(board)
-func (b *Boot) ClientsSide(handler http.Handler) *Clients {
-	drain := Ms(b.DrainMs)
-	return &Clients{Addr: b.Clients, Handler: handler, Head: Ms(b.HeadMs), Idle: Ms(b.IdleMs), HeadBytes: int(b.HeadKb) << 10, Most: b.Files / clientsFiles, Notice: drain * time.Duration(b.NoticePercent) / 100, Drain: drain}
-}
-
 // Ms is a time of so many milliseconds.
 //
 //	wait := settings.Ms(settings.CallMs)
 func Ms(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
-
-// lookAgain is how often a drain looks at what is still in work.
-const lookAgain = 20 * time.Millisecond
-
-// answerPart is the part of a drain, its last, that is kept for answers to those
-// whose requests could not be ended.
-const answerPart = 16
-
-// Run serves until the context ends and the drain is over.
-//
-//	err := clients.Run(ctx)
-func (s *Clients) Run(ctx context.Context) error {
-	plain, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", s.Addr)
-	if err != nil {
-		return err
-	}
-	return s.serve(ctx, plain)
-}
-
-func (s *Clients) serve(ctx context.Context, plain net.Listener) error {
-	s.conns.most, s.conns.idle = s.Most, s.idle
-	listener := &listener{Listener: plain, conns: &s.conns}
-	asked, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	server := &http.Server{Handler: http.HandlerFunc(s.handle), BaseContext: func(net.Listener) context.Context { return asked }, ReadHeaderTimeout: s.Head, IdleTimeout: -1, MaxHeaderBytes: s.HeadBytes, ConnState: s.conns.state}
-	broke := make(chan error, 1)
-	go func() { broke <- server.Serve(listener) }()
-	select {
-	case err := <-broke:
-		return err
-	case <-ctx.Done():
-	}
-	s.leaving.Store(true)
-	ends := time.NewTimer(s.Drain)
-	defer ends.Stop()
-	defer time.AfterFunc(s.Drain*3/4, s.goes).Stop()
-	defer time.AfterFunc(s.Drain-s.Drain/answerPart, end).Stop()
-	// What is closed with the listener is not heard of again: Serve has ended.
-	notice := time.NewTimer(s.Notice)
-	defer notice.Stop()
-	<-notice.C
-	_ = plain.Close()
-	<-broke
-	look := time.NewTicker(lookAgain)
-	defer look.Stop()
-	for s.conns.quiet(time.Now()) > 0 {
-		select {
-		case <-ends.C:
-			return server.Close()
-		case <-look.C:
-		}
-	}
-	return nil
-}
-
-// idle is how long a connection may rest.
-func (s *Clients) idle() time.Duration {
-	if s.IdleTold != nil {
-		if told := s.IdleTold(); told > 0 {
-			return told
-		}
-	}
-	return s.Idle
-}
-
-func (s *Clients) goes() {
-	if s.Leave != nil {
-		s.Leave()
-	}
-}
-
-func (s *Clients) handle(w http.ResponseWriter, r *http.Request) {
-	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	s.Handler.ServeHTTP(w, r)
-}
