--- a/internal/dataplane/pipeline/leave_test.go
+++ b/internal/dataplane/pipeline/leave_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -49,3 +51,34 @@
 	<-done
 	c.Check(answer.Code, qt.Equals, http.StatusBadGateway)
 }
+
+// A front that leaves hands nothing on that it did not hand on before: it could not
+// wait for its end. What came late, on a connection that was busy or with a body that
+// came slowly, hears that it did not run, and goes elsewhere while there is time.
+func TestLeavingPassesNothingOn(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	var ran atomic.Int64
+	b.server("w1", func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		pieces("r1", 1, -1)(w, r)
+	}, "m1")
+	body, rest := io.Pipe()
+	slow := httptest.NewRequest(http.MethodPost, "/v1/hints", body)
+	answer, done := httptest.NewRecorder(), make(chan struct{})
+	go func() {
+		defer close(done)
+		b.board.ServeHTTP(answer, slow)
+	}()
+	_, err := rest.Write([]byte(`{"model":"m1",`))
+	c.Assert(err, qt.IsNil)
+	b.board.Leave()
+	_, err = rest.Write([]byte(`"prompt":"p"}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(rest.Close(), qt.IsNil)
+	<-done
+	c.Check(answer.Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(ran.Load(), qt.Equals, int64(0), qt.Commentf("its body came after the notice"))
+	c.Check(b.ask("/v1/hints", `{"model":"m1","prompt":"p"}`).Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(ran.Load(), qt.Equals, int64(0), qt.Commentf("it came after the notice"))
+}
--- a/internal/settings/beside.go
+++ b/internal/settings/beside.go
@@ -10,18 +10,17 @@
 //
 //	settings.Beside(settings)
 func Beside(settings *Boot) {
-	drain := Ms(settings.DrainMs)
-	notice := drain * time.Duration(settings.NoticePercent) / 100
-	if notice == 0 {
+	drain := settings.Drain()
+	if drain.Notice == 0 {
 		return
 	}
-	<-time.After(notice)
-	ends := time.NewTimer(drain*9/10 - notice)
+	<-time.After(drain.Notice)
+	ends := time.NewTimer(drain.End*9/10 - drain.Notice)
 	defer ends.Stop()
-	look := time.NewTicker(drain / 50)
+	look := time.NewTicker(drain.End / 50)
 	defer look.Stop()
 	for {
-		conn, err := net.DialTimeout("tcp", settings.Proxy, drain/50)
+		conn, err := net.DialTimeout("tcp", settings.Proxy, drain.End/50)
 		if err != nil {
 			return
 		}
--- a/internal/settings/conns_test.go
+++ b/internal/settings/conns_test.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.leave = cancel
 	c.Cleanup(cancel)
-	side.Drain, side.Head, side.HeadBytes = 20*time.Second, 5*time.Second, 1<<14
+	side.Drain, side.Head, side.HeadBytes = Drain{Cutoff: 19 * time.Second, End: 20 * time.Second}, 5*time.Second, 1<<14
 	side.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/waits" {
 			d.came <- struct{}{}
--- a/internal/settings/drain.go
+++ b/internal/settings/drain.go
@@ -10,10 +10,33 @@
 	"go.uber.org/zap"
 )
 
+// Drain is the timetable of an orderly stop, counted from SIGTERM.
+type Drain struct {
+	// Notice is for how long new connections are taken, until all have noticed that
+	// this process is unready.
+	Notice time.Duration
+	// Cutoff is when requests that are still in work are ended, each with an answer.
+	Cutoff time.Duration
+	// End is when the connections that are left are closed.
+	End time.Duration
+}
+
+// answerPart is the part of a drain, its last, that is kept for answers to those
+// whose requests could not be ended.
+const answerPart = 16
+
+// Drain is the timetable that the settings lead to.
+//
+//	drain := boot.Drain()
+func (b *Boot) Drain() Drain {
+	end := Ms(b.DrainMs)
+	return Drain{Notice: end * time.Duration(b.NoticePercent) / 100, Cutoff: end - end/answerPart, End: end}
+}
+
 // Clients serves clients, and lets them go in order: from the end of its
-// context it goes on taking new ones for Notice, with answers that say that the
+// context it goes on taking new ones for a notice, with answers that say that the
 // connection closes; then it takes no more and ends when no request is in work,
-// or after Drain from the beginning. Leave is called three quarters on, for those
+// or at the end of the drain. Leave is called three quarters on, for those
 // who only wait; shortly before the end the contexts of all requests end, so
 // that what is still in work gets an answer and no connection is just closed.
 type Clients struct {
@@ -25,9 +48,9 @@
 	Most int64
 	// IdleTold is how long a connection may be idle by the policy in force; Idle
 	// where it is nought or nil.
-	IdleTold      func() time.Duration
-	Notice, Drain time.Duration
-	Leave         func()
+	IdleTold func() time.Duration
+	Drain    Drain
+	Leave    func()
 	// Log hears of each step of a drain, with the connections that are open then.
 	Log     *zap.Logger
 	conns   conns
@@ -42,17 +65,12 @@
 //
 //	clients := settings.ClientsSide(board)
 func (b *Boot) ClientsSide(handler http.Handler) *Clients {
-	drain := Ms(b.DrainMs)
-	return &Clients{Addr: b.Clients, Handler: handler, Head: Ms(b.HeadMs), Idle: Ms(b.IdleMs), HeadBytes: int(b.HeadKb) << 10, Most: b.Files / clientsFiles, Notice: drain * time.Duration(b.NoticePercent) / 100, Drain: drain}
+	return &Clients{Addr: b.Clients, Handler: handler, Head: Ms(b.HeadMs), Idle: Ms(b.IdleMs), HeadBytes: int(b.HeadKb) << 10, Most: b.Files / clientsFiles, Drain: b.Drain()}
 }
 
 // lookAgain is how often a drain looks at what is still in work.
 const lookAgain = 20 * time.Millisecond
 
-// answerPart is the part of a drain, its last, that is kept for answers to those
-// whose requests could not be ended.
-const answerPart = 16
-
 // Run serves until the context ends and the drain is over.
 //
 //	err := clients.Run(ctx)
@@ -79,15 +97,15 @@
 	}
 	s.leaving.Store(true)
 	s.note("the drain begins")
-	ends := time.NewTimer(s.Drain)
+	ends := time.NewTimer(s.Drain.End)
 	defer ends.Stop()
-	defer time.AfterFunc(s.Drain*3/4, s.goes).Stop()
-	defer time.AfterFunc(s.Drain-s.Drain/answerPart, func() {
+	defer time.AfterFunc(s.Drain.End*3/4, s.goes).Stop()
+	defer time.AfterFunc(s.Drain.Cutoff, func() {
 		s.note("requests that are left are ended")
 		end()
 	}).Stop()
 	// What is closed with the listener is not heard of again: Serve has ended.
-	notice := time.NewTimer(s.Notice)
+	notice := time.NewTimer(s.Drain.Notice)
 	defer notice.Stop()
 	<-notice.C
 	_ = plain.Close()
--- a/internal/settings/drain_test.go
+++ b/internal/settings/drain_test.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.leave = cancel
 	c.Cleanup(cancel)
-	side := &Clients{Notice: notice, Drain: 20 * time.Second, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14,
+	side := &Clients{Drain: Drain{Notice: notice, Cutoff: 19 * time.Second, End: 20 * time.Second}, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			d.came <- struct{}{}
 			<-d.let
@@ -145,7 +145,7 @@
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	came, goes := make(chan struct{}), make(chan struct{})
-	side := &Clients{Drain: time.Second, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14, Leave: func() { close(goes) },
+	side := &Clients{Drain: Drain{Cutoff: time.Second - time.Second/16, End: time.Second}, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14, Leave: func() { close(goes) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			came <- struct{}{}
 			<-r.Context().Done()
@@ -163,3 +163,35 @@
 	c.Check(<-served, qt.IsNil)
 	<-goes
 }
+
+// Whoever hands requests on hears of the end of the notice: a connection that was
+// busy then may bring another request at any later time, and that one cannot wait
+// for its end here.
+func TestLeaveComesWithTheNotice(t *testing.T) {
+	c := qt.New(t)
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	came, let, goes := make(chan struct{}, 2), make(chan struct{}, 2), make(chan struct{})
+	side := &Clients{Drain: Drain{Notice: 100 * time.Millisecond, Cutoff: time.Minute, End: time.Minute}, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14, Leave: func() { close(goes) },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			came <- struct{}{}
+			<-let
+			_, _ = w.Write([]byte("whole"))
+		})}
+	served := make(chan error, 1)
+	go func() { served <- side.serve(ctx, plain) }()
+	one := (&drained{addr: plain.Addr().String()}).call(c)
+	one.ask(c)
+	<-came
+	leave()
+	select {
+	case <-goes:
+	case <-time.After(10 * time.Second):
+		c.Errorf("requests are still handed on long after the notice")
+	}
+	let <- struct{}{}
+	one.answer(c)
+	c.Check(<-served, qt.IsNil)
+}
