Drain: nothing is handed on after the notice, and what is in work has the whole grace

What was handed on late had no time to end. Ruled out: a second SIGTERM (swallowed), SIGTERM during a start (nothing is accepted yet), the close of idle connections (what was read is never closed).

--- a/internal/controlplane/health/traffic.go
+++ b/internal/controlplane/health/traffic.go
@@ -18,6 +18,7 @@
 	g.Count("silent_total", "shots ended since the server was silent", func() float64 { return float64(counts.Silent.Load()) })
 	g.Count("refused_early_total", "requests refused since their model cannot be up in time", func() float64 { return float64(counts.Early.Load()) })
 	g.Count("late_total", "streams whose first piece came later than wanted", func() float64 { return float64(counts.Late.Load()) })
+	g.Count("refused_leaving_total", "requests refused since this front leaves", func() float64 { return float64(counts.Left.Load()) })
 	g.Gauge("requests_in_work", "requests in work", func() float64 { return float64(board.InWork()) })
 	g.Gauge("policy_mark", "mark of the policy in force", func() float64 { return float64(board.Table().Policy.Version) })
 }
--- a/internal/dataplane/pipeline/attempt.go
+++ b/internal/dataplane/pipeline/attempt.go
@@ -37,6 +37,10 @@
 	budget.Earn(s.Now())
 	arrived := int64(0)
 	for {
+		if s.leaving(c) {
+			s.refuseLeaving(c)
+			return
+		}
 		c.current = s.Table()
 		chosenServer := s.choose(c)
 		if chosenServer == nil {
--- a/internal/dataplane/pipeline/hold.go
+++ b/internal/dataplane/pipeline/hold.go
@@ -47,7 +47,7 @@
 		select {
 		case <-c.current.Next:
 		case <-s.leaves:
-			c.refuse(http.StatusServiceUnavailable, "this front leaves", s.retryAfter(c))
+			s.refuseLeaving(c)
 			return
 		case <-limit.C:
 			c.refuse(http.StatusServiceUnavailable, "the model is not up yet", s.back(c))
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/switch.go
@@ -54,7 +54,7 @@
 
 // Counts are what a proxy did; they only rise.
 type Counts struct {
-	Came, Shed, Held, Attempts, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late atomic.Int64
+	Came, Shed, Held, Attempts, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late, Left atomic.Int64
 }
 
 // Switch is the chain of filters with what it works on.
@@ -124,17 +124,6 @@
 //	board.Zone("north")
 func (s *Switch) Zone(name string) { s.inZone.Store(&name) }
 
-// Leave tells that this front goes: who only waits for a model hears at once
-// that it did not run, while there is time to ask elsewhere; what is at a server
-// goes on.
-//
-//	clients.Leave = board.Leave
-func (s *Switch) Leave() {
-	if s.left.CompareAndSwap(false, true) {
-		close(s.leaves)
-	}
-}
-
 func (s *Switch) zone() string {
 	if name := s.inZone.Load(); name != nil {
 		return *name
--- a/internal/settings/drain.go
+++ b/internal/settings/drain.go
@@ -16,6 +16,8 @@
 	// this process is unready.
 	Notice time.Duration
 	// Cutoff is when requests that are still in work are ended, each with an answer.
+	// What is taken and what is waited for have to fit: requests are handed on until
+	// Notice and have from then to Cutoff to end.
 	Cutoff time.Duration
 	// End is when the connections that are left are closed.
 	End time.Duration
@@ -36,9 +38,10 @@
 // Clients serves clients, and lets them go in order: from the end of its
 // context it goes on taking new ones for a notice, with answers that say that the
 // connection closes; then it takes no more and ends when no request is in work,
-// or at the end of the drain. Leave is called three quarters on, for those
-// who only wait; shortly before the end the contexts of all requests end, so
-// that what is still in work gets an answer and no connection is just closed.
+// or at the end of the drain. With the notice Leave is called: a request that was not
+// handed on by then, or that comes later on a connection that was busy, has no time
+// to end here. Shortly before the end the contexts of all requests end, so that what
+// is still in work gets an answer and no connection is just closed.
 type Clients struct {
 	Addr       string
 	Handler    http.Handler
@@ -99,7 +102,6 @@
 	s.note("the drain begins")
 	ends := time.NewTimer(s.Drain.End)
 	defer ends.Stop()
-	defer time.AfterFunc(s.Drain.End*3/4, s.goes).Stop()
 	defer time.AfterFunc(s.Drain.Cutoff, func() {
 		s.note("requests that are left are ended")
 		end()
@@ -108,8 +110,9 @@
 	notice := time.NewTimer(s.Drain.Notice)
 	defer notice.Stop()
 	<-notice.C
+	s.goes()
 	_ = plain.Close()
-	s.note("no connection is taken any more")
+	s.note("no request is taken any more")
 	<-broke
 	look := time.NewTicker(lookAgain)
 	defer look.Stop()
@@ -142,7 +145,6 @@
 }
 
 func (s *Clients) goes() {
-	s.note("requests that only wait are refused")
 	if s.Leave != nil {
 		s.Leave()
 	}
