Placement: controllers tell how the workers' room is used, in gauges and in their log

Each controller now sums up its partitions: models ready, coming and leaving, asked for without a home, copies lacking, the store's queue. No logic changes.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -69,6 +69,7 @@
 		return err
 	}
 	go start.Watch(work, log, func(next *settings.Boot) { n.control.Seeds(work, next.Seeds) })
+	go n.tellPlacement(work)
 	go func() {
 		<-ctx.Done()
 		n.leave(work)
@@ -167,6 +168,7 @@
 	gauges := health.New("controller", n.given.Name)
 	health.Transport(gauges, n.cable.Counts)
 	health.Control(gauges, n.control.Page)
+	health.Placement(gauges, n.control.Page)
 	health.Journal(gauges, n.writer)
 	gauges.Routes(router)
 	operators := mux.NewRouter()
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -6,6 +6,7 @@
 
 	"applequay/internal/configuration"
 	"applequay/internal/controlplane/distribution"
+	"applequay/internal/controlplane/partition"
 	"applequay/internal/transport/wire"
 )
 
@@ -27,6 +28,8 @@
 	// Moving counts partitions on their way to another owner, Moves all that were.
 	Moving int
 	Moves  int64
+	// Placement sums up the partitions owned here.
+	Placement partition.Placement
 	// Needed says of a node that leaves that it should stay for a while.
 	Needed bool
 	// Seeds and Partitions are this node's own settings.
@@ -45,6 +48,7 @@
 	page.Needed = f.Needed()
 	for _, owned := range f.owned {
 		page.Events += owned.Steps
+		page.Placement.Add(owned.Placement(now))
 	}
 	for key, version := range f.versions {
 		page.Versions[key] = version
--- a/internal/controlplane/health/health.go
+++ b/internal/controlplane/health/health.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"applequay/internal/controlplane/eventloop"
+	"applequay/internal/controlplane/partition"
 	"applequay/internal/transport"
 )
 
@@ -119,6 +120,28 @@
 	g.Count("partition_events_total", "events that partitions logged", number(func() float64 { return float64(pages.Load().Events) }))
 }
 
+// Placement shows how a controller's partitions use the workers' room.
+//
+//	health.Placement(gauges, control.Page)
+func Placement(g *Gauges, pages *eventloop.Pages) {
+	sum := func(read func(sum *partition.Placement) int64) func() float64 {
+		return func() float64 {
+			page := pages.Load()
+			if page == nil {
+				return 0
+			}
+			return float64(read(&page.Placement))
+		}
+	}
+	g.Gauge("places_ready", "models that workers hold", sum(func(s *partition.Placement) int64 { return s.Ready }))
+	g.Gauge("places_coming", "models that have a place and are not loaded yet", sum(func(s *partition.Placement) int64 { return s.Coming }))
+	g.Gauge("places_leaving", "models that make way", sum(func(s *partition.Placement) int64 { return s.Leaving }))
+	g.Gauge("models_without_home", "models asked for that no worker has", sum(func(s *partition.Placement) int64 { return s.Homeless }))
+	g.Gauge("copies_lacking", "copies more that demand calls for", sum(func(s *partition.Placement) int64 { return s.Lacking }))
+	g.Gauge("store_queue", "loads that wait for a turn of the store", sum(func(s *partition.Placement) int64 { return s.StoreQueue }))
+	g.Gauge("store_busy", "loads that have a turn of the store", sum(func(s *partition.Placement) int64 { return s.StoreBusy }))
+}
+
 // Journal shows what the journal did.
 //
 //	health.Journal(gauges, writer)
