Partition: a worker changes one model at a time, and what waits for it is told so

Ruled out: too few slots (487 of 1920 ran), misplaced copies, blind choice of the fronts (seen in part: one holder with 27 waiting beside an idle one, small beside this), the store's rate alone (its queue held 0 to 20). Change: while a model changes at a worker, only what waits to be loaded may give its room up, to what twice as many ask for; a worker that is busy says so (VerdictBusy), which refuses no client; further copies grow by steps of those that are loaded; time to read is the least that any front saw, without the wait for a place; copies to spare are preferred where a cold model presses; loads that are handed over take no turn of those that may run (the pace bounds what begins, as before).

--- a/internal/controlplane/partition/choose.go
+++ b/internal/controlplane/partition/choose.go
@@ -37,9 +37,9 @@
 }
 
 // presses tells whether what is asked for has no home and has waited for a few
-// loads: its worth rose by half.
-func (p *Partition) presses(asked wire.Resident) bool {
-	return !asked.Extra && asked.Worth*2 >= 3*max(p.view.Demands.Of(asked.Item).worth(), leastWorth*asked.Weight)
+// loads, its worth rose by half: then any copy that is not the last makes way.
+func (p *Partition) presses(asked wire.Resident, on stake) bool {
+	return !on.last && !asked.Extra && asked.Worth*2 >= 3*max(p.view.Demands.Of(asked.Item).worth(), leastWorth*asked.Weight)
 }
 
 // noteLack remembers since when an item that is wanted has no home.
@@ -52,10 +52,21 @@
 	}
 }
 
+// awaits tells whether a worker waits for a model to be loaded.
+func (p *Partition) awaits(room wire.WorkerNews) bool {
+	return slices.ContainsFunc(room.Loaded, func(loaded wire.Loaded) bool {
+		return !loaded.Ready && p.view.Policy.Items[loaded.Item].Base == ""
+	})
+}
+
 func holds(room wire.WorkerNews, item string) bool {
 	return slices.ContainsFunc(room.Loaded, func(l wire.Loaded) bool { return l.Item == item })
 }
 
+// rankWaits is the rank of a worker that waits for another model to be loaded: only a
+// further copy that many more ask for may take the place of that.
+const rankWaits = -1
+
 // chooseWorker picks a worker by weighted rendezvous: those that have the
 // model of an adapter first, then those with free room, then those where what
 // would make way is worth least. Refusals turn the hash, and who refused lately
@@ -65,22 +76,20 @@
 	known := p.view.Policy.Items[item.Name]
 	worth, extra := p.askedWorth(now, item, wire.HomeState{})
 	asked := wire.Resident{Item: item.Name, Weight: max(item.Weight, 1), Worth: worth, Extra: extra}
-	// Who refused a further copy is left out for longer: that can wait.
-	rest := p.limits.RetryMs
-	if extra {
-		rest = p.limits.KeepMs
-	}
-	best, bestRank, bestScore := "", -1, 0.0
+	best, bestRank, bestScore := "", rankWaits-1, 0.0
 	for _, name := range sorted(p.view.Workers) {
 		worker := p.view.Workers[name]
 		taken := slices.ContainsFunc(item.Homes, func(h wire.HomeState) bool { return h.Worker == name })
-		refused, was := p.refused[item.Name+"|"+name]
-		if taken || !p.able(item.Name, worker) || (was && now-refused < rest) {
+		if taken || !p.able(item.Name, worker) || now < p.refused[item.Name+"|"+name] {
 			continue
 		}
 		room := p.view.Rooms[name]
 		free := room.RoomMb - room.UsedMb
 		need, rank := p.view.Policy.NeedMb(item.Name), 0
+		waits := free < need && p.awaits(room)
+		if waits && !extra {
+			continue // it changes one model at a time
+		}
 		if known.Base != "" && holds(room, known.Base) {
 			need, rank = known.SizeMb, 2
 		} else if known.Base != "" && len(item.Homes) > 0 {
@@ -89,6 +98,9 @@
 		if free >= need {
 			rank++
 		}
+		if waits {
+			rank = rankWaits
+		}
 		// An adapter is hashed as its model, so that both come to the same worker
 		// where neither is up yet.
 		score := rendezvous(fmt.Sprintf("%s|%s|%d", cmp.Or(known.Base, item.Name), name, item.Refusals), p.fitness(now, room, free, need, asked))
@@ -109,13 +121,14 @@
 			continue
 		}
 		idle := now-p.view.Demands.Of(loaded.Item).LastMs >= p.limits.IdleMs
-		switch worth, last := p.value(now, room.Worker, loaded.Item); {
-		case !last && p.presses(asked):
+		switch lost := p.stakeOf(now, room.Worker, loaded.Item); {
+		case lost.spare && p.presses(asked, lost):
+			// Where nothing is to spare, what is worth least is taken.
 			least = 0
 		case idle:
-			least = min(least, float64(worth)/4)
-		case !last || !asked.Extra:
-			least = min(least, float64(worth))
+			least = min(least, float64(lost.worth)/4)
+		case !lost.last || !asked.Extra:
+			least = min(least, float64(lost.worth))
 		}
 		load += float64(p.view.Demands.Of(loaded.Item).Live) / float64(max(p.homes(now, loaded.Item), 1))
 	}
--- a/internal/controlplane/partition/demand.go
+++ b/internal/controlplane/partition/demand.go
@@ -26,10 +26,13 @@
 	Rate, Live, Held, Late, Weight int64
 	// LastMs is when it was last asked for.
 	LastMs int64
-	// ReadMs is what a first piece takes where little else is in the way.
-	ReadMs               int64
-	before, rateBefore   int64
-	slow, reads, readsOf float64
+	// ReadMs is what a first piece takes where little else is in the way: the least
+	// that any front saw of late. What others saw holds the wait for a place besides,
+	// and more copies would be called for the longer the wait for them is.
+	ReadMs             int64
+	fewestMs           int64
+	before, rateBefore int64
+	slow               float64
 }
 
 // Demands is the soft memory of what fronts ask for. It is in no log: what is
@@ -81,7 +84,7 @@
 		if turn {
 			one.before, one.rateBefore = one.Live+one.Held, one.Rate
 		}
-		one.reads, one.readsOf = 0, 0
+		one.fewestMs = 0
 		one.Rate, one.Live, one.Held, one.Late = 0, 0, 0, 0
 	}
 	// In order, since sums of fractions depend on it.
@@ -101,8 +104,8 @@
 	}
 	part := min(float64(past)/slowMs, 1)
 	for name, one := range d.items {
-		if one.readsOf > 0 {
-			one.ReadMs = int64(one.reads / one.readsOf)
+		if one.fewestMs > 0 {
+			one.ReadMs = one.fewestMs
 		}
 		one.slow += (float64(one.Rate) - one.slow) * part
 		if one.slow < 1 && one.Rate+one.Live+one.Held == 0 {
@@ -122,9 +125,8 @@
 	one.Held += asked.Held
 	one.Late += asked.Late
 	one.Weight = max(one.Weight, asked.Weight)
-	if asked.Read > 0 {
-		part := float64(max(asked.Rate, 1))
-		one.reads, one.readsOf = one.reads+part*float64(asked.Read), one.readsOf+part
+	if asked.Read > 0 && (one.fewestMs == 0 || asked.Read < one.fewestMs) {
+		one.fewestMs = asked.Read
 	}
 	if asked.Rate+asked.Live+asked.Held > 0 {
 		one.LastMs = now
@@ -222,19 +224,25 @@
 	return max((asked.ahead()+per-1)/per, (asked.reading()+readShare-1)/readShare, 1)
 }
 
-// value is what a worker loses with an item: all of its worth if it is the last
-// home or the one that keeps it, its part of it if all homes are needed, and
-// little if one is to spare.
-func (p *Partition) value(now int64, worker, item string) (worth int64, last bool) {
-	worth = p.view.Demands.Of(item).worth()
+// stake is what a worker loses with an item.
+type stake struct {
+	worth int64
+	// last says that no other home is left to count on, spare that there are more
+	// homes than the demand needs.
+	last, spare bool
+}
+
+// stakeOf is all of an item's worth if this is its last home or the one that keeps it,
+// its part of it if all homes are needed, and little if one is to spare.
+func (p *Partition) stakeOf(now int64, worker, item string) stake {
+	worth := p.view.Demands.Of(item).worth()
 	one := p.counted(now)[item]
-	homes := one.homes
 	switch {
-	case homes <= 1 || one.keeper == worker:
-		return worth, true
-	case homes > p.copies(item):
-		return worth / (4 * homes), false
+	case one.homes <= 1 || one.keeper == worker:
+		return stake{worth: worth, last: true}
+	case one.homes > p.copies(item):
+		return stake{worth: worth / (4 * one.homes), spare: true}
 	default:
-		return worth / homes, false
+		return stake{worth: worth / one.homes}
 	}
 }
--- a/internal/controlplane/partition/items.go
+++ b/internal/controlplane/partition/items.go
@@ -104,13 +104,21 @@
 		if len(item.Homes) == 0 {
 			item.RetryMs = 0
 		}
+	case wire.VerdictBusy:
+		// Who waits goes on waiting, and others are asked: workers are free in turn.
+		if at >= 0 && item.Homes[at].Ask == told.Ask {
+			item.Homes = slices.Delete(item.Homes, at, at+1)
+			p.refused[item.Name+"|"+told.Worker] = now + p.limits.RetryMs
+		}
 	case wire.VerdictRefused:
 		if at < 0 || item.Homes[at].Ask != told.Ask {
 			return
 		}
 		item.Homes = slices.Delete(item.Homes, at, at+1)
-		p.refused[item.Name+"|"+told.Worker] = now
+		p.refused[item.Name+"|"+told.Worker] = now + p.limits.RetryMs
 		if item.Refusals++; len(item.Homes) > 0 {
+			// Who refused a further copy is left out for longer: that can wait.
+			p.refused[item.Name+"|"+told.Worker] = now + p.limits.KeepMs
 			// A further copy that has no room now is not urgent, but a few are asked.
 			if item.Refusals%3 == 0 {
 				item.RetryMs = now + max(told.RetryMs, p.limits.RetryMs)
@@ -140,7 +148,7 @@
 	for len(item.Homes) < wish {
 		chosenWorker := p.chooseWorker(now, *item)
 		if chosenWorker == "" {
-			item.RetryMs = now + p.limits.RetryMs
+			item.RetryMs = now + p.limits.RetryMs/2
 			return
 		}
 		item.NextAsk++
@@ -150,6 +158,9 @@
 	}
 }
 
+// growTimes is how many times its homes that are there an item may have at once.
+const growTimes = 2
+
 // firstCopies is how many homes an item that stands nowhere may get at once.
 const firstCopies = 3
 
@@ -171,7 +182,9 @@
 		// What stands nowhere and many wait for comes to several workers at once.
 		wish = max(wish, min(int(p.copies(item.Name)), firstCopies))
 	} else {
-		wish = max(wish, int(p.copies(item.Name)))
+		// Demand for copies that are still to come shows as a queue at those that are
+		// there: the number grows by steps.
+		wish = max(wish, min(int(p.copies(item.Name)), growTimes*kept+1))
 		if kept == len(item.Homes) && wish <= kept && p.spare(item.Name, kept) {
 			wish = kept + 1
 		}
--- a/internal/controlplane/partition/pace.go
+++ b/internal/controlplane/partition/pace.go
@@ -15,6 +15,21 @@
 	return 0
 }
 
+// handingPolls is for how many polls, in halves, a turn is held beyond the load itself:
+// until its room is seen to be free, the order has left, and a look shows the model.
+const handingPolls = 3
+
+// turns is how many loads may have a turn at once. The policy says how many may run;
+// where the pace bounds how many begin, those that are being handed over or are not
+// yet seen to be done take none of these.
+func (p *Partition) turns() int64 {
+	turns := p.view.Policy.Store.Turns
+	if gap := p.gapUs(); gap > 0 {
+		turns += handingPolls * p.limits.PollMs * 1000 / (2 * gap)
+	}
+	return turns
+}
+
 // paced is the moment, in microseconds, that the pace has come to. An owner does
 // not know what began before it: it begins without any burst.
 func (p *Partition) paced(store *wire.StoreState) int64 {
--- a/internal/controlplane/partition/partition.go
+++ b/internal/controlplane/partition/partition.go
@@ -55,7 +55,7 @@
 	pads      map[string]*pad
 	lacking   map[string]int64 // since when an item that is wanted has no home
 	silent    map[string]int64 // since when looks at a worker go unanswered
-	refused   map[string]int64 // when a worker refused an item, by both names
+	refused   map[string]int64 // until when a worker that refused an item is not asked for it, by both names
 	filledMs  map[string]int64 // when a worker was last considered for loads ahead
 	counts    map[string]kept  // homes by item, as they were counted last
 	countedMs int64
--- a/internal/controlplane/partition/room.go
+++ b/internal/controlplane/partition/room.go
@@ -142,7 +142,7 @@
 }
 
 // yieldTimes is how many times more must wait for what takes another's room.
-const yieldTimes = 4
+const yieldTimes = 2
 
 // callOff drops what gave up its room before it was ordered.
 func (p *Partition) callOff(e *effects, worker *wire.WorkerState, going map[int]bool) {
@@ -157,16 +157,28 @@
 	worker.Residents = stay
 }
 
-// byWorth lists what may make way for what is asked for, worth least a MB first.
+// changing tells whether a model of a worker is making way or on its way. What makes
+// way earlier than the load in its place can begin serves nobody meanwhile, so a
+// worker changes one model at a time.
+func changing(worker *wire.WorkerState) bool {
+	return slices.ContainsFunc(worker.Residents, func(kept wire.Resident) bool {
+		return kept.Base == "" && kept.State != residentReady && kept.State != residentPending
+	})
+}
+
+// byWorth lists what may make way for what is asked for, worth least a MB first. While
+// one model changes, only what waits to be loaded may give its room up.
 func (p *Partition) byWorth(now int64, worker *wire.WorkerState, asked wire.Resident) []int {
 	order, worths := []int{}, map[int]float64{}
+	full := changing(worker)
 	for at, kept := range worker.Residents {
-		worth, last := p.value(now, worker.Name, kept.Item)
+		lost := p.stakeOf(now, worker.Name, kept.Item)
+		worth := lost.worth
 		open := kept.UntilMs > now && kept.Weight >= asked.Weight
 		idle := now-p.usedMs(kept) >= p.limits.IdleMs && (worth == 0 || worth < asked.Worth)
 		light := kept.Weight < asked.Weight && (worth == 0 || asked.UntilMs > now)
-		less := worth > 0 && (worth < asked.Worth || (!last && p.presses(asked)))
-		if last && asked.Extra {
+		less := worth > 0 && (worth < asked.Worth || p.presses(asked, lost))
+		if lost.last && asked.Extra {
 			// For a further copy the last home goes only if it is hardly used.
 			less, idle = false, idle && worth*hardly <= asked.Worth
 		}
@@ -175,7 +187,7 @@
 			worths[at] = 0
 			continue
 		}
-		if kept.State != residentReady || kept.Item == asked.Base || p.fresh(now, kept) || open || !(idle || light || less) || p.adapterStays(now, worker, kept, asked) {
+		if full || kept.State != residentReady || kept.Item == asked.Base || p.fresh(now, kept) || open || !(idle || light || less) || p.adapterStays(now, worker, kept, asked) {
 			continue
 		}
 		order = append(order, at)
--- a/internal/controlplane/partition/store.go
+++ b/internal/controlplane/partition/store.go
@@ -47,7 +47,7 @@
 // setTurns follows the policy's number of turns. New ones, and all of them
 // while what went before is unknown, wait a whole period.
 func (p *Partition) setTurns(now int64, store *wire.StoreState) {
-	wish := int(p.view.Policy.Store.Turns)
+	wish := int(p.turns())
 	fresh := len(store.Turns) == 0
 	for len(store.Turns) < wish {
 		turn := wire.Turn{FreeMs: now}
@@ -92,7 +92,7 @@
 	slices.SortStableFunc(store.Queue, func(a, b wire.PermitAsk) int { return cmp.Compare(b.Weight, a.Weight) })
 	for at := range store.Turns {
 		turn := &store.Turns[at]
-		if turn.Busy || turn.FreeMs > now || len(store.Queue) == 0 || at >= int(p.view.Policy.Store.Turns) || !p.mayBegin(now, store) {
+		if turn.Busy || turn.FreeMs > now || len(store.Queue) == 0 || at >= int(p.turns()) || !p.mayBegin(now, store) {
 			continue
 		}
 		asked := store.Queue[0]
--- a/internal/controlplane/partition/waits.go
+++ b/internal/controlplane/partition/waits.go
@@ -26,14 +26,14 @@
 // foresee gives turns in the order in which the store's key will, as if each
 // load took no longer than its pace.
 func (p *Partition) foresee(now int64) []wire.Wait {
-	store, policy := p.state.Store, p.view.Policy.Store
+	store, policy, turns := p.state.Store, p.view.Policy.Store, int(p.turns())
 	var out []wire.Wait
 	free := make([]int64, 0, len(store.Turns))
 	for at, turn := range store.Turns {
 		if turn.Busy {
 			out = append(out, wire.Wait{Worker: turn.Worker, Item: turn.Item, ReadyMs: max(turn.FreeMs+p.pacedMs(turn.Item)-now, 0)})
 		}
-		if at < int(policy.Turns) {
+		if at < turns {
 			free = append(free, max(turn.FreeMs, now))
 		}
 	}
--- a/internal/controlplane/partition/workers.go
+++ b/internal/controlplane/partition/workers.go
@@ -104,6 +104,10 @@
 		return
 	}
 	if !p.makeWay(now, e, worker, add) {
+		if changing(worker) {
+			p.tell(e, worker.Name, fresh, wire.VerdictBusy, 0)
+			return
+		}
 		retry := p.limits.KeepMs
 		if p.view.Demands.Known() {
 			// Its worth rises while it waits.
--- a/internal/transport/wire/kind.go
+++ b/internal/transport/wire/kind.go
@@ -83,6 +83,8 @@
 	VerdictComing
 	VerdictRefused
 	VerdictGone
+	// VerdictBusy: another model comes there first; it may be asked again soon.
+	VerdictBusy
 )
 
 // Standing is how the others see a member.
--- a/internal/transport/wire/verdict_gen.go
+++ b/internal/transport/wire/verdict_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _VerdictName = "VerdictNoneVerdictKeptVerdictComingVerdictRefusedVerdictGone"
+const _VerdictName = "VerdictNoneVerdictKeptVerdictComingVerdictRefusedVerdictGoneVerdictBusy"
 
-var _VerdictIndex = [...]uint8{0, 11, 22, 35, 49, 60}
+var _VerdictIndex = [...]uint8{0, 11, 22, 35, 49, 60, 71}
 
-const _VerdictLowerName = "verdictnoneverdictkeptverdictcomingverdictrefusedverdictgone"
+const _VerdictLowerName = "verdictnoneverdictkeptverdictcomingverdictrefusedverdictgoneverdictbusy"
 
 func (i Verdict) String() string {
 	if i < 0 || i >= Verdict(len(_VerdictIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[VerdictComing-(2)]
 	_ = x[VerdictRefused-(3)]
 	_ = x[VerdictGone-(4)]
+	_ = x[VerdictBusy-(5)]
 }
 
-var _VerdictValues = []Verdict{VerdictNone, VerdictKept, VerdictComing, VerdictRefused, VerdictGone}
+var _VerdictValues = []Verdict{VerdictNone, VerdictKept, VerdictComing, VerdictRefused, VerdictGone, VerdictBusy}
 
 var _VerdictNameToValueMap = map[string]Verdict{
 	_VerdictName[0:11]:  VerdictNone,
@@ -39,6 +40,7 @@
 	_VerdictName[22:35]: VerdictComing,
 	_VerdictName[35:49]: VerdictRefused,
 	_VerdictName[49:60]: VerdictGone,
+	_VerdictName[60:71]: VerdictBusy,
 }
 
 var _VerdictLowerNameToValueMap = map[string]Verdict{
@@ -47,6 +49,7 @@
 	_VerdictLowerName[22:35]: VerdictComing,
 	_VerdictLowerName[35:49]: VerdictRefused,
 	_VerdictLowerName[49:60]: VerdictGone,
+	_VerdictLowerName[60:71]: VerdictBusy,
 }
 
 var _VerdictNames = []string{
@@ -55,6 +58,7 @@
 	_VerdictName[22:35],
 	_VerdictName[35:49],
 	_VerdictName[49:60],
+	_VerdictName[60:71],
 }
 
 // VerdictString retrieves an enum value from the enum constants string name.
