--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -49,14 +49,14 @@
 
 // node is what a controller's process is made of.
 type node struct {
-	start   *settings.Start
-	given   *settings.Boot
-	log     *zap.Logger
-	folder  *journal.Folder
-	core    *controller.Controller
-	cable   *transport.Transport
-	writer  *eventloop.Writer
-	control *eventloop.Loop
+	start    *settings.Start
+	given    *settings.Boot
+	log      *zap.Logger
+	folder   *journal.Folder
+	core     *controller.Controller
+	messages *transport.Transport
+	writer   *eventloop.Writer
+	control  *eventloop.Loop
 	// unread is the fault of the platform's list that was logged last.
 	unread string
 }
@@ -103,9 +103,9 @@
 		LeaseMs: given.LeaseMs, PollMs: given.PollMs, ProbeMs: given.ProbeMs, CallMs: given.CallMs, ListPerS: given.ListPerS, Form: n.start.Form,
 	}, rand.New(rand.NewSource(epoch.UnixNano())), &snapshot, found.Writes)
 	n.folder = folder
-	n.cable = transport.New(work, found.Identity, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4, transport.ControllerDepth)
+	n.messages = transport.New(work, found.Identity, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4, transport.ControllerDepth)
 	n.writer = eventloop.NewWriter(kept, given.LogKb<<10, func() []byte { return wire.Encode(n.core.Snapshot()) })
-	n.control = eventloop.New(eventloop.Options{Machine: n.core, Self: found.Identity, Cable: n.cable, Log: n.log, Writer: n.writer, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
+	n.control = eventloop.New(eventloop.Options{Machine: n.core, Self: found.Identity, Cable: n.messages, Log: n.log, Writer: n.writer, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
 	n.control.FreePct = folder.FreePct
 	n.giveOrders(work, orders.New(work, n.start.Workers(found.Identity), settings.Ms(given.PollMs)*2))
 	return nil
@@ -163,10 +163,10 @@
 func (n *node) children(stop context.CancelFunc) []supervisor.Child {
 	patience := settings.Ms(n.given.CallMs) * 2
 	router := mux.NewRouter()
-	router.Handle("/trunk", n.cable.Handler(n.control.Deliver)).Methods("POST")
+	router.Handle("/trunk", n.messages.Handler(n.control.Deliver)).Methods("POST")
 	adminapi.Routes(router, n.control, n.start.Form, patience, stop)
 	gauges := health.New("controller", n.given.Name)
-	health.Transport(gauges, n.cable.Counts)
+	health.Transport(gauges, n.messages.Counts)
 	health.Control(gauges, n.control.Page)
 	health.Placement(gauges, n.control.Page)
 	health.Journal(gauges, n.writer)
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -37,30 +37,30 @@
 	given := start.Settings
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	cable := transport.New(work, health.Identity(given.Name), given.Listen, given.Listen, time.Second, transport.FrontDepth)
-	plugs := feed.New(given.Agent, cable, start.Form)
+	messages := transport.New(work, health.Identity(given.Name), given.Listen, given.Listen, time.Second, transport.FrontDepth)
+	proxyFeed := feed.New(given.Agent, messages, start.Form)
 	limits := pipeline.LimitsFor(given.Slots, given.BodyKb<<10, settings.Ms(given.HoldMs))
 	limits.RetrySlack = given.RetrySlack
-	board := pipeline.New(limits, upstream.New(limits.Avoid/4), plugs, start.Speech, time.Now())
-	plugs.Serve(board)
+	proxy := pipeline.New(limits, upstream.New(limits.Avoid/4), proxyFeed, start.Speech, time.Now())
+	proxyFeed.Serve(proxy)
 
 	router := mux.NewRouter()
-	router.Handle("/trunk", cable.Handler(plugs.Deliver)).Methods(http.MethodPost)
+	router.Handle("/trunk", messages.Handler(proxyFeed.Deliver)).Methods(http.MethodPost)
 	gauges := health.New("proxy", given.Name)
 	gauges.Ready(func() bool {
-		known := board.Table()
+		known := proxy.Table()
 		return known.Known && len(known.Servers) > 0 && ctx.Err() == nil
 	})
-	health.Transport(gauges, cable.Counts)
-	health.Traffic(gauges, board)
+	health.Transport(gauges, messages.Counts)
+	health.Traffic(gauges, proxy)
 	gauges.Routes(router)
 	// All that clients ask goes through the chain as it came: the paths are the
 	// policy's, and nothing is cleaned or redirected.
 	front := mux.NewRouter().SkipClean(true)
-	front.PathPrefix("/").Handler(board)
+	front.PathPrefix("/").Handler(proxy)
 	side := given.ClientsSide(front)
-	side.Leave, side.Log = board.Leave, log
-	side.IdleTold = func() time.Duration { return settings.Ms(board.Table().Policy.Limits.IdleMs) }
+	side.Leave, side.Log = proxy.Leave, log
+	side.IdleTold = func() time.Duration { return settings.Ms(proxy.Table().Policy.Limits.IdleMs) }
 	go start.Watch(work, log, func(*settings.Boot) {})
 	clients := func(context.Context) error {
 		// The clients' side drains at SIGTERM; all else goes on until it has.
@@ -72,7 +72,7 @@
 		return err
 	}
 	children := append(start.Served(nil, gauges.Standing(start.ReadyPath)),
-		supervisor.Child{Name: "plugs", Run: plugs.Run, Vital: true},
+		supervisor.Child{Name: "feed", Run: proxyFeed.Run, Vital: true},
 		supervisor.Child{Name: "callers", Run: clients},
 		supervisor.Child{Name: "pages", Run: settings.Serve(given.Listen, router, time.Second)},
 	)
--- a/internal/controlplane/health/traffic.go
+++ b/internal/controlplane/health/traffic.go
@@ -4,9 +4,9 @@
 
 // Traffic shows what a proxy did.
 //
-//	health.Traffic(gauges, board)
-func Traffic(g *Gauges, board *pipeline.Switch) {
-	counts := &board.Counts
+//	health.Traffic(gauges, proxy)
+func Traffic(g *Gauges, proxy *pipeline.Proxy) {
+	counts := &proxy.Counts
 	g.Count("requests_total", "requests that came", func() float64 { return float64(counts.Came.Load()) })
 	g.Count("requests_shed_total", "requests shed for lack of slots", func() float64 { return float64(counts.Shed.Load()) })
 	g.Count("requests_held_total", "requests held for a model", func() float64 { return float64(counts.Held.Load()) })
@@ -19,6 +19,6 @@
 	g.Count("refused_early_total", "requests refused since their model cannot be up in time", func() float64 { return float64(counts.Early.Load()) })
 	g.Count("late_total", "streams whose first piece came later than wanted", func() float64 { return float64(counts.Late.Load()) })
 	g.Count("refused_leaving_total", "requests refused since this front leaves", func() float64 { return float64(counts.Left.Load()) })
-	g.Gauge("requests_in_work", "requests in work", func() float64 { return float64(board.InWork()) })
-	g.Gauge("policy_mark", "mark of the policy in force", func() float64 { return float64(board.Table().Policy.Version) })
+	g.Gauge("requests_in_work", "requests in work", func() float64 { return float64(proxy.InWork()) })
+	g.Gauge("policy_mark", "mark of the policy in force", func() float64 { return float64(proxy.Table().Policy.Version) })
 }
--- a/internal/controlplane/partition/light.go
+++ b/internal/controlplane/partition/light.go
@@ -26,7 +26,7 @@
 // the last that it took was one too, and should be done. How many orders it took
 // is known from its answer; one that is still busy turns the next away, and then
 // a look decides.
-func (p *Partition) chains(now int64, one *pad) bool {
+func (p *Partition) chains(now int64, one *track) bool {
 	return one.lightMs > 0 && now >= one.lightMs && one.turnedMs < one.takenMs
 }
 
@@ -82,7 +82,7 @@
 // for, once in a while.
 func (p *Partition) fills(now int64, out *wire.Outputs, name string) {
 	worker := p.state.Workers[name]
-	if !p.pad(name).single || p.poolOf(name).AdapterSlots == 0 || now-p.filledMs[name] < p.limits.PollMs ||
+	if !p.track(name).single || p.poolOf(name).AdapterSlots == 0 || now-p.filledMs[name] < p.limits.PollMs ||
 		!p.mayOrder(now, name) || !p.quietWorker(name) || p.under(name) {
 		return
 	}
--- a/internal/controlplane/partition/orders.go
+++ b/internal/controlplane/partition/orders.go
@@ -48,7 +48,7 @@
 	if _, ok := p.silent[name]; !ok {
 		p.silent[name] = now
 	}
-	if p.pad(name).single {
+	if p.track(name).single {
 		return p.silent[name]
 	}
 	return cmp.Or(p.heard[name], p.since)
@@ -58,7 +58,7 @@
 // held until a load is seen to be done, so it is looked at just then, and often
 // for a while; a worker at rest is looked at seldom.
 func (p *Partition) pause(now int64, name string, last int64) int64 {
-	at := p.pad(name)
+	at := p.track(name)
 	for _, task := range p.state.Tasks {
 		sent := p.sentAt[task.ID]
 		if task.Worker != name || sent == 0 || (task.Op != "load" && !at.single) {
@@ -92,7 +92,7 @@
 }
 
 // tookMs is how long at least an order will take that a worker has taken.
-func (p *Partition) tookMs(at *pad, task wire.Task) int64 {
+func (p *Partition) tookMs(at *track, task wire.Task) int64 {
 	if task.Op != "load" || !at.took[task.ID] {
 		return p.limits.PollMs / 4
 	}
@@ -136,7 +136,7 @@
 		if !listed || worker.Leaving || now < task.NotBeforeMs || !p.mayOrder(now, task.Worker) || (p.sentAt[task.ID] > 0 && now-p.sentAt[task.ID] < 2*p.limits.PollMs) {
 			continue
 		}
-		if at := p.pad(task.Worker); (at.single && !p.mayHand(now, task)) || (!at.single && p.waits(task)) {
+		if at := p.track(task.Worker); (at.single && !p.mayHand(now, task)) || (!at.single && p.waits(task)) {
 			continue
 		}
 		if p.overrun(task) {
@@ -146,7 +146,7 @@
 		}
 		p.sentAt[task.ID] = now
 		out.After(orderTo, wire.KindOrder, &wire.Order{Partition: p.state.Partition, Worker: task.Worker, Addr: worker.Addr, Fence: p.state.Fence,
-			Seq: task.Seq, Op: task.Op, Item: task.Item, Base: task.Base, SizeMb: task.SizeMb, MbPerS: task.MbPerS, LoadMs: p.view.Policy.Items[task.Item].LoadMs, Taken: p.pad(task.Worker).taken})
+			Seq: task.Seq, Op: task.Op, Item: task.Item, Base: task.Base, SizeMb: task.SizeMb, MbPerS: task.MbPerS, LoadMs: p.view.Policy.Items[task.Item].LoadMs, Taken: p.track(task.Worker).taken})
 	}
 }
 
--- a/internal/controlplane/partition/partition.go
+++ b/internal/controlplane/partition/partition.go
@@ -52,7 +52,7 @@
 	sentAt    map[int64]int64      // when a task's order was last handed out, by task
 	left      map[int64]bool       // tasks whose orders left this node
 	boxSent   map[string]batchSent // the last sending of each outbox
-	pads      map[string]*pad
+	tracks    map[string]*track
 	lacking   map[string]int64 // since when an item that is wanted has no home
 	silent    map[string]int64 // since when looks at a worker go unanswered
 	refused   map[string]int64 // until when a worker that refused an item is not asked for it, by both names
@@ -74,7 +74,7 @@
 //	owned := partition.New(now, state, view, limits, "c1~7f", startedMs)
 func New(now int64, state *wire.PartitionState, view *View, limits Limits, self string, quiet int64) *Partition {
 	p := &Partition{state: state, view: view, limits: limits, self: self, since: now,
-		looked: map[string]int64{}, polled: map[string]int64{}, pads: map[string]*pad{}, lacking: map[string]int64{}, silent: map[string]int64{}, refused: map[string]int64{}, heard: map[string]int64{}, sentAt: map[int64]int64{}, left: map[int64]bool{}, boxSent: map[string]batchSent{}, acked: map[string]int64{}, filledMs: map[string]int64{}, askers: map[string]map[string]bool{}, published: map[string][]byte{}}
+		looked: map[string]int64{}, polled: map[string]int64{}, tracks: map[string]*track{}, lacking: map[string]int64{}, silent: map[string]int64{}, refused: map[string]int64{}, heard: map[string]int64{}, sentAt: map[int64]int64{}, left: map[int64]bool{}, boxSent: map[string]batchSent{}, acked: map[string]int64{}, filledMs: map[string]int64{}, askers: map[string]map[string]bool{}, published: map[string][]byte{}}
 	p.refresh(now, quiet)
 	return p
 }
--- a/internal/controlplane/partition/seen.go
+++ b/internal/controlplane/partition/seen.go
@@ -23,7 +23,7 @@
 		delete(p.silent, seen.Worker)
 		if seen.Born != p.state.Workers[seen.Worker].Born {
 			p.acked[seen.Worker] = 0
-			delete(p.pads, seen.Worker)
+			delete(p.tracks, seen.Worker)
 		}
 		if p.stale(now, seen) {
 			return out
--- a/internal/controlplane/partition/pad.go
+++ b/internal/controlplane/partition/track.go
@@ -6,9 +6,9 @@
 	"applequay/internal/transport/wire"
 )
 
-// pad is what an owner notes of a worker that takes one order at a time and
+// track is what an owner notes of a worker that takes one order at a time and
 // counts those it took. It is lost with the process: a look shows it again.
-type pad struct {
+type track struct {
 	single bool
 	busy   bool
 	// taken is how many orders it took, as far as known; takenMs when that was
@@ -23,11 +23,11 @@
 	took map[int64]bool
 }
 
-func (p *Partition) pad(worker string) *pad {
-	one := p.pads[worker]
+func (p *Partition) track(worker string) *track {
+	one := p.tracks[worker]
 	if one == nil {
-		one = &pad{took: map[int64]bool{}}
-		p.pads[worker] = one
+		one = &track{took: map[int64]bool{}}
+		p.tracks[worker] = one
 	}
 	return one
 }
@@ -35,13 +35,13 @@
 // stale tells whether a look shows less than the worker is known to have taken.
 // It is believed again after a while, should counts be other than thought.
 func (p *Partition) stale(now int64, seen *wire.Seen) bool {
-	one := p.pad(seen.Worker)
+	one := p.track(seen.Worker)
 	return seen.Single && seen.Taken < one.taken && now-one.takenMs < p.limits.DarkMs
 }
 
 // looks notes a look at a worker.
 func (p *Partition) looks(now int64, seen *wire.Seen) {
-	one := p.pad(seen.Worker)
+	one := p.track(seen.Worker)
 	one.single, one.busy, one.taken, one.lookMs = seen.Single, seen.Busy, seen.Taken, now
 	for id := range one.took {
 		if !slices.ContainsFunc(p.state.Tasks, func(t wire.Task) bool { return t.ID == id }) {
@@ -54,7 +54,7 @@
 // worker holds.
 func (p *Partition) answered(now int64, seen *wire.Seen) wire.Outputs {
 	var out wire.Outputs
-	one := p.pad(seen.Worker)
+	one := p.track(seen.Worker)
 	p.heard[seen.Worker] = now
 	delete(p.silent, seen.Worker)
 	at := slices.IndexFunc(p.state.Tasks, func(t wire.Task) bool { return t.Worker == seen.Worker && t.Seq == seen.OrderSeq })
@@ -98,7 +98,7 @@
 // under tells whether a worker has an order under way, or one that it may have
 // taken.
 func (p *Partition) under(worker string) bool {
-	if one := p.pads[worker]; one != nil && one.busy {
+	if one := p.tracks[worker]; one != nil && one.busy {
 		return true
 	}
 	return p.unanswered(worker, func(wire.Task) bool { return false })
@@ -114,7 +114,7 @@
 // this one: none other is under way or unanswered, and since it last took or
 // turned one away it showed what it holds.
 func (p *Partition) mayHand(now int64, task wire.Task) bool {
-	one := p.pad(task.Worker)
+	one := p.track(task.Worker)
 	sent := p.sentAt[task.ID]
 	if one.took[task.ID] {
 		return false
@@ -132,7 +132,7 @@
 // rest, a while has passed, and what was to be loaded is not there.
 func (p *Partition) vanished(now int64, seen *wire.Seen) []int64 {
 	var ids []int64
-	one := p.pad(seen.Worker)
+	one := p.track(seen.Worker)
 	if !seen.Single || seen.Busy {
 		return nil
 	}
--- a/internal/controlplane/partition/pad_test.go
+++ b/internal/controlplane/partition/track_test.go
@@ -134,7 +134,7 @@
 			c.Check(state, qt.Equals, one.state)
 			c.Check(w.handed, qt.HasLen, one.orders)
 			if one.orders > 1 {
-				c.Check(w.handed[1].Taken, qt.Equals, w.p.pad("w0").taken)
+				c.Check(w.handed[1].Taken, qt.Equals, w.p.track("w0").taken)
 			}
 		})
 	}
--- a/internal/controlplane/partition/workers.go
+++ b/internal/controlplane/partition/workers.go
@@ -182,7 +182,7 @@
 		if !p.fits(worker, *kept) {
 			continue
 		}
-		if p.pad(worker.Name).single && !p.atRest(now, worker) && !(p.view.Policy.Items[kept.Item].Light && p.lightOnly(now, worker)) {
+		if p.track(worker.Name).single && !p.atRest(now, worker) && !(p.view.Policy.Items[kept.Item].Light && p.lightOnly(now, worker)) {
 			return
 		}
 		if p.free(worker, *kept) {
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -42,7 +42,7 @@
 	counts  *pipeline.Counts
 	now     func() int64
 	put     func(*routing.Table)
-	chain   *pipeline.Switch
+	chain   *pipeline.Proxy
 	current func() *routing.Table
 	// aliveAt is when the agent heard of this process last, talliedAt of its demand,
 	// wantedAt of all that waits.
@@ -65,10 +65,10 @@
 
 // Serve ties the feed to the chain whose tables it makes.
 //
-//	plugs.Serve(board)
-func (p *Feed) Serve(board *pipeline.Switch) {
-	p.now, p.put, p.current, p.counts = board.Now, board.Put, board.Table, &board.Counts
-	p.chain = board
+//	feed.Serve(proxy)
+func (p *Feed) Serve(proxy *pipeline.Proxy) {
+	p.now, p.put, p.current, p.counts = proxy.Now, proxy.Put, proxy.Table, &proxy.Counts
+	p.chain = proxy
 }
 
 // Deliver puts a message from the agent in front of the thread.
--- a/internal/dataplane/pipeline/attempt.go
+++ b/internal/dataplane/pipeline/attempt.go
@@ -12,27 +12,27 @@
 	"applequay/internal/routing"
 )
 
-// fate is how an attempt ended.
-type fate int
+// outcome is how an attempt ended.
+type outcome int
 
 const (
-	fateAnswered fate = iota
-	// fateNoLine: provably no byte was written.
-	fateNoLine
-	// fateTurnedAway: the server certainly did not run it.
-	fateTurnedAway
-	// fateBusy: the server says that it did not begin.
-	fateBusy
-	fateBroken
-	// fateStale: a connection that was kept broke before any answer.
-	fateStale
-	// fateCut: the stream broke off after pieces were passed on.
-	fateCut
+	outcomeAnswered outcome = iota
+	// outcomeNotSent: provably no byte was written.
+	outcomeNotSent
+	// outcomeTurnedAway: the server certainly did not run it.
+	outcomeTurnedAway
+	// outcomeBusy: the server says that it did not begin.
+	outcomeBusy
+	outcomeBroken
+	// outcomeStale: a connection that was kept broke before any answer.
+	outcomeStale
+	// outcomeCut: the stream broke off after pieces were passed on.
+	outcomeCut
 )
 
 // attempt sends the request to servers until one answers or nothing more may be
 // tried. What may not run twice gets one attempt, unless it certainly did not run.
-func (s *Switch) attempt(c *call) {
+func (s *Proxy) attempt(c *call) {
 	budget := c.current.Budgets[c.service.Name]
 	budget.Earn(s.Now())
 	arrived := int64(0)
@@ -62,7 +62,7 @@
 		}
 		s.Counts.Attempts.Add(1)
 		end := s.once(c, chosenServer, arrived+1 < s.tries(c) || c.again && c.stream && c.route.TargetMs == 0)
-		if end != fateNoLine {
+		if end != outcomeNotSent {
 			arrived++
 			c.asked[chosenServer.Name] = true
 		}
@@ -73,20 +73,20 @@
 }
 
 // ended does what the end of an attempt asks for; false if another may follow.
-func (s *Switch) ended(c *call, chosenServer *routing.Server, end fate) bool {
+func (s *Proxy) ended(c *call, chosenServer *routing.Server, end outcome) bool {
 	switch end {
-	case fateAnswered:
+	case outcomeAnswered:
 		return true
-	case fateNoLine:
+	case outcomeNotSent:
 		s.avoid(chosenServer)
-	case fateBroken:
+	case outcomeBroken:
 		s.Counts.Broken.Add(1)
 		c.runs++
 		if c.wrote = true; !c.again || c.runAt != nil {
 			s.giveUp(c, "the server broke off")
 			return true
 		}
-	case fateStale:
+	case outcomeStale:
 		// The same server may be well: it is asked again on a line of its own.
 		if c.wrote = true; !c.again {
 			s.giveUp(c, "the server broke off")
@@ -95,9 +95,9 @@
 		if c.fresh = true; c.ctx.Err() == nil {
 			return false
 		}
-	case fateBusy:
+	case outcomeBusy:
 		c.wrote = true
-	case fateCut:
+	case outcomeCut:
 		s.Counts.Broken.Add(1)
 		c.runs++
 		c.cut = true
@@ -116,12 +116,12 @@
 }
 
 // avoid keeps requests from a server that could not be reached, for a while.
-func (s *Switch) avoid(server *routing.Server) {
+func (s *Proxy) avoid(server *routing.Server) {
 	server.Load.AvoidToMs.Store(s.Now() + s.limits.Avoid.Milliseconds())
 }
 
 // pause waits before the same server is tried again.
-func (s *Switch) pause(c *call) bool {
+func (s *Proxy) pause(c *call) bool {
 	wait := time.NewTimer(s.limits.Avoid / 8)
 	defer wait.Stop()
 	select {
@@ -132,7 +132,7 @@
 	}
 }
 
-func (s *Switch) giveUp(c *call, said string) {
+func (s *Proxy) giveUp(c *call, said string) {
 	if c.cut {
 		s.breakOff(c, nil)
 		return
@@ -154,7 +154,7 @@
 }
 
 // once makes one attempt at one server.
-func (s *Switch) once(c *call, chosenServer *routing.Server, further bool) fate {
+func (s *Proxy) once(c *call, chosenServer *routing.Server, further bool) outcome {
 	load := chosenServer.Load
 	load.InWork.Add(1)
 	defer load.InWork.Add(-1)
@@ -163,16 +163,16 @@
 	look := s.watch(c, chosenServer, further)
 	defer look.end()
 	sent := s.Now()
-	answer, err := s.lines.Do(look.ctx, &load.Pool, s.attemptFor(c, chosenServer))
+	answer, err := s.upstream.Do(look.ctx, &load.Pool, s.attemptFor(c, chosenServer))
 	if err != nil {
-		if errors.Is(err, upstream.ErrNoLine) {
-			return fateNoLine
+		if errors.Is(err, upstream.ErrNotSent) {
+			return outcomeNotSent
 		}
 		if errors.Is(err, upstream.ErrStale) {
-			return fateStale
+			return outcomeStale
 		}
 		s.avoidSilent(look, chosenServer)
-		return fateBroken
+		return outcomeBroken
 	}
 	defer answer.Close()
 	defer s.avoidSilent(look, chosenServer)
@@ -181,7 +181,7 @@
 }
 
 // attemptFor is the request as it is sent to a server.
-func (*Switch) attemptFor(c *call, chosenServer *routing.Server) *upstream.Attempt {
+func (*Proxy) attemptFor(c *call, chosenServer *routing.Server) *upstream.Attempt {
 	header := http.Header{}
 	protocol.CopyHead(header, c.r.Header)
 	header.Del("Expect")
@@ -199,7 +199,7 @@
 }
 
 // relay does what an answer's head asks for.
-func (s *Switch) relay(c *call, answer *upstream.Answer, look *watcher, chosenServer *routing.Server, sent int64) fate {
+func (s *Proxy) relay(c *call, answer *upstream.Answer, look *watcher, chosenServer *routing.Server, sent int64) outcome {
 	load := chosenServer.Load
 	heard := c.speech.Hear(answer.Response, c.ask, chosenServer.Name, c.stream)
 	if heard.Loaded {
@@ -212,31 +212,31 @@
 		return s.relayWhole(c, answer, chosenServer)
 	case protocol.MeaningMissing:
 		load.Miss(c.item, s.Now()+s.limits.Avoid.Milliseconds())
-		return fateTurnedAway
+		return outcomeTurnedAway
 	case protocol.MeaningElsewhere:
 		load.AvoidToMs.Store(s.Now() + 4*s.limits.Avoid.Milliseconds())
-		return fateTurnedAway
+		return outcomeTurnedAway
 	case protocol.MeaningTurnedAway:
-		return fateTurnedAway
+		return outcomeTurnedAway
 	case protocol.MeaningBusy:
 		if _, err := io.Copy(io.Discard, answer.Reader); err != nil {
-			return fateBroken
+			return outcomeBroken
 		}
-		return fateBusy
+		return outcomeBusy
 	}
 	answer.Spoil()
-	return fateBroken
+	return outcomeBroken
 }
 
 // relayWhole passes on an answer once it is there whole, so that a part of one
 // never looks complete.
-func (s *Switch) relayWhole(c *call, answer *upstream.Answer, chosenServer *routing.Server) fate {
+func (s *Proxy) relayWhole(c *call, answer *upstream.Answer, chosenServer *routing.Server) outcome {
 	if c.cut {
-		return fateBroken
+		return outcomeBroken
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Reader, s.limits.Answer+1))
 	if err != nil || int64(len(body)) > s.limits.Answer {
-		return fateBroken
+		return outcomeBroken
 	}
 	c.wrote, c.answered = true, true
 	c.ended(answer.StatusCode)
@@ -244,5 +244,5 @@
 	c.speech.Sign(c.w.Header(), chosenServer.Name)
 	c.w.WriteHeader(answer.StatusCode)
 	_, _ = c.w.Write(body)
-	return fateAnswered
+	return outcomeAnswered
 }
--- a/internal/dataplane/pipeline/choose.go
+++ b/internal/dataplane/pipeline/choose.go
@@ -9,7 +9,7 @@
 )
 
 // choose picks a server that was not tried yet.
-func (s *Switch) choose(c *call) *routing.Server {
+func (s *Proxy) choose(c *call) *routing.Server {
 	switch {
 	case c.runAt != nil:
 		if len(c.tried) > 0 {
@@ -33,7 +33,7 @@
 }
 
 // wish says what a call's choice goes by.
-func (s *Switch) wish(c *call) routing.Wish {
+func (s *Proxy) wish(c *call) routing.Wish {
 	pool := c.current.Policy.Pools[c.service.Pool]
 	wish := routing.Wish{Openings: c.openings, Tokens: c.ask.TokensIn, Places: pool.Slots, Zone: s.zone(), NowMs: s.Now(), Jitter: rand.Float64}
 	if fronts := s.fronts.Load(); pool.MostLines > 0 && fronts > 0 {
@@ -45,7 +45,7 @@
 // willing are the servers that were not tried, and did not lately say that they
 // do not hold the item. Where only tried ones are left there is none. A stream that
 // goes on, and was sent to as many as its route allows, goes to no other.
-func (s *Switch) willing(c *call, servers []*routing.Server) []*routing.Server {
+func (s *Proxy) willing(c *call, servers []*routing.Server) []*routing.Server {
 	out, misses := make([]*routing.Server, 0, len(servers)), []*routing.Server(nil)
 	now := s.Now()
 	full := c.cut && int64(len(c.asked)) >= s.tries(c)
@@ -68,7 +68,7 @@
 // over unless it is certain that no front sent it to the first; where that is
 // not known the answer is a refusal, and the client cannot tell whether the
 // request of an earlier try ran.
-func (s *Switch) sticky(c *call) *routing.Server {
+func (s *Proxy) sticky(c *call) *routing.Server {
 	decision := s.ledger.Ticket(c.ctx, c.current.Call(c.service.Pool, c.ask.Key))
 	chosenServer := c.current.Named(decision.Server)
 	if chosenServer == nil {
--- a/internal/dataplane/pipeline/contact_test.go
+++ b/internal/dataplane/pipeline/contact_test.go
@@ -16,8 +16,8 @@
 		forMs  int64
 		status int
 	}{{60000, 404}, {1, 503}, {60000, 404}} {
-		b.board.Contact(one.forMs)
-		for began := b.board.Now(); b.board.Now() < began+5; {
+		b.proxy.Contact(one.forMs)
+		for began := b.proxy.Now(); b.proxy.Now() < began+5; {
 			<-time.After(time.Millisecond)
 		}
 		for _, path := range []string{"/v1/other", "/v1/hints"} {
--- a/internal/dataplane/pipeline/filters.go
+++ b/internal/dataplane/pipeline/filters.go
@@ -12,7 +12,7 @@
 )
 
 // deadline reads how long the client will wait.
-func (s *Switch) deadline(c *call, next func(*call)) {
+func (s *Proxy) deadline(c *call, next func(*call)) {
 	c.ctx, c.cancel = context.WithCancel(c.r.Context())
 	defer c.cancel()
 	wait, refusal := c.speech.Wait(c.r)
@@ -29,7 +29,7 @@
 }
 
 // findRoute goes by the policy alone: where it names no service, the answer is 404.
-func (s *Switch) findRoute(c *call, next func(*call)) {
+func (s *Proxy) findRoute(c *call, next func(*call)) {
 	c.current = s.Table()
 	if !c.current.Known && !s.awaitPolicy(c) {
 		c.refuse(http.StatusServiceUnavailable, "this front has no policy yet", s.limits.Retry)
@@ -54,7 +54,7 @@
 
 // awaitPolicy waits a little on a front that has only just started: its agent
 // learns the policy from the zone within moments.
-func (s *Switch) awaitPolicy(c *call) bool {
+func (s *Proxy) awaitPolicy(c *call) bool {
 	limit := time.NewTimer(s.limits.Retry)
 	defer limit.Stop()
 	for !c.current.Known {
@@ -72,7 +72,7 @@
 
 // readWithin reads a body within the request's time: one that stops coming is
 // not waited for without end.
-func (s *Switch) readWithin(c *call, most int64) ([]byte, error) {
+func (s *Proxy) readWithin(c *call, most int64) ([]byte, error) {
 	control := http.NewResponseController(c.w)
 	until, bounded := c.ctx.Deadline()
 	bounded = bounded && control.SetReadDeadline(until) == nil
@@ -85,7 +85,7 @@
 	return body, err
 }
 
-func (s *Switch) readBody(c *call) bool {
+func (s *Proxy) readBody(c *call) bool {
 	most := s.limits.Body
 	if told := c.current.Policy.Limits.BodyBytes; told > 0 {
 		most = told
@@ -116,7 +116,7 @@
 }
 
 // findRun finds the server of a run that is to be gone on with.
-func (s *Switch) findRun(c *call) bool {
+func (s *Proxy) findRun(c *call) bool {
 	name, _, _ := protocol.CutRun(c.ask.Run)
 	server, ok := c.current.Servers[name]
 	if !ok || server.Leaving || server.Pool != c.service.Pool {
@@ -128,7 +128,7 @@
 }
 
 // findItem finds the model or adapter, and how the prompt begins.
-func (s *Switch) findItem(c *call) bool {
+func (s *Proxy) findItem(c *call) bool {
 	item, ok := c.current.Item(c.service.Pool, c.ask.Model, c.ask.Adapter)
 	if !ok {
 		s.unknown(c, "no such model or adapter in this service")
@@ -148,7 +148,7 @@
 
 // admit sheds what matters least first: the lighter a request, the fewer of
 // the slots it may find taken.
-func (s *Switch) admit(c *call, next func(*call)) {
+func (s *Proxy) admit(c *call, next func(*call)) {
 	taken := s.inWork.Add(1)
 	defer s.inWork.Add(-1)
 	heaviest := int64(1)
--- a/internal/dataplane/pipeline/hold.go
+++ b/internal/dataplane/pipeline/hold.go
@@ -7,7 +7,7 @@
 
 // holdMost is how long a call may be held: no longer than clients wait in
 // silence, less what the answer then still takes.
-func (s *Switch) holdMost(c *call) time.Duration {
+func (s *Proxy) holdMost(c *call) time.Duration {
 	most := s.limits.Hold
 	if c.route.PatienceMs > 0 {
 		most = min(most, time.Duration(c.route.PatienceMs)*time.Millisecond*9/10)
@@ -17,7 +17,7 @@
 
 // hold keeps a request while its model comes up. Who waits in vain hears so as
 // soon as that is known, and when to come back.
-func (s *Switch) hold(c *call, next func(*call)) {
+func (s *Proxy) hold(c *call, next func(*call)) {
 	if !c.service.Model || c.runAt != nil || len(c.current.Holders(c.service.Pool, c.item)) > 0 {
 		next(c)
 		return
@@ -70,14 +70,14 @@
 
 // back is when a client who was refused a model should come again: when it can
 // be up, where that is known.
-func (s *Switch) back(c *call) time.Duration {
+func (s *Proxy) back(c *call) time.Duration {
 	at := c.current.Expected(c.service.Pool, c.item, s.Now())
 	return max(time.Duration(at-s.Now())*time.Millisecond, s.retryAfter(c))
 }
 
 // retryAfter is when a client should come again where nothing better is known:
 // soon enough that the answer may still be in time.
-func (s *Switch) retryAfter(c *call) time.Duration {
+func (s *Proxy) retryAfter(c *call) time.Duration {
 	if c.route.TargetMs > 0 {
 		return min(s.limits.Retry, time.Duration(c.route.TargetMs)*time.Millisecond/2)
 	}
@@ -86,7 +86,7 @@
 
 // awaitHolder waits, after all holders were tried, for one more, as long as the
 // client is patient; what has begun to be passed on is not held.
-func (s *Switch) awaitHolder(c *call) bool {
+func (s *Proxy) awaitHolder(c *call) bool {
 	if !c.service.Model || c.runAt != nil || c.answered || c.ask.Key != "" || (c.wrote && !c.again) || c.route.PatienceMs == 0 {
 		return false
 	}
--- a/internal/dataplane/pipeline/leave_test.go
+++ b/internal/dataplane/pipeline/leave_test.go
@@ -17,12 +17,12 @@
 func TestLeavingRefusesWhoWaits(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c)
-	b.board.limits.Hold = 1 << 40
+	b.proxy.limits.Hold = 1 << 40
 	answered := make(chan int, 1)
 	go func() { answered <- b.ask("/v1/hints", `{"model":"m1","prompt":"p"}`).Code }()
 	c.Assert(<-b.ledger.holds, qt.Equals, int64(1))
-	b.board.Leave()
-	b.board.Leave()
+	b.proxy.Leave()
+	b.proxy.Leave()
 	c.Check(<-answered, qt.Equals, http.StatusServiceUnavailable)
 	c.Check(b.ask("/v1/hints", `{"model":"m1","prompt":"p"}`).Code, qt.Equals, http.StatusServiceUnavailable)
 }
@@ -44,7 +44,7 @@
 	answer, done := httptest.NewRecorder(), make(chan struct{})
 	go func() {
 		defer close(done)
-		b.board.ServeHTTP(answer, request)
+		b.proxy.ServeHTTP(answer, request)
 	}()
 	<-came
 	end()
@@ -68,11 +68,11 @@
 	answer, done := httptest.NewRecorder(), make(chan struct{})
 	go func() {
 		defer close(done)
-		b.board.ServeHTTP(answer, slow)
+		b.proxy.ServeHTTP(answer, slow)
 	}()
 	_, err := rest.Write([]byte(`{"model":"m1",`))
 	c.Assert(err, qt.IsNil)
-	b.board.Leave()
+	b.proxy.Leave()
 	_, err = rest.Write([]byte(`"prompt":"p"}`))
 	c.Assert(err, qt.IsNil)
 	c.Assert(rest.Close(), qt.IsNil)
--- a/internal/dataplane/pipeline/other_test.go
+++ b/internal/dataplane/pipeline/other_test.go
@@ -23,7 +23,7 @@
 		{"the other was tried", nil, map[string]bool{"w2": true}, 20, false},
 		{"the budget is spent", nil, nil, 0, false},
 		{"the other is avoided", func(b *bench, servers map[string]*routing.Server) {
-			servers["w2"].Load.AvoidToMs.Store(b.board.Now() + 60000)
+			servers["w2"].Load.AvoidToMs.Store(b.proxy.Now() + 60000)
 		}, nil, 20, false},
 		{"the other has more to do", func(_ *bench, servers map[string]*routing.Server) {
 			servers["w2"].Load.InWork.Store(9)
@@ -37,9 +37,9 @@
 		b := newBench(c)
 		b.server("w1", pieces("r", 0, -1), "m1")
 		b.server("w2", pieces("q", 0, -1), "m1")
-		current := b.board.Table()
+		current := b.proxy.Table()
 		for range 50 {
-			current.Budgets["hints"].Earn(b.board.Now())
+			current.Budgets["hints"].Earn(b.proxy.Now())
 		}
 		chosenServer := current.Servers["w1"]
 		if one.happen != nil {
@@ -48,10 +48,10 @@
 		service := current.Policy.Services["hints"]
 		service.RetryPercent = one.retry
 		if one.retry == 0 {
-			for current.Budgets["hints"].Spend(b.board.Now(), 0, 0) {
+			for current.Budgets["hints"].Spend(b.proxy.Now(), 0, 0) {
 			}
 		}
-		other := b.board.otherFor(&call{item: "m1", service: service, tried: one.tried}, chosenServer)
-		c.Check(other(b.board.Now()), qt.Equals, one.found, qt.Commentf(one.name))
+		other := b.proxy.otherFor(&call{item: "m1", service: service, tried: one.tried}, chosenServer)
+		c.Check(other(b.proxy.Now()), qt.Equals, one.found, qt.Commentf(one.name))
 	}
 }
--- a/internal/dataplane/pipeline/pipeline_test.go
+++ b/internal/dataplane/pipeline/pipeline_test.go
@@ -45,7 +45,7 @@
 
 type bench struct {
 	c      *qt.C
-	board  *Switch
+	proxy  *Proxy
 	ledger *book
 	news   routing.News
 }
@@ -62,13 +62,13 @@
 	b := &bench{c: c, ledger: &book{tickets: idempotency.New(1, "agent", 0), holds: make(chan int64, 64)}}
 	b.ledger.tickets.Hear(1, &wire.Contact{KeyMs: 60000, AnswerMs: 800, GraceMs: 6400})
 	limits := LimitsFor(8, 1024, 400*time.Millisecond)
-	b.board = New(limits, upstream.New(busyMachine), b.ledger, protocol.Own{}, time.Now())
+	b.proxy = New(limits, upstream.New(busyMachine), b.ledger, protocol.Own{}, time.Now())
 	b.news = routing.News{Policy: parsed, Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}}
 	b.put()
 	return b
 }
 
-func (b *bench) put() { b.board.Put(b.board.Table().After(b.news)) }
+func (b *bench) put() { b.proxy.Put(b.proxy.Table().After(b.news)) }
 
 // server adds a back end; items make it a model worker.
 func (b *bench) server(name string, handler http.HandlerFunc, items ...string) *httptest.Server {
@@ -106,7 +106,7 @@
 		request.Header.Set(headers[at], headers[at+1])
 	}
 	answer := httptest.NewRecorder()
-	b.board.ServeHTTP(answer, request)
+	b.proxy.ServeHTTP(answer, request)
 	return answer
 }
 
@@ -214,7 +214,7 @@
 				c.Check(ran(answer), qt.Equals, "no")
 			}
 		}
-		budget := b.board.Table().Budgets["booking"]
+		budget := b.proxy.Table().Budgets["booking"]
 		c.Check(budget.Retries.Load() <= budget.Normal.Load()/5, qt.IsTrue)
 		c.Check(refused < 10, qt.IsTrue)
 	})
--- a/internal/dataplane/pipeline/switch.go
+++ b/internal/dataplane/pipeline/proxy.go
@@ -57,18 +57,18 @@
 	Came, Shed, Held, Attempts, Retries, Broken, Refused, Pieces, Silent, Early, Bad, Late, Left atomic.Int64
 }
 
-// Switch is the chain of filters with what it works on.
-type Switch struct {
-	limits Limits
-	lines  *upstream.Client
-	ledger Ledger
-	speech protocol.Speech
-	table  atomic.Pointer[routing.Table]
-	epoch  time.Time
-	inWork atomic.Int64
-	turn   atomic.Int64
-	fronts atomic.Int64
-	inZone atomic.Pointer[string]
+// Proxy is the chain of filters with what it works on.
+type Proxy struct {
+	limits   Limits
+	upstream *upstream.Client
+	ledger   Ledger
+	speech   protocol.Speech
+	table    atomic.Pointer[routing.Table]
+	epoch    time.Time
+	inWork   atomic.Int64
+	turn     atomic.Int64
+	fronts   atomic.Int64
+	inZone   atomic.Pointer[string]
 	// contactTo is until when the configuration kept here counts as known; nought
 	// before the agent said anything of it.
 	contactTo atomic.Int64
@@ -81,9 +81,9 @@
 
 // New makes the chain.
 //
-//	board := pipeline.New(limits, lines, ledger, protocol.Own{}, time.Now())
-func New(limits Limits, lines *upstream.Client, ledger Ledger, spoken protocol.Speech, epoch time.Time) *Switch {
-	s := &Switch{limits: limits, lines: lines, ledger: ledger, speech: spoken, epoch: epoch, leaves: make(chan struct{})}
+//	proxy := pipeline.New(limits, client, ledger, protocol.Own{}, time.Now())
+func New(limits Limits, client *upstream.Client, ledger Ledger, spoken protocol.Speech, epoch time.Time) *Proxy {
+	s := &Proxy{limits: limits, upstream: client, ledger: ledger, speech: spoken, epoch: epoch, leaves: make(chan struct{})}
 	s.table.Store(routing.Empty())
 	s.run = chain([]filter{s.deadline, s.findRoute, s.admit, s.hold}, s.attempt)
 	return s
@@ -91,19 +91,19 @@
 
 // Now is the monotonic time in milliseconds.
 //
-//	nowMs := board.Now()
-func (s *Switch) Now() int64 { return time.Since(s.epoch).Milliseconds() + 1 }
+//	nowMs := proxy.Now()
+func (s *Proxy) Now() int64 { return time.Since(s.epoch).Milliseconds() + 1 }
 
 // Table is the table in force.
 //
-//	current := board.Table()
-func (s *Switch) Table() *routing.Table { return s.table.Load() }
+//	current := proxy.Table()
+func (s *Proxy) Table() *routing.Table { return s.table.Load() }
 
-// Put sets a new table, wakes those who wait for one and closes idle lines to
+// Put sets a new table, wakes those who wait for one and closes idle connections to
 // servers that are to get nothing more. One thread calls it.
 //
-//	board.Put(board.Table().After(news))
-func (s *Switch) Put(next *routing.Table) {
+//	proxy.Put(proxy.Table().After(news))
+func (s *Proxy) Put(next *routing.Table) {
 	old := s.table.Swap(next)
 	close(old.Next)
 	for name, server := range old.Servers {
@@ -116,15 +116,15 @@
 // Fleet tells how many fronts there are, this one among them: what all may do
 // together is shared out among them.
 //
-//	board.Fleet(9)
-func (s *Switch) Fleet(fronts int64) { s.fronts.Store(fronts) }
+//	proxy.Fleet(9)
+func (s *Proxy) Fleet(fronts int64) { s.fronts.Store(fronts) }
 
 // Zone tells where this front is: servers there are a little nearer.
 //
-//	board.Zone("north")
-func (s *Switch) Zone(name string) { s.inZone.Store(&name) }
+//	proxy.Zone("north")
+func (s *Proxy) Zone(name string) { s.inZone.Store(&name) }
 
-func (s *Switch) zone() string {
+func (s *Proxy) zone() string {
 	if name := s.inZone.Load(); name != nil {
 		return *name
 	}
@@ -133,13 +133,13 @@
 
 // ServeHTTP takes a client's request through the chain.
 //
-//	http.Handle("/", board)
-func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+//	http.Handle("/", proxy)
+func (s *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.Counts.Came.Add(1)
 	s.run(&call{w: w, r: r, speech: s.speech, came: time.Now(), tried: map[string]bool{}, asked: map[string]bool{}, bad: &s.Counts.Bad})
 }
 
 // InWork is how many requests are in work now.
 //
-//	for board.InWork() > 0 { ... }
-func (s *Switch) InWork() int64 { return s.inWork.Load() }
+//	for proxy.InWork() > 0 { ... }
+func (s *Proxy) InWork() int64 { return s.inWork.Load() }
--- a/internal/dataplane/pipeline/silence_test.go
+++ b/internal/dataplane/pipeline/silence_test.go
@@ -16,7 +16,7 @@
 
 // expect says that a worker is to load an item and how soon it can be up.
 func (b *bench) expect(item string, readyMs int64) {
-	now := b.board.Now()
+	now := b.proxy.Now()
 	if b.news.WaitsTo == 0 {
 		b.news.WaitsTo = now + 60000
 	}
@@ -36,7 +36,7 @@
 	c.Check(answer.Code, qt.Equals, 503)
 	c.Check(ran(answer), qt.Equals, "no")
 	c.Check(answer.Header().Get("Retry-After"), qt.Equals, "30")
-	c.Check(b.board.Counts.Early.Load(), qt.Equals, int64(1))
+	c.Check(b.proxy.Counts.Early.Load(), qt.Equals, int64(1))
 }
 
 // A server that is silent does not hold its clients to their deadline.
@@ -71,8 +71,8 @@
 	for _, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
 			b := newBench(c)
-			if b.board.limits.First, b.board.limits.Silent = 60*time.Millisecond, 60*time.Millisecond; !one.bounds {
-				b.board.limits.First, b.board.limits.Silent = time.Hour, 480*time.Millisecond
+			if b.proxy.limits.First, b.proxy.limits.Silent = 60*time.Millisecond, 60*time.Millisecond; !one.bounds {
+				b.proxy.limits.First, b.proxy.limits.Silent = time.Hour, 480*time.Millisecond
 			}
 			came := make(chan bool, 8)
 			b.server("w1", func(w http.ResponseWriter, r *http.Request) {
@@ -82,10 +82,10 @@
 			if one.other {
 				b.server("w2", pieces("q", 0, -1), "m1")
 				// The silent one ranks first for its load only.
-				b.board.Table().Servers["w2"].Load.InWork.Store(2)
+				b.proxy.Table().Servers["w2"].Load.InWork.Store(2)
 			}
 			for range 50 {
-				b.board.Table().Budgets["hints"].Earn(1)
+				b.proxy.Table().Budgets["hints"].Earn(1)
 			}
 			done := make(chan *httptest.ResponseRecorder)
 			go func() { done <- b.ask("/v1/hints", `{"model":"m1"}`) }()
@@ -95,7 +95,7 @@
 			}
 			answer := <-done
 			c.Check(answer.Code, qt.Equals, one.status)
-			c.Check(b.board.Counts.Silent.Load(), qt.Equals, one.silent)
+			c.Check(b.proxy.Counts.Silent.Load(), qt.Equals, one.silent)
 			if one.last != "" {
 				lines := strings.Split(strings.TrimSpace(answer.Body.String()), "\n")
 				c.Check(fastjson.MustParse(lines[len(lines)-1]).GetBool(one.last), qt.IsTrue, qt.Commentf("%v", lines))
--- a/internal/dataplane/pipeline/smuggled_test.go
+++ b/internal/dataplane/pipeline/smuggled_test.go
@@ -35,7 +35,7 @@
 				body, _ := io.ReadAll(r.Body)
 				got <- r.RequestURI + " " + string(body)
 			})
-			front := httptest.NewServer(b.board)
+			front := httptest.NewServer(b.proxy)
 			c.Cleanup(front.Close)
 			conn, err := net.Dial("tcp", front.Listener.Addr().String())
 			c.Assert(err, qt.IsNil)
--- a/internal/dataplane/pipeline/stream.go
+++ b/internal/dataplane/pipeline/stream.go
@@ -11,7 +11,7 @@
 )
 
 // passHead copies the head of a server's answer.
-func (s *Switch) passHead(c *call, answer *upstream.Answer) {
+func (s *Proxy) passHead(c *call, answer *upstream.Answer) {
 	into := c.w.Header()
 	protocol.CopyHead(into, answer.Header)
 	into.Del("Content-Length")
@@ -23,7 +23,7 @@
 // relayStream passes pieces on one by one. A stream that breaks off before its
 // first piece was never begun, as the client sees it; one that may be resumed
 // goes on at another server after the last piece passed on.
-func (s *Switch) relayStream(c *call, answer *upstream.Answer, look *watcher, chosenServer *routing.Server, sent int64) fate {
+func (s *Proxy) relayStream(c *call, answer *upstream.Answer, look *watcher, chosenServer *routing.Server, sent int64) outcome {
 	stream := c.speech.Open(answer.Response, answer.Reader, c.ask, chosenServer.Name)
 	flusher, _ := c.w.(http.Flusher)
 	load, resumed := chosenServer.Load, c.cut
@@ -40,7 +40,7 @@
 	for {
 		piece, err := stream.Next()
 		if errors.Is(err, io.EOF) && c.answered {
-			return fateAnswered
+			return outcomeAnswered
 		}
 		if err != nil {
 			return s.broke(c, stream)
@@ -61,21 +61,21 @@
 			s.beginAnswer(c, stream, answer.StatusCode, now-sent)
 		}
 		if _, err = c.w.Write(piece.Bytes); err != nil {
-			return fateAnswered
+			return outcomeAnswered
 		}
 		if flusher != nil {
 			flusher.Flush()
 		}
 		c.passed, c.wrote = piece.Number, true
 		if piece.End {
-			return fateAnswered
+			return outcomeAnswered
 		}
 		s.Counts.Pieces.Add(1)
 	}
 }
 
 // beginAnswer passes on the head, once the first piece is there.
-func (s *Switch) beginAnswer(c *call, stream protocol.Stream, status int, tookMs int64) {
+func (s *Proxy) beginAnswer(c *call, stream protocol.Stream, status int, tookMs int64) {
 	c.answered = true
 	stream.Head(c.w.Header())
 	c.w.WriteHeader(status)
@@ -85,23 +85,23 @@
 }
 
 // broke says what becomes of a stream that broke off.
-func (s *Switch) broke(c *call, stream protocol.Stream) fate {
+func (s *Proxy) broke(c *call, stream protocol.Stream) outcome {
 	switch {
 	case !c.answered:
-		return fateBroken
+		return outcomeBroken
 	case c.ctx.Err() == nil && c.route.Resumable && c.speech.Resumes():
-		return fateCut
+		return outcomeCut
 	}
 	s.Counts.Broken.Add(1)
 	s.breakOff(c, stream.Broken(c.next()))
-	return fateAnswered
+	return outcomeAnswered
 }
 
 // next is the number of the piece after the last one passed on.
 func (c *call) next() int64 { return c.passed + 1 }
 
 // breakOff ends an answer that cannot go on, in a way that never looks complete.
-func (s *Switch) breakOff(c *call, last []byte) {
+func (s *Proxy) breakOff(c *call, last []byte) {
 	s.Counts.Bad.Add(1)
 	if last == nil {
 		panic(http.ErrAbortHandler)
--- a/internal/dataplane/pipeline/stream_test.go
+++ b/internal/dataplane/pipeline/stream_test.go
@@ -102,7 +102,7 @@
 		status int
 	}{
 		{"comes up", func(b *bench) { b.server("w1", pieces("r", 0, -1), "m1") }, 200},
-		{"no room", func(b *bench) { b.news.Refused = map[string]int64{"m1": b.board.Now() + 5000}; b.put() }, 503},
+		{"no room", func(b *bench) { b.news.Refused = map[string]int64{"m1": b.proxy.Now() + 5000}; b.put() }, 503},
 		{"cannot be up in time, by the store's queue", func(b *bench) { b.expect("m1", 60000) }, 503},
 		{"will be up in time", func(b *bench) {
 			b.expect("m1", 100)
@@ -148,7 +148,7 @@
 		taken      int64
 		hint, till int
 	}{{3, 200, 200}, {5, 503, 200}, {7, 503, 200}, {8, 503, 503}} {
-		b.board.inWork.Store(one.taken)
+		b.proxy.inWork.Store(one.taken)
 		c.Check(b.ask("/v1/hints", `{"model":"m1"}`).Code, qt.Equals, one.hint, qt.Commentf("%d taken", one.taken))
 		c.Check(b.ask("/v1/book", `{}`).Code, qt.Equals, one.till, qt.Commentf("%d taken", one.taken))
 	}
@@ -175,18 +175,18 @@
 func TestStartingFront(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c)
-	known := b.board.Table()
-	b.board.table.Store(routing.Empty())
+	known := b.proxy.Table()
+	b.proxy.table.Store(routing.Empty())
 	answer := b.ask("/v1/other", `{}`)
 	c.Check(answer.Code, qt.Equals, 503)
 	c.Check(ran(answer), qt.Equals, "no")
 	done := make(chan int)
 	waits := routing.Empty()
-	b.board.table.Store(waits)
+	b.proxy.table.Store(waits)
 	go func() { done <- b.ask("/v1/other", `{}`).Code }()
-	for b.board.Counts.Came.Load() < 2 {
+	for b.proxy.Counts.Came.Load() < 2 {
 		runtime.Gosched()
 	}
-	b.board.Put(known)
+	b.proxy.Put(known)
 	c.Check(<-done, qt.Equals, 404)
 }
--- a/internal/dataplane/pipeline/watch.go
+++ b/internal/dataplane/pipeline/watch.go
@@ -19,7 +19,7 @@
 type watcher struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	s      *Switch
+	s      *Proxy
 	server *routing.Server
 	// other tells whether the request may go to another server, that is there.
 	other func(nowMs int64) bool
@@ -41,7 +41,7 @@
 //
 // An attempt is ended only where another may follow: what is late there is still
 // worth something, what is begun anew elsewhere must be read again.
-func (s *Switch) watch(c *call, chosenServer *routing.Server, further bool) *watcher {
+func (s *Proxy) watch(c *call, chosenServer *routing.Server, further bool) *watcher {
 	w := &watcher{s: s, server: chosenServer, sentMs: s.Now()}
 	w.ctx, w.cancel = context.WithCancelCause(c.ctx)
 	w.lastMs.Store(w.sentMs)
@@ -66,7 +66,7 @@
 // follows says whether a stream of which the client has a part could go on at
 // another server, and pays for that at once: where it could not, silence is no
 // reason to end it.
-func (s *Switch) follows(c *call, chosenServer *routing.Server) func() bool {
+func (s *Proxy) follows(c *call, chosenServer *routing.Server) func() bool {
 	tried, item, service, budget := maps.Clone(c.tried), c.item, c.service, c.current.Budgets[c.service.Name]
 	return func() bool {
 		for _, other := range s.Table().Holders(service.Pool, item) {
@@ -79,7 +79,7 @@
 }
 
 // pay takes one more attempt from the budget, unless it was taken before.
-func (s *Switch) pay(c *call, budget *routing.Budget) bool {
+func (s *Proxy) pay(c *call, budget *routing.Budget) bool {
 	return c.paid.Swap(false) || budget.Spend(s.Now(), c.service.RetryPercent, s.slack())
 }
 
@@ -138,7 +138,7 @@
 }
 
 // avoidSilent keeps others from a server that was silent, for a while.
-func (s *Switch) avoidSilent(look *watcher, chosenServer *routing.Server) {
+func (s *Proxy) avoidSilent(look *watcher, chosenServer *routing.Server) {
 	if errors.Is(context.Cause(look.ctx), errSilent) {
 		s.avoid(chosenServer)
 	}
@@ -147,7 +147,7 @@
 // otherFor tells of an attempt whether it may go elsewhere: another server that has
 // the item was not tried, is not avoided and has less to do, and the budget has
 // a retry left. What is given up on without that is only read again, or lost.
-func (s *Switch) otherFor(c *call, chosenServer *routing.Server) func(nowMs int64) bool {
+func (s *Proxy) otherFor(c *call, chosenServer *routing.Server) func(nowMs int64) bool {
 	tried, item, service := maps.Clone(c.tried), c.item, c.service
 	return func(nowMs int64) bool {
 		current := s.Table()
--- a/internal/dataplane/upstream/fuzz_test.go
+++ b/internal/dataplane/upstream/fuzz_test.go
@@ -58,7 +58,7 @@
 		scripts <- answer
 		got, err := New(5*time.Second).Do(ctx, &plug, &Attempt{Addr: listener.Addr().String(), Method: method, Target: "/", Host: "x"})
 		if err != nil {
-			c.Assert(errors.Is(err, ErrNoLine), qt.IsFalse)
+			c.Assert(errors.Is(err, ErrNotSent), qt.IsFalse)
 			c.Assert(errors.Is(err, ErrStale), qt.IsFalse)
 			c.Check(plug.Open(), qt.Equals, int64(0))
 			return
--- a/internal/dataplane/upstream/upstream.go
+++ b/internal/dataplane/upstream/upstream.go
@@ -15,9 +15,9 @@
 	"time"
 )
 
-// ErrNoLine says that no byte of a request can have left: no connection came
+// ErrNotSent says that no byte of a request can have left: no connection came
 // about, or it took nothing.
-var ErrNoLine = errors.New("no connection")
+var ErrNotSent = errors.New("no connection")
 
 // ErrStale says that a connection that was kept broke before any byte of an
 // answer came: the server may have closed it before it read the request.
@@ -105,18 +105,18 @@
 func (a *Answer) Close() { a.end() }
 
 // Do sends a request and reads the head of its answer. The error is
-// ErrNoLine where no byte can have left.
+// ErrNotSent where no byte can have left.
 //
 //	answer, err := lines.Do(ctx, &server.Load.Pool, &upstream.Attempt{Addr: server.Addr, Method: "POST", Target: "/v1/hints"})
 func (l *Client) Do(ctx context.Context, plug *Pool, attempt *Attempt) (*Answer, error) {
 	if late(attempt) {
-		return nil, errors.Join(ErrNoLine, errTooLate)
+		return nil, errors.Join(ErrNotSent, errTooLate)
 	}
 	plug.used.Add(1)
 	taken, err := l.take(ctx, plug, attempt)
 	if err != nil {
 		plug.used.Add(-1)
-		return nil, errors.Join(ErrNoLine, err)
+		return nil, errors.Join(ErrNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = taken.Close() })
 	drop := func() {
@@ -127,13 +127,13 @@
 	if late(attempt) {
 		// The connection took its time, or this process was frozen meanwhile.
 		drop()
-		return nil, errors.Join(ErrNoLine, errTooLate)
+		return nil, errors.Join(ErrNotSent, errTooLate)
 	}
 	wrote, err := taken.Write(head(attempt))
 	if err != nil {
 		drop()
 		if wrote == 0 {
-			return nil, errors.Join(ErrNoLine, err)
+			return nil, errors.Join(ErrNotSent, err)
 		}
 		return nil, err
 	}
--- a/internal/dataplane/upstream/upstream_test.go
+++ b/internal/dataplane/upstream/upstream_test.go
@@ -206,7 +206,7 @@
 			c.Check(got, qt.Equals, one.got)
 			c.Check(err == nil, qt.Equals, one.got != "")
 			c.Check(ctx.Err(), qt.IsNil, qt.Commentf("it is known at once"))
-			c.Check(errors.Is(err, ErrNoLine), qt.IsFalse)
+			c.Check(errors.Is(err, ErrNotSent), qt.IsFalse)
 		})
 	}
 }
@@ -220,7 +220,7 @@
 		return nil
 	}
 	_, err := s.ask(context.Background(), Attempt{Fresh: true, Until: time.Now().Add(20 * time.Millisecond)}, true)
-	c.Check(errors.Is(err, ErrNoLine), qt.IsTrue)
+	c.Check(errors.Is(err, ErrNotSent), qt.IsTrue)
 	c.Check(s.asked.Load(), qt.Equals, int64(0))
 }
 
