Partition: an adapter joins its model at a worker where another model is on its way

Adapters of the busy models then came up nowhere while models changed. Found by reading. Test: TestAdapterJoinsBesideAChange (before: no worker is chosen).

--- a/internal/controlplane/partition/change_test.go
+++ b/internal/controlplane/partition/change_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"applequay/internal/transport/wire"
 )
 
 // A worker carries out one order at a time, and the store counts loads: what makes
@@ -41,3 +43,23 @@
 		})
 	}
 }
+
+// An adapter goes to a worker that has its model although another model is on its way
+// there: it takes no model's room.
+func TestAdapterJoinsBesideAChange(t *testing.T) {
+	c := qt.New(t)
+	w := newPool(c, 1, 8, 1, 1)
+	for i := range 3 {
+		w.ask(fmt.Sprintf("m%d", i), 2000, 1)
+	}
+	w.tick(20000)
+	delete(w.asked, "m2")
+	w.tick(w.now + 8000)
+	w.ask("m7", 3000, 1)
+	for len(w.homes("m2")) > 0 && w.now < 60000 {
+		w.tick(w.now + 10)
+	}
+	c.Assert(w.homes("m7"), qt.HasLen, 0, qt.Commentf("it is on its way"))
+	item := wire.ItemState{Name: "m0/a2"}
+	c.Check(w.p.chooseWorker(w.now, item), qt.Equals, "w0")
+}
--- a/internal/controlplane/partition/choose.go
+++ b/internal/controlplane/partition/choose.go
@@ -86,21 +86,19 @@
 		room := p.view.Rooms[name]
 		free := room.RoomMb - room.UsedMb
 		need, rank := p.view.Policy.NeedMb(item.Name), 0
-		waits := free < need && p.awaits(room)
-		if waits && !extra {
-			continue // it changes one model at a time
-		}
-		if known.Base != "" && holds(room, known.Base) {
+		switch {
+		case known.Base != "" && holds(room, known.Base):
 			need, rank = known.SizeMb, 2
-		} else if known.Base != "" && len(item.Homes) > 0 {
+		case known.Base != "" && len(item.Homes) > 0:
 			continue
+		case free < need && p.awaits(room) && !extra:
+			continue // it changes one model at a time
+		case free < need && p.awaits(room):
+			rank = rankWaits
 		}
 		if free >= need {
 			rank++
 		}
-		if waits {
-			rank = rankWaits
-		}
 		// An adapter is hashed as its model, so that both come to the same worker
 		// where neither is up yet.
 		score := rendezvous(fmt.Sprintf("%s|%s|%d", cmp.Or(known.Base, item.Name), name, item.Refusals), p.fitness(now, room, free, need, asked))
