--- a/internal/settings/drain_test.go
+++ b/internal/settings/drain_test.go
@@ -19,16 +19,18 @@
 	let    chan struct{}
 	leave  context.CancelFunc
 	served chan error
+	// goes is closed when the side tells that nothing is to be handed on any more.
+	goes chan struct{}
 }
 
 func drain(c *qt.C, notice time.Duration) *drained {
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	d := &drained{addr: plain.Addr().String(), came: make(chan struct{}, 16), let: make(chan struct{}, 16), served: make(chan error, 1)}
+	d := &drained{addr: plain.Addr().String(), came: make(chan struct{}, 16), let: make(chan struct{}, 16), served: make(chan error, 1), goes: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.leave = cancel
 	c.Cleanup(cancel)
-	side := &Clients{Drain: Drain{Notice: notice, Cutoff: 19 * time.Second, End: 20 * time.Second}, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14,
+	side := &Clients{Drain: Drain{Notice: notice, Cutoff: 19 * time.Second, End: 20 * time.Second}, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14, Leave: func() { close(d.goes) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			d.came <- struct{}{}
 			<-d.let
@@ -169,29 +171,17 @@
 // for its end here.
 func TestLeaveComesWithTheNotice(t *testing.T) {
 	c := qt.New(t)
-	plain, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	ctx, leave := context.WithCancel(context.Background())
-	defer leave()
-	came, let, goes := make(chan struct{}, 2), make(chan struct{}, 2), make(chan struct{})
-	side := &Clients{Drain: Drain{Notice: 100 * time.Millisecond, Cutoff: time.Minute, End: time.Minute}, Head: 5 * time.Second, Idle: time.Minute, HeadBytes: 1 << 14, Leave: func() { close(goes) },
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			came <- struct{}{}
-			<-let
-			_, _ = w.Write([]byte("whole"))
-		})}
-	served := make(chan error, 1)
-	go func() { served <- side.serve(ctx, plain) }()
-	one := (&drained{addr: plain.Addr().String()}).call(c)
+	d := drain(c, 100*time.Millisecond)
+	one := d.call(c)
 	one.ask(c)
-	<-came
-	leave()
+	<-d.came
+	d.leave()
 	select {
-	case <-goes:
+	case <-d.goes:
 	case <-time.After(10 * time.Second):
 		c.Errorf("requests are still handed on long after the notice")
 	}
-	let <- struct{}{}
+	d.let <- struct{}{}
 	one.answer(c)
-	c.Check(<-served, qt.IsNil)
+	c.Check(<-d.served, qt.IsNil)
 }
