Fronts with a disk are controllers too; requests that name no model run anywhere

An agent whose settings name a data folder runs a controller in its process: the controller listens where seeds are looked for, the agent and its proxy meet at another port. A seed without a disk answers that it has no vote, and the founders do without it. TestSettings used a file that a machine may or may not have.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -135,10 +135,7 @@
 			l.learnCore(core)
 		}
 	case *wire.FoundAsk:
-		if core := l.proposer.Core(); core.Epoch > 0 {
-			value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
-			out.Send(from, wire.KindFoundTold, &wire.FoundTold{Founded: true, Core: value})
-		}
+		out.Send(from, wire.KindFoundTold, l.foundTold())
 	case *wire.Subscribe:
 		l.subscribed(&out, from, told)
 	case *wire.News:
@@ -157,6 +154,18 @@
 	return out
 }
 
+// foundTold answers one that looks for the core set: with the set, if it is known here,
+// and else with no more than the address of a machine that has no vote. A seed may be
+// such a machine.
+func (l *Agent) foundTold() *wire.FoundTold {
+	told := &wire.FoundTold{Voter: wire.Voter{Addr: l.boot.Addr}}
+	if core := l.proposer.Core(); core.Epoch > 0 {
+		told.Founded = true
+		told.Core = wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
+	}
+	return told
+}
+
 func (l *Agent) learnCore(core wire.CoreSet) {
 	l.proposer.Learn(core)
 	l.SetSeeds(l.boot.Seeds)
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -44,6 +44,10 @@
 	}
 }
 
+// votelessSeed tells whether a seed answered that it is a machine without a vote, which
+// it stays for good: an agent on a machine without a disk.
+func votelessSeed(told wire.FoundTold, answered bool) bool { return answered && told.Voter.ID == "" }
+
 func newFounding() founding { return founding{told: map[string]wire.FoundTold{}} }
 
 func (f *Controller) founded() bool { return len(f.accepted(register.CoreKey)) > 0 }
@@ -88,7 +92,7 @@
 	founders := f.founders()
 	for _, addr := range founders {
 		told, ok := f.founding.told[addr]
-		if addr < f.boot.Addr && (!ok || told.Founder) {
+		if addr < f.boot.Addr && (!ok || told.Founder) && !votelessSeed(told, ok) {
 			return false
 		}
 	}
@@ -143,6 +147,9 @@
 		if addr == f.boot.Addr {
 			continue
 		}
+		if votelessSeed(told, ok) {
+			continue
+		}
 		if !ok || told.Bound != f.boot.ID {
 			return
 		}
--- a/cmd/controller/placement.go
+++ b/internal/daemon/placement.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 const placementEvery = 5 * time.Second
 
 // tellPlacement logs how the workers' room is used, while this node owns any of it.
-func (n *node) tellPlacement(work context.Context) {
+func (n *Controller) tellPlacement(work context.Context) {
 	ticker := time.NewTicker(placementEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/dataplane/pipeline/call.go
+++ b/internal/dataplane/pipeline/call.go
@@ -29,12 +29,14 @@
 	weight        int64
 	body          []byte
 	ask           protocol.Ask
-	item          string
-	prefix        string
-	openings      []routing.Opening
-	runAt         *routing.Server
-	tried         map[string]bool
-	bad           *atomic.Int64
+	// item is the model or adapter that a server must hold; none where any server
+	// of the service will do.
+	item     string
+	prefix   string
+	openings []routing.Opening
+	runAt    *routing.Server
+	tried    map[string]bool
+	bad      *atomic.Int64
 	// wrote says that a server may have begun on the request.
 	wrote bool
 	// passed is the number of the last piece passed on; cut that the stream is to
@@ -56,6 +58,17 @@
 	answered bool
 }
 
+// needsItem tells whether only servers that hold the call's item will do.
+func (c *call) needsItem() bool { return c.item != "" && c.runAt == nil }
+
+// candidates are the servers of a table that can run the call.
+func (c *call) candidates(current *routing.Table) []*routing.Server {
+	if c.item != "" {
+		return current.Holders(c.service.Pool, c.item)
+	}
+	return current.Open(c.service.Pool)
+}
+
 // ended counts a request that did not get what it came for: a roll-out of a
 // policy is halted where there are more of them.
 func (c *call) ended(status int) {
--- a/internal/dataplane/pipeline/choose.go
+++ b/internal/dataplane/pipeline/choose.go
@@ -16,7 +16,7 @@
 			return nil
 		}
 		return c.runAt
-	case c.service.Model:
+	case c.needsItem():
 		holders := s.willing(c, c.current.Holders(c.service.Pool, c.item))
 		if len(c.openings) == 0 && c.current.Policy.Pools[c.service.Pool].Slots == 0 {
 			return routing.Choose(holders, c.prefix, s.Now())
--- a/internal/dataplane/pipeline/filters.go
+++ b/internal/dataplane/pipeline/filters.go
@@ -41,7 +41,6 @@
 		return
 	}
 	c.route, c.service = route, c.current.Policy.Services[routing.Share(route, rand.Float64())]
-	c.stream = route.Stream || c.service.Model
 	c.again = route.Safe || c.service.Again || (route.Stream && route.Resumable)
 	c.weight = c.current.Policy.Weight(route.Kind, time.Now().UnixMilli())
 	var cancel context.CancelFunc
@@ -106,11 +105,16 @@
 		return false
 	}
 	c.ask, c.passed = ask, ask.From
-	if !c.service.Model {
+	c.stream = c.route.Stream || c.service.Model
+	switch {
+	case !c.service.Model:
 		return true
-	}
-	if ask.Run != "" {
+	case ask.Run != "":
 		return s.findRun(c)
+	case ask.Model == "":
+		// No model is asked for: any server of the service will do.
+		c.stream = c.route.Stream
+		return true
 	}
 	return s.findItem(c)
 }
--- a/internal/dataplane/pipeline/hold.go
+++ b/internal/dataplane/pipeline/hold.go
@@ -18,7 +18,7 @@
 // hold keeps a request while its model comes up. Who waits in vain hears so as
 // soon as that is known, and when to come back.
 func (s *Proxy) hold(c *call, next func(*call)) {
-	if !c.service.Model || c.runAt != nil || len(c.current.Holders(c.service.Pool, c.item)) > 0 {
+	if !c.needsItem() || len(c.current.Holders(c.service.Pool, c.item)) > 0 {
 		next(c)
 		return
 	}
@@ -87,7 +87,7 @@
 // awaitHolder waits, after all holders were tried, for one more, as long as the
 // client is patient; what has begun to be passed on is not held.
 func (s *Proxy) awaitHolder(c *call) bool {
-	if !c.service.Model || c.runAt != nil || c.answered || c.ask.Key != "" || (c.wrote && !c.again) || c.route.PatienceMs == 0 {
+	if !c.needsItem() || c.answered || c.ask.Key != "" || (c.wrote && !c.again) || c.route.PatienceMs == 0 {
 		return false
 	}
 	limit := time.NewTimer(s.holdMost(c) - time.Since(c.came))
--- a/internal/dataplane/pipeline/watch.go
+++ b/internal/dataplane/pipeline/watch.go
@@ -67,9 +67,9 @@
 // another server, and pays for that at once: where it could not, silence is no
 // reason to end it.
 func (s *Proxy) follows(c *call, chosenServer *routing.Server) func() bool {
-	tried, item, service, budget := maps.Clone(c.tried), c.item, c.service, c.current.Budgets[c.service.Name]
+	tried, service, budget := maps.Clone(c.tried), c.service, c.current.Budgets[c.service.Name]
 	return func() bool {
-		for _, other := range s.Table().Holders(service.Pool, item) {
+		for _, other := range c.candidates(s.Table()) {
 			if budget != nil && other.Name != chosenServer.Name && !tried[other.Name] {
 				return c.paid.Load() || budget.Spend(s.Now(), service.RetryPercent, s.slack()) && c.paid.CompareAndSwap(false, true)
 			}
@@ -148,15 +148,11 @@
 // the item was not tried, is not avoided and has less to do, and the budget has
 // a retry left. What is given up on without that is only read again, or lost.
 func (s *Proxy) otherFor(c *call, chosenServer *routing.Server) func(nowMs int64) bool {
-	tried, item, service := maps.Clone(c.tried), c.item, c.service
+	tried, service := maps.Clone(c.tried), c.service
 	return func(nowMs int64) bool {
 		current := s.Table()
-		others := current.Pools[service.Pool]
-		if service.Model {
-			others = current.Holders(service.Pool, item)
-		}
 		dark := lost(current, chosenServer)
-		for _, server := range others {
+		for _, server := range c.candidates(current) {
 			if server.Name == chosenServer.Name || tried[server.Name] || server.Leaving || server.Dark || server.Load.AvoidToMs.Load() > nowMs {
 				continue
 			}
--- a/internal/settings/numbers.go
+++ b/internal/settings/numbers.go
@@ -85,6 +85,7 @@
 		{PartAll, "ready", &b.Ready, false, "address at which it is told whether this process is ready, besides listen"},
 		{PartNode, "operators", &b.Operators, false, "address for operators, besides listen"},
 		{PartDisk, "directory", &b.Directory, true, "address of the platform's worker list, IP:port"},
+		{partOptional, "voter-listen", &b.VoterListen, true, "address of the controller in this process, where -data names a folder"},
 		{PartLine, "proxy", &b.Proxy, true, "address of the proxy beside this agent"},
 		{PartClients, "callers", &b.Clients, true, "address for callers, IP:port"},
 		{PartClients, "agent", &b.Agent, true, "address of the agent beside this proxy"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,7 +16,7 @@
 
 // Boot holds the settings of every program; each asks for those it needs.
 type Boot struct {
-	Name, Zone, Listen, Advertise, Ready, Operators, Clients, Agent, Proxy, Data, Directory, Settings, DiskTrial, ClockTrial string
+	Name, Zone, Listen, Advertise, Ready, Operators, Clients, Agent, Proxy, VoterListen, Data, Directory, Settings, DiskTrial, ClockTrial string
 
 	Seeds, Core []string
 	// Bootstrap is true at the very first start of the whole system; Fenced
@@ -41,8 +41,13 @@
 	PartDisk
 	PartLine
 	PartClients
+	partOptional
 )
 
+// PartOptionalDisk is PartDisk for a program that does without a disk where no data
+// folder is named; where one is, a controller runs in its process.
+const PartOptionalDisk = PartDisk | partOptional
+
 // Fault is one thing wrong with one setting.
 type Fault struct {
 	Setting, Said string
@@ -141,7 +146,7 @@
 		}
 	}
 	for _, one := range b.addresses(parts) {
-		if *one.value != "" || one.need {
+		if *one.value != "" || (one.need && b.uses(one.parts, parts)) {
 			if err := CheckAddr(*one.value); err != nil {
 				note(one.flag, "%v", err)
 			}
@@ -154,13 +159,14 @@
 			}
 		}
 	}
-	if parts&PartDisk != 0 {
+	if b.uses(PartDisk, parts) {
 		if b.Data == "" {
 			note("data", "must be given")
 		} else if info, err := os.Stat(b.Data); err == nil && !info.IsDir() {
 			note("data", "%s is not a folder", b.Data)
 		}
-	} else if parts&PartNode != 0 && len(b.Seeds) == 0 {
+	}
+	if parts&PartNode != 0 && (parts&PartDisk == 0 || parts&partOptional != 0) && len(b.Seeds) == 0 {
 		note("seeds", "at least one must be given")
 	}
 	if parts&PartNode != 0 && b.CallMs > 0 && b.LeaseMs > 0 && b.CallMs >= b.LeaseMs {
@@ -169,6 +175,15 @@
 	return faults
 }
 
+// uses tells whether a program of some parts uses a setting of others: those of an
+// optional disk only where there is a data folder.
+func (b *Boot) uses(settingParts, parts Part) bool {
+	if settingParts&^PartOptionalDisk != 0 || parts&partOptional == 0 {
+		return settingParts&parts != 0
+	}
+	return b.Data != ""
+}
+
 // CheckAddr tells what is wrong with an address.
 //
 //	err := settings.CheckAddr("127.0.0.1:7100")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -12,7 +12,7 @@
 
 func TestSettings(t *testing.T) {
 	c := qt.New(t)
-	good := "-name c1 -zone z -listen 127.0.0.1:7100 -core 127.0.0.1:7100 -data /tmp/x -directory 127.0.0.1:7900"
+	good := "-name c1 -zone z -listen 127.0.0.1:7100 -core 127.0.0.1:7100 -data " + c.TempDir() + " -directory 127.0.0.1:7900"
 	cases := []struct {
 		name, args string
 		faults     []string
@@ -36,6 +36,31 @@
 	}
 }
 
+// An agent needs what a controller needs only where it is one too.
+func TestOptionalDisk(t *testing.T) {
+	c := qt.New(t)
+	const bare = "-name l1 -zone z -listen 127.0.0.1:7200 -proxy 127.0.0.1:7300 -seeds 127.0.0.1:7100"
+	folder := c.TempDir()
+	cases := []struct {
+		name, args string
+		faults     []string
+	}{
+		{"no disk", bare, nil},
+		{"a disk", bare + " -data " + folder + " -voter-listen 127.0.0.1:7100 -directory 127.0.0.1:7900", nil},
+		{"a disk and nothing else", bare + " -data " + folder, []string{"directory: ", "voter-listen: "}},
+		{"a folder that is none", bare + " -data /dev/null -voter-listen 127.0.0.1:7100 -directory 127.0.0.1:7900", []string{"data: "}},
+	}
+	for _, one := range cases {
+		c.Run(one.name, func(c *qt.C) {
+			_, faults := Read("agent", PartNode|PartLine|PartOptionalDisk, strings.Fields(one.args), io.Discard)
+			c.Assert(faults, qt.HasLen, len(one.faults), qt.Commentf("%q", faults))
+			for at, fault := range one.faults {
+				c.Check(strings.HasPrefix(faults[at], fault), qt.IsTrue, qt.Commentf("%q", faults[at]))
+			}
+		})
+	}
+}
+
 func TestSettingsFile(t *testing.T) {
 	c := qt.New(t)
 	file := filepath.Join(c.TempDir(), "s.json")
