--- a/internal/controlplane/health/health.go
+++ b/internal/controlplane/health/health.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
+	"strings"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
@@ -94,10 +95,27 @@
 	g.Count("trunk_letters_sent_total", "letters sent to other processes", func() float64 { return float64(counts.SentMessages.Load()) })
 	g.Count("trunk_batches_sent_total", "batches of letters sent", func() float64 { return float64(counts.SentBatches.Load()) })
 	g.Count("trunk_bytes_sent_total", "bytes of letters sent", func() float64 { return float64(counts.SentBytes.Load()) })
+	g.registry.MustRegister(&kindBytes{counts: counts, described: prometheus.NewDesc("applequay_message_bytes_total", "bytes of messages sent to other processes, by kind", []string{"kind"}, g.labels)})
 	g.Count("trunk_letters_lost_total", "letters lost on the way out or in", func() float64 { return float64(counts.LostMessages.Load()) })
 	g.Count("trunk_letters_heard_total", "letters taken in", func() float64 { return float64(counts.HeardMessages.Load()) })
 }
 
+// kindBytes shows what a transport sent, by kind of message.
+type kindBytes struct {
+	counts    *transport.Counts
+	described *prometheus.Desc
+}
+
+// Describe tells the one figure that there is.
+func (k *kindBytes) Describe(out chan<- *prometheus.Desc) { out <- k.described }
+
+// Collect reads the figure of each kind that was sent.
+func (k *kindBytes) Collect(out chan<- prometheus.Metric) {
+	for kind, bytes := range k.counts.KindBytes() {
+		out <- prometheus.MustNewConstMetric(k.described, prometheus.CounterValue, float64(bytes), strings.TrimPrefix(kind.String(), "Kind"))
+	}
+}
+
 // Control shows what a control thread knows.
 //
 //	health.Control(gauges, control.Page)
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -111,6 +111,6 @@
 		t.Counts.LostMessages.Add(int64(len(messages)))
 		return
 	}
-	t.Counts.SentMessages.Add(int64(len(messages)))
+	t.Counts.sent(messages)
 	t.Counts.SentBytes.Add(int64(len(body)))
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -38,6 +38,35 @@
 // Counts are what a transport carried; they only rise.
 type Counts struct {
 	SentMessages, SentBatches, SentBytes, LostMessages, HeardMessages atomic.Int64
+	// kindBytes are the bytes of bodies sent, by kind of message.
+	kindBytes [kinds]atomic.Int64
+}
+
+// kinds is how many kinds of message are counted apart.
+const kinds = int(wire.KindTallies) + 1
+
+// KindBytes tells how many bytes of bodies were sent, by kind of message; kinds of
+// which none was sent are left out.
+//
+//	bytes := cable.Counts.KindBytes()[wire.KindNews]
+func (c *Counts) KindBytes() map[wire.Kind]int64 {
+	out := map[wire.Kind]int64{}
+	for kind := range c.kindBytes {
+		if bytes := c.kindBytes[kind].Load(); bytes > 0 {
+			out[wire.Kind(kind)] = bytes
+		}
+	}
+	return out
+}
+
+// sent counts messages that left.
+func (c *Counts) sent(messages []wire.Message) {
+	c.SentMessages.Add(int64(len(messages)))
+	for _, message := range messages {
+		if message.Kind >= 0 && message.Kind < int64(kinds) {
+			c.kindBytes[message.Kind].Add(int64(len(message.Body)))
+		}
+	}
 }
 
 // How many messages may wait for one address. A front has a line to each of its
@@ -140,7 +169,7 @@
 			t.Counts.LostMessages.Add(int64(len(batch.Messages)))
 			continue
 		}
-		t.Counts.SentMessages.Add(int64(len(batch.Messages)))
+		t.Counts.sent(batch.Messages)
 		t.Counts.SentBatches.Add(1)
 		t.Counts.SentBytes.Add(int64(size))
 	}
