Register values cross links and disks compressed; homes are where links are wide

A value is compressed once where it is proposed; a proposer that read or wrote a value before asks who has the same.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"strconv"
 	"strings"
 
 	"applequay/internal/configuration"
@@ -23,6 +24,8 @@
 	Seeds                         []string
 	Partitions                    int64
 	LeaseMs, ProbeMs, CallMs      int64
+	// LinkMbps is what this machine's link carries; nought if unknown.
+	LinkMbps int64
 	// KeyMs is how long after its first use a key may be repeated.
 	KeyMs int64
 	// Form is how operators write policies; the product's own where none is named.
@@ -91,6 +94,9 @@
 		boot.Form = configuration.Native
 	}
 	self := wire.Member{ID: boot.ID, Name: boot.Name, Role: "agent", Zone: boot.Zone, Addr: boot.Addr, Born: boot.Born, Outward: boot.Outward, Fact: map[string]string{"settings": controller.SettingsFact(boot.Partitions, boot.LeaseMs, boot.ProbeMs)}}
+	if boot.LinkMbps > 0 {
+		self.Fact[distribution.LinkFact] = strconv.FormatInt(boot.LinkMbps, 10)
+	}
 	l := &Agent{
 		boot: boot, random: random, now: now, startMs: now, listToldMs: now - boot.LeaseMs, fronts: map[string]*otherFront{}, asking: map[int64]*asking{}, passing: map[string]wire.Topic{},
 		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs).Bounded(), random, boot.Seeds),
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -17,8 +17,10 @@
 	if ballot, value := f.acceptor.Accepted(told.Key); len(body) == 0 && ballot == told.Ballot {
 		body = value
 	}
-	var value wire.Value
-	if len(body) > 0 && value.Unmarshal(body) == nil {
+	if len(body) == 0 {
+		return
+	}
+	if value, err := wire.DecodeValue(body); err == nil {
 		out.Add(f.proposer.Chose(now, told.Key, value))
 		f.learn(now, out, told.Key, value)
 	}
--- a/internal/controlplane/controller/recall.go
+++ b/internal/controlplane/controller/recall.go
@@ -20,10 +20,12 @@
 func (f *Controller) recallOwners() {
 	f.recalled.owners = map[int64]wire.Owner{}
 	for number := range f.boot.Partitions {
-		var value wire.Value
 		var owner wire.Owner
 		body := f.accepted(ownerPrefix + strconv.FormatInt(number, 10))
-		if len(body) > 0 && value.Unmarshal(body) == nil && owner.Unmarshal(value.Body) == nil {
+		if len(body) == 0 {
+			continue
+		}
+		if value, err := wire.DecodeValue(body); err == nil && owner.Unmarshal(value.Body) == nil {
 			f.recalled.owners[number] = owner
 		}
 	}
--- a/internal/controlplane/distribution/distribution.go
+++ b/internal/controlplane/distribution/distribution.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"strconv"
 
 	"applequay/internal/transport/wire"
 )
@@ -131,14 +132,24 @@
 	return told
 }
 
+// LinkFact tells the others how many megabits a second a member's link carries.
+const LinkFact = "link"
+
 // Home picks the agent of a zone that the others there subscribe to for a
-// service, by rendezvous hash over those that stand.
+// service, by rendezvous hash over those that stand and whose link is not much
+// thinner than the widest: a home passes all news on to each agent of its zone.
 //
 //	home := distribution.Home("hints", "north", picture.Alive("agent"))
 func Home(service, zone string, agents []wire.Member) string {
 	best, bestScore := "", uint64(0)
+	widest := int64(0)
+	for _, member := range agents {
+		if member.Zone == zone {
+			widest = max(widest, linkOf(member))
+		}
+	}
 	for _, member := range agents {
-		if member.Zone != zone {
+		if member.Zone != zone || linkOf(member) < widest/2 {
 			continue
 		}
 		sum := fnv.New64a()
@@ -153,3 +164,12 @@
 	}
 	return best
 }
+
+// linkOf is a member's link in megabits a second; nought where it told none.
+func linkOf(member wire.Member) int64 {
+	mbps, err := strconv.ParseInt(member.Fact[LinkFact], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return mbps
+}
--- a/internal/controlplane/register/proposer.go
+++ b/internal/controlplane/register/proposer.go
@@ -51,6 +51,7 @@
 	nextOp  int64
 	ops     map[int64]*operation
 	mends   map[int64]mend
+	found   map[string]mend // what reads and writes found last, by key
 	busy    map[string]round
 	chose   map[string]int64 // when a round of another on a register last ended
 	roundMs int64            // how long rounds took lately
@@ -90,6 +91,7 @@
 	found, counted map[string]bool
 	behind         []string
 	chosen         wire.Value
+	chosenValue    []byte // as it is sent
 	hasChosen      bool
 	phaseEnds      int64
 	asked, ends    int64 // when the call came, and by when it ends
@@ -108,7 +110,7 @@
 //
 //	proposer := register.NewProposer("c1~7f/1a2b", random, limits)
 func NewProposer(id string, random *rand.Rand, limits Limits) *Proposer {
-	return &Proposer{id: id, random: random, limits: limits, nextOp: random.Int63n(numbers), ops: map[int64]*operation{}, mends: map[int64]mend{}, busy: map[string]round{}, chose: map[string]int64{}, roundMs: limits.PhaseMs / 8}
+	return &Proposer{id: id, random: random, limits: limits, nextOp: random.Int63n(numbers), ops: map[int64]*operation{}, mends: map[int64]mend{}, found: map[string]mend{}, busy: map[string]round{}, chose: map[string]int64{}, roundMs: limits.PhaseMs / 8}
 }
 
 // Core returns the core set the proposer works with.
@@ -179,7 +181,7 @@
 	case phasePrepare:
 		p.toVoters(out, wire.KindPrepare, &wire.Prepare{Op: o.op, Key: o.key, Ballot: o.ballot, Epoch: p.core.Epoch}, false)
 	case phaseAccept:
-		p.toVoters(out, wire.KindAccept, &wire.Accept{Op: o.op, Key: o.key, Ballot: o.ballot, Epoch: p.core.Epoch, Value: wire.Encode(&o.chosen)}, true)
+		p.toVoters(out, wire.KindAccept, &wire.Accept{Op: o.op, Key: o.key, Ballot: o.ballot, Epoch: p.core.Epoch, Value: o.chosenValue}, true)
 	}
 }
 
--- a/internal/controlplane/register/reads.go
+++ b/internal/controlplane/register/reads.go
@@ -8,10 +8,14 @@
 //
 //	out := proposer.Read(now, call, "policy", heldBallot, heldValue)
 func (p *Proposer) Read(now, call int64, key string, have wire.Ballot, value []byte) wire.Outputs {
+	if found, known := p.found[key]; known && Less(have, found.ballot) {
+		have, value = found.ballot, found.value
+	}
 	return p.start(now, &operation{call: call, key: key, read: true, have: have, haveValue: value})
 }
 
-// mend is what a read found chosen, kept for a while for late copies.
+// mend is what a read found chosen, kept for a while for late copies, and for the next
+// read: who has the same then answers without it.
 type mend struct {
 	key    string
 	ballot wire.Ballot
@@ -54,9 +58,10 @@
 	if o.agreed >= p.majority() {
 		p.counter = max(p.counter, o.best.N)
 		outcome := Outcome{Key: o.key, Fate: FateDone}
-		outcome.Has = len(o.bestValue) > 0 && outcome.Value.Unmarshal(o.bestValue) == nil
+		outcome.Value, outcome.Has = valueOf(o.bestValue)
 		p.finish(out, o, outcome)
 		p.mends[o.op] = mend{key: o.key, ballot: o.best, value: o.bestValue, until: now + p.limits.PhaseMs}
+		p.found[o.key] = p.mends[o.op]
 		for _, late := range o.behind {
 			p.mendOne(out, p.mends[o.op], late)
 		}
--- a/internal/controlplane/register/rounds.go
+++ b/internal/controlplane/register/rounds.go
@@ -75,14 +75,23 @@
 //
 //	core, ok := register.ParseCore(value)
 func ParseCore(value []byte) (wire.CoreSet, bool) {
-	var outer wire.Value
 	var core wire.CoreSet
-	if len(value) == 0 || outer.Unmarshal(value) != nil || core.Unmarshal(outer.Body) != nil {
+	outer, ok := valueOf(value)
+	if !ok || core.Unmarshal(outer.Body) != nil {
 		return wire.CoreSet{}, false
 	}
 	return core, true
 }
 
+// valueOf reads a register's value; false where there is none.
+func valueOf(body []byte) (wire.Value, bool) {
+	if len(body) == 0 {
+		return wire.Value{}, false
+	}
+	value, err := wire.DecodeValue(body)
+	return value, err == nil
+}
+
 // CoreTopic is the news of a core set; that it is re-replicated is a step of its epoch.
 //
 //	board.Put(register.CoreTopic(core))
@@ -149,10 +158,11 @@
 	for _, voter := range p.core.Voters {
 		note := &wire.Chosen{Key: o.key, Ballot: o.ballot}
 		if !o.heard[voter.ID] {
-			note.Value = wire.Encode(&o.chosen)
+			note.Value = o.chosenValue
 		}
 		out.Send(voter.ID, wire.KindChosen, note)
 	}
+	p.found[o.key] = mend{key: o.key, ballot: o.ballot, value: o.chosenValue}
 	p.roundMs = (3*p.roundMs + min(now-o.began, p.limits.CallMs/2)) / 4
 	p.told(now, out, o)
 }
--- a/internal/controlplane/register/writes.go
+++ b/internal/controlplane/register/writes.go
@@ -72,8 +72,8 @@
 // what is there, in turn; else what is there, so that it is chosen before it is
 // told.
 func (p *Proposer) decide(o *operation) {
-	var current wire.Value
-	o.hasChosen = len(o.bestValue) > 0 && current.Unmarshal(o.bestValue) == nil
+	current, had := valueOf(o.bestValue)
+	o.hasChosen = had
 	for _, asked := range o.writes {
 		asked.decided = true
 		if version, known := Written(current, asked.Name); known {
@@ -91,7 +91,7 @@
 		current = remember(current, asked.Body, asked.Name, next, p.limits.LineageLen)
 		asked.fate, asked.sentVersion, o.hasChosen = FateDone, next, true
 	}
-	o.chosen = current
+	o.chosen, o.chosenValue = current, wire.EncodeValue(current)
 }
 
 // Fared tells how a write that may have been sent before fares where a value
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -38,7 +38,7 @@
 	line := agent.New(1, agent.Boot{
 		ID: id, Name: given.Name, Addr: given.Advertise, Zone: given.Zone, Outward: given.Listen, Born: epoch.UnixMilli(),
 		Proxy: given.Proxy, Seeds: given.Seeds, Partitions: given.Partitions,
-		LeaseMs: given.LeaseMs, ProbeMs: given.ProbeMs, CallMs: given.CallMs, KeyMs: given.KeyMs, Form: start.Form,
+		LeaseMs: given.LeaseMs, ProbeMs: given.ProbeMs, CallMs: given.CallMs, KeyMs: given.KeyMs, LinkMbps: given.LinkMbps, Form: start.Form,
 	}, rand.New(rand.NewSource(epoch.UnixNano())))
 	messages := transport.New(work, id, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4, transport.FrontDepth)
 	control := eventloop.New(eventloop.Options{Machine: line, Self: id, Cable: messages, Log: log, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
--- a/internal/simulation/changes.go
+++ b/internal/simulation/changes.go
@@ -73,9 +73,11 @@
 	for _, body := range late.disk.volatile {
 		took.Disk += len(body)
 	}
-	var value wire.Value
 	for _, kept := range late.core.Snapshot().Registers {
-		if kept.Key == controller.PolicyKey && value.Unmarshal(kept.Value) == nil {
+		if kept.Key != controller.PolicyKey {
+			continue
+		}
+		if value, err := wire.DecodeValue(kept.Value); err == nil {
 			took.Names = len(value.Lineage)
 		}
 	}
--- a/internal/simulation/explorer/disk.go
+++ b/internal/simulation/explorer/disk.go
@@ -64,9 +64,8 @@
 	if d.copies == nil {
 		d.copies = map[string]held{}
 	}
-	kept := held{ballot: record.Accepted}
-	if kept.value.Unmarshal(record.Value) == nil {
-		d.copies[record.Key] = kept
+	if value, err := wire.DecodeValue(record.Value); err == nil {
+		d.copies[record.Key] = held{ballot: record.Accepted, value: value}
 	}
 }
 
--- a/internal/simulation/explorer/facts.go
+++ b/internal/simulation/explorer/facts.go
@@ -106,8 +106,10 @@
 // said looks at what a machine sends to another.
 func (f *facts) said(_ *machine, send wire.Send) {
 	told, ok := send.Body.(*wire.Chosen)
-	var value wire.Value
-	if ok && len(told.Value) > 0 && value.Unmarshal(told.Value) == nil {
+	if !ok || len(told.Value) == 0 {
+		return
+	}
+	if value, err := wire.DecodeValue(told.Value); err == nil {
 		f.chosen(told.Key, value)
 	}
 }
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -37,9 +37,11 @@
 	Lineage []byte `avro:"lineage"`
 	// The newest version whose write the lineage no longer holds; 0 if it holds all.
 	Forgot int64 `avro:"forgot"`
+	// The body is compressed (EncodeValue).
+	Packed bool `avro:"packed"`
 }
 
-var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"version","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":"bytes"},{"name":"forgot","type":"long"}]}`)
+var schemaValue = schemaOf(`{"name":"Value","type":"record","fields":[{"name":"version","type":"long"},{"name":"body","type":"bytes"},{"name":"lineage","type":"bytes"},{"name":"forgot","type":"long"},{"name":"packed","type":"boolean"}]}`)
 
 // Schema returns the schema for Value.
 func (o *Value) Schema() avro.Schema {
--- a/internal/transport/wire/packing.go
+++ b/internal/transport/wire/packing.go
@@ -26,18 +26,9 @@
 //
 //	board.Put(wire.Pack(wire.Topic{Name: "policy", Step: 7, Body: body}))
 func Pack(topic Topic) Topic {
-	if topic.Packed || len(topic.Body) < packAbove {
-		return topic
-	}
-	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return topic
-	}
-	if _, err = writer.Write(topic.Body); err != nil || writer.Close() != nil || packed.Len() >= len(topic.Body) {
-		return topic
+	if !topic.Packed {
+		topic.Body, topic.Packed = packed(topic.Body)
 	}
-	topic.Body, topic.Packed = packed.Bytes(), true
 	return topic
 }
 
@@ -49,13 +40,59 @@
 	if !topic.Packed {
 		return topic.Body, nil
 	}
-	reader := flate.NewReader(bytes.NewReader(topic.Body))
-	body, err := io.ReadAll(io.LimitReader(reader, mostUnpacked+1))
+	return unpacked(topic.Body)
+}
+
+// EncodeValue writes a register's value, its body compressed where that makes it
+// shorter: a value crosses the links between a proposer and all voters, and lasts on
+// each voter's disk.
+//
+//	accept.Value = wire.EncodeValue(value)
+func EncodeValue(value Value) []byte {
+	if !value.Packed {
+		value.Body, value.Packed = packed(value.Body)
+	}
+	return Encode(&value)
+}
+
+// DecodeValue reads what EncodeValue wrote, with the body as it was.
+//
+//	value, err := wire.DecodeValue(record.Value)
+func DecodeValue(body []byte) (Value, error) {
+	var value Value
+	if err := value.Unmarshal(body); err != nil || !value.Packed {
+		return value, err
+	}
+	var err error
+	value.Body, err = unpacked(value.Body)
+	value.Packed = false
+	return value, err
+}
+
+// packed is a body, compressed where that makes it shorter.
+func packed(body []byte) ([]byte, bool) {
+	if len(body) < packAbove {
+		return body, false
+	}
+	var out bytes.Buffer
+	writer, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return body, false
+	}
+	if _, err = writer.Write(body); err != nil || writer.Close() != nil || out.Len() >= len(body) {
+		return body, false
+	}
+	return out.Bytes(), true
+}
+
+// unpacked is a body before it was compressed.
+func unpacked(packed []byte) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), mostUnpacked+1))
 	if err != nil {
-		return nil, oops.Code(ErrUnpackable).Wrapf(err, "topic %s", topic.Name)
+		return nil, oops.Code(ErrUnpackable).Wrapf(err, "a compressed body")
 	}
 	if len(body) > mostUnpacked {
-		return nil, oops.Code(ErrUnpackable).Errorf("topic %s is larger than %d bytes", topic.Name, mostUnpacked)
+		return nil, oops.Code(ErrUnpackable).Errorf("a body is larger than %d bytes", mostUnpacked)
 	}
 	return body, nil
 }
