Silent servers are avoided for longer; fronts probe mostly in their own zone

Probes: 32 MB of 87 between zones were probes and their answers; a front's regular peers are now mostly of its zone.

--- a/internal/controlplane/membership/round.go
+++ b/internal/controlplane/membership/round.go
@@ -55,9 +55,13 @@
 	return out
 }
 
+// nearInZone is how many of these are of this node's own zone, where so many are
+// there: what goes round crosses zones only as often as it takes to get everywhere.
+const nearInZone = 16
+
 // nearest are the others of this node's role whose ids hash nearest to its own, of
-// those that stand; while too few do, also of those that went, who may only have been
-// cut off.
+// those that stand, most of them in its own zone; while too few do, also of those that
+// went, who may only have been cut off.
 func (m *Members) nearest() []string {
 	mine := m.hash(m.self.ID)
 	ids := m.standing(func(one *wire.Member) bool { return one.Role == m.self.Role })
@@ -68,7 +72,15 @@
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Or(cmp.Compare(away(a), away(b)), strings.Compare(a, b))
 	})
-	return ids[:min(len(ids), m.limits.Near)]
+	var near, far []string
+	for _, id := range ids {
+		if len(near) < nearInZone && m.table[id].member.Zone == m.self.Zone {
+			near = append(near, id)
+		} else {
+			far = append(far, id)
+		}
+	}
+	return append(near, far[:min(len(far), m.limits.Near-len(near))]...)
 }
 
 // standing are the ids of the others that stand, of those of some kind.
--- a/internal/dataplane/pipeline/attempt.go
+++ b/internal/dataplane/pipeline/attempt.go
@@ -172,11 +172,13 @@
 			return outcomeStale
 		}
 		s.avoidSilent(look, chosenServer)
+		s.noteSilence(c, chosenServer, sent)
 		return outcomeBroken
 	}
 	defer answer.Close()
 	defer s.avoidSilent(look, chosenServer)
 	load.HeardMs.Store(s.Now())
+	load.Silences.Store(0)
 	return s.relay(c, answer, look, chosenServer, sent)
 }
 
--- a/internal/dataplane/pipeline/silence_test.go
+++ b/internal/dataplane/pipeline/silence_test.go
@@ -110,3 +110,28 @@
 	b.news.Rooms["w1"] = room
 	b.put()
 }
+
+// A server that leaves requests without any sign is avoided, for longer each time,
+// also where what it was asked may not be sent to another; one that is heard of is not.
+func TestSilentServersAreAvoided(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	b.proxy.epoch = time.Now().Add(-time.Hour)
+	b.proxy.limits.Avoid = time.Minute
+	server := &routing.Server{Name: "w1", Load: &routing.Load{}}
+	one := &call{}
+	now, avoid := b.proxy.Now(), b.proxy.limits.Avoid.Milliseconds()
+	until := func() int64 { return server.Load.AvoidToMs.Load() - b.proxy.Now() }
+
+	b.proxy.noteSilence(one, server, now)
+	c.Check(until() <= 0, qt.IsTrue, qt.Commentf("the request was given up at once"))
+	for times := range int64(mostSilences + 3) {
+		b.proxy.noteSilence(one, server, now-avoid)
+		wanted := avoid << min(times, mostSilences)
+		c.Check(until() <= wanted && until() > wanted/2, qt.IsTrue, qt.Commentf("%d ms after %d silences", until(), times+1))
+	}
+	server.Load.AvoidToMs.Store(0)
+	server.Load.HeardMs.Store(b.proxy.Now() + avoid)
+	b.proxy.noteSilence(one, server, now-avoid)
+	c.Check(until() <= 0, qt.IsTrue, qt.Commentf("it was heard of since"))
+}
--- a/internal/dataplane/pipeline/watch.go
+++ b/internal/dataplane/pipeline/watch.go
@@ -144,6 +144,25 @@
 	}
 }
 
+// mostSilences bounds how often the time for which a silent server is avoided doubles.
+const mostSilences = 3
+
+// noteSilence keeps requests from a server that gave no sign while one waited there
+// for longer than an answer may take; for twice as long each further time, until
+// something is heard from it.
+func (s *Proxy) noteSilence(c *call, chosenServer *routing.Server, sentMs int64) {
+	load, now := chosenServer.Load, s.Now()
+	patience := s.limits.Avoid.Milliseconds()
+	if c.route.TargetMs > 0 {
+		patience = c.route.TargetMs
+	}
+	if now-sentMs < patience || load.HeardMs.Load() >= sentMs {
+		return
+	}
+	doublings := min(load.Silences.Add(1)-1, mostSilences)
+	load.AvoidToMs.Store(now + s.limits.Avoid.Milliseconds()<<doublings)
+}
+
 // otherFor tells of an attempt whether it may go elsewhere: another server that has
 // the item was not tried, is not avoided and has less to do, and the budget has
 // a retry left. What is given up on without that is only read again, or lost.
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -20,6 +20,8 @@
 	AvoidToMs       atomic.Int64
 	// HeardMs is when anything last came from the server.
 	HeardMs atomic.Int64
+	// Silences is how many attempts in a row the server left without any sign.
+	Silences atomic.Int64
 	// Pool holds the connections.
 	Pool upstream.Pool
 	// told is how many requests the server said it has, beyond this
