--- a/internal/controlplane/controller/founding_test.go
+++ b/internal/controlplane/controller/founding_test.go
@@ -17,8 +17,10 @@
 type founders struct {
 	frames map[string]*Controller
 	writes map[string][]wire.Write
-	queue  []sent
-	now    int64
+	// voteless are addresses of machines without a disk.
+	voteless map[string]bool
+	queue    []sent
+	now      int64
 }
 
 type sent struct {
@@ -66,12 +68,22 @@
 			one := s.queue[0]
 			s.queue = s.queue[1:]
 			if frame := s.frames[one.to]; frame != nil {
-				s.took(one.to, frame.Hear(s.now, s.frames[one.from].boot.ID, one.body))
+				s.took(one.to, frame.Hear(s.now, s.idOf(one.from), one.body))
+			} else if s.voteless[one.to] {
+				s.queue = append(s.queue, sent{from: one.to, to: one.from, body: &wire.FoundTold{Voter: wire.Voter{Addr: one.to}}})
 			}
 		}
 	}
 }
 
+// idOf is the identity of the process at an address.
+func (s *founders) idOf(addr string) string {
+	if frame := s.frames[addr]; frame != nil {
+		return frame.boot.ID
+	}
+	return addr[:1] + "~0"
+}
+
 // sets names the first core set that each machine took up.
 func (s *founders) sets() map[string]string {
 	out := map[string]string{}
@@ -213,3 +225,35 @@
 	c.Check(s.sets()["b:1"], qt.Equals, "a~1 b~1 c~1")
 	c.Check(s.sets()["c:1"], qt.Equals, "a~1 b~1 c~1")
 }
+
+// Seeds may be machines without a disk: they answer that they have no vote, and those
+// that have one found the set without them. One that does not answer is waited for.
+func TestSeedsWithoutADisk(t *testing.T) {
+	c := qt.New(t)
+	cases := []struct {
+		voteless []string
+		away     string
+		set      string
+	}{
+		{[]string{"a:1"}, "", "b~1 c~1"}, {[]string{"c:1"}, "", "a~1 b~1"}, {[]string{"a:1", "b:1"}, "", "c~1"},
+		{[]string{"a:1"}, "b:1", ""}, {nil, "c:1", ""},
+	}
+	for _, one := range cases {
+		c.Run(fmt.Sprint(one.voteless, one.away), func(c *qt.C) {
+			s := newFounders()
+			s.voteless = map[string]bool{}
+			for _, addr := range one.voteless {
+				s.voteless[addr] = true
+			}
+			want := map[string]string{}
+			for _, addr := range founderAddrs {
+				if !s.voteless[addr] && addr != one.away {
+					s.start(addr, addr[:1]+"~1", true)
+					want[addr] = one.set
+				}
+			}
+			s.run(2000)
+			c.Check(s.sets(), qt.DeepEquals, want)
+		})
+	}
+}
