--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -5,10 +5,8 @@
 	"math/rand"
 	"time"
 
-	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
-	"applequay/internal/controlplane/adminapi"
 	"applequay/internal/controlplane/agent"
 	"applequay/internal/controlplane/eventloop"
 	"applequay/internal/controlplane/health"
@@ -70,22 +68,14 @@
 // children are the parts that the supervisor keeps running. Operators are served here
 // where no controller in the same process serves them.
 func (a *Agent) children(stop context.CancelFunc) []supervisor.Child {
-	patience := settings.Ms(a.given.CallMs) * 2
-	router := mux.NewRouter()
-	router.Handle("/trunk", a.messages.Handler(a.control.Deliver)).Methods("POST")
-	adminapi.Routes(router, a.control, a.start.Form, patience, stop)
-	gauges := health.New("agent", a.given.Name)
-	health.Transport(gauges, a.messages.Counts)
-	health.Control(gauges, a.control.Page)
-	gauges.Routes(router)
+	served := &pages{start: a.start, listen: a.given.Listen, messages: a.messages, control: a.control, stop: stop}
+	gauges := served.gauges("agent")
 	children := []supervisor.Child{
 		{Name: "control", Run: a.control.Run, Vital: true},
-		{Name: "pages", Run: settings.Serve(a.given.Listen, router, time.Second)},
+		served.nodes(gauges),
 	}
 	if a.given.Data != "" {
 		return children
 	}
-	operators := mux.NewRouter()
-	a.start.OperatorPages(operators, a.control, patience, stop)
-	return append(children, a.start.Served(operators, gauges.Standing(a.start.ReadyPath))...)
+	return append(children, served.operators(gauges)...)
 }
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -5,11 +5,9 @@
 	"math/rand"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
-	"applequay/internal/controlplane/adminapi"
 	"applequay/internal/controlplane/controller"
 	"applequay/internal/controlplane/eventloop"
 	"applequay/internal/controlplane/health"
@@ -170,22 +168,14 @@
 
 // children are the parts that the supervisor keeps running.
 func (n *Controller) children(stop context.CancelFunc) []supervisor.Child {
-	patience := settings.Ms(n.given.CallMs) * 2
-	router := mux.NewRouter()
-	router.Handle("/trunk", n.messages.Handler(n.control.Deliver)).Methods("POST")
-	adminapi.Routes(router, n.control, n.start.Form, patience, stop)
-	gauges := health.New("controller", n.given.Name)
-	health.Transport(gauges, n.messages.Counts)
-	health.Control(gauges, n.control.Page)
+	served := &pages{start: n.start, listen: n.listen, messages: n.messages, control: n.control, stop: stop}
+	gauges := served.gauges("controller")
 	health.Placement(gauges, n.control.Page)
 	health.Journal(gauges, n.writer)
-	gauges.Routes(router)
-	operators := mux.NewRouter()
-	n.start.OperatorPages(operators, n.control, patience, stop)
-	return append(n.start.Served(operators, gauges.Standing(n.start.ReadyPath)),
+	return append(served.operators(gauges),
 		supervisor.Child{Name: "control", Run: n.control.Run, Vital: true},
 		supervisor.Child{Name: "journal", Run: n.writer.Run, Vital: true},
-		supervisor.Child{Name: "pages", Run: settings.Serve(n.listen, router, time.Second)},
+		served.nodes(gauges),
 	)
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -52,8 +52,8 @@
 func (c *Counts) KindBytes() map[wire.Kind]int64 {
 	out := map[wire.Kind]int64{}
 	for kind := range c.kindBytes {
-		if bytes := c.kindBytes[kind].Load(); bytes > 0 {
-			out[wire.Kind(kind)] = bytes
+		if sent := c.kindBytes[kind].Load(); sent > 0 {
+			out[wire.Kind(kind)] = sent
 		}
 	}
 	return out
