--- a/internal/controlplane/partition/choose.go
+++ b/internal/controlplane/partition/choose.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
+	"strconv"
 
 	"applequay/internal/transport/wire"
 )
@@ -77,6 +77,9 @@
 	worth, extra := p.askedWorth(now, item, wire.HomeState{})
 	asked := wire.Resident{Item: item.Name, Weight: max(item.Weight, 1), Worth: worth, Extra: extra}
 	best, bestRank, bestScore := "", rankWaits-1, 0.0
+	// An adapter is hashed as its model, so that both come to the same worker where
+	// neither is up yet.
+	hashed, turn := cmp.Or(known.Base, item.Name)+"|", "|"+strconv.FormatInt(item.Refusals, 10)
 	for _, name := range sorted(p.view.Workers) {
 		worker := p.view.Workers[name]
 		taken := slices.ContainsFunc(item.Homes, func(h wire.HomeState) bool { return h.Worker == name })
@@ -99,9 +102,7 @@
 		if free >= need {
 			rank++
 		}
-		// An adapter is hashed as its model, so that both come to the same worker
-		// where neither is up yet.
-		score := rendezvous(fmt.Sprintf("%s|%s|%d", cmp.Or(known.Base, item.Name), name, item.Refusals), p.fitness(now, room, free, need, asked))
+		score := rendezvous(hashed+name+turn, p.fitness(now, room, free, need, asked))
 		if rank > bestRank || (rank == bestRank && score > bestScore) {
 			best, bestRank, bestScore = name, rank, score
 		}
--- a/internal/controlplane/partition/demand.go
+++ b/internal/controlplane/partition/demand.go
@@ -167,35 +167,61 @@
 	return (d.Rate + aheadTrends*max(d.Rate-d.rateBefore, 0)) * d.ReadMs / 1000
 }
 
-// kept is how many workers have or will have an item, and stand, and the one of
+// kept are the workers that have or will have an item, and stand, and the one of
 // them that keeps it while others make way: owners that decide at the same moment
 // must not each count on the other's. It is another one every few seconds.
 type kept struct {
-	homes  int64
-	keeper string
-	score  float64
+	holders []string
+	keeper  string // once it was asked for
 }
 
-func (p *Partition) homes(now int64, item string) int64 { return p.counted(now)[item].homes }
+func (p *Partition) homes(now int64, item string) int64 {
+	if one := p.counted(now)[item]; one != nil {
+		return int64(len(one.holders))
+	}
+	return 0
+}
+
+// keeper is the worker that keeps an item; none where it stands nowhere.
+func (p *Partition) keeper(now int64, item string) string {
+	one := p.counted(now)[item]
+	if one == nil {
+		return ""
+	}
+	if one.keeper != "" {
+		return one.keeper
+	}
+	turn, best := item+strconv.FormatInt(p.view.WallMs/keeperMs, 10), 0.0
+	for _, holder := range one.holders {
+		if score := rendezvous(holder+"|"+turn, 1); one.keeper == "" || score > best {
+			one.keeper, best = holder, score
+		}
+	}
+	return one.keeper
+}
 
 // counted counts all homes at once, and again when time went on.
-func (p *Partition) counted(now int64) map[string]kept {
+func (p *Partition) counted(now int64) map[string]*kept {
 	if p.countedMs == now && p.counts != nil {
 		return p.counts
 	}
-	p.countedMs, p.counts = now, map[string]kept{}
-	turn := strconv.FormatInt(p.view.WallMs/keeperMs, 10)
+	if p.countedMs = now; p.counts == nil {
+		p.counts = map[string]*kept{}
+	}
+	for _, one := range p.counts {
+		one.holders, one.keeper = one.holders[:0], ""
+	}
 	for _, room := range p.view.Rooms {
 		if room.Dark || room.Leaving || p.view.Workers[room.Worker].Leaving {
 			continue
 		}
 		for _, loaded := range room.Loaded {
 			one := p.counts[loaded.Item]
-			if score := rendezvous(room.Worker+"|"+loaded.Item+turn, 1); one.homes == 0 || score > one.score {
-				one.keeper, one.score = room.Worker, score
+			if one == nil {
+				one = &kept{}
+				p.counts[loaded.Item] = one
 			}
-			one.homes++
-			p.counts[loaded.Item] = one
+			one.holders = append(one.holders, room.Worker)
 		}
 	}
 	return p.counts
@@ -236,13 +262,13 @@
 // its part of it if all homes are needed, and little if one is to spare.
 func (p *Partition) stakeOf(now int64, worker, item string) stake {
 	worth := p.view.Demands.Of(item).worth()
-	one := p.counted(now)[item]
+	homes := p.homes(now, item)
 	switch {
-	case one.homes <= 1 || one.keeper == worker:
+	case homes <= 1 || p.keeper(now, item) == worker:
 		return stake{worth: worth, last: true}
-	case one.homes > p.copies(item):
-		return stake{worth: worth / (4 * one.homes), spare: true}
+	case homes > p.copies(item):
+		return stake{worth: worth / (4 * homes), spare: true}
 	default:
-		return stake{worth: worth / one.homes}
+		return stake{worth: worth / homes}
 	}
 }
--- a/internal/controlplane/partition/partition.go
+++ b/internal/controlplane/partition/partition.go
@@ -57,7 +57,7 @@
 	silent    map[string]int64 // since when looks at a worker go unanswered
 	refused   map[string]int64 // until when a worker that refused an item is not asked for it, by both names
 	filledMs  map[string]int64 // when a worker was last considered for loads ahead
-	counts    map[string]kept  // homes by item, as they were counted last
+	counts    map[string]*kept // homes by item, as they were counted last
 	countedMs int64
 	askers    map[string]map[string]bool
 	acked     map[string]int64
