--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -95,7 +95,7 @@
 
 // newsPerProbe is how often between two probes news goes on: what comes in a
 // burst goes together, and what comes alone at once.
-const newsPerProbe = 2
+const newsPerProbe = 4
 
 // subscribed answers one that asks for what it lacks. The proxy beside gets only
 // what it may.
