--- a/internal/controlplane/partition/demand.go
+++ b/internal/controlplane/partition/demand.go
@@ -26,13 +26,8 @@
 	Rate, Live, Held, Late, Weight int64
 	// LastMs is when it was last asked for.
 	LastMs int64
-	// ReadMs is what a first piece takes where little else is in the way: the least
-	// that any front saw of late. What others saw holds the wait for a place besides,
-	// and more copies would be called for the longer the wait for them is.
-	ReadMs             int64
-	fewestMs           int64
-	before, rateBefore int64
-	slow               float64
+	before int64
+	slow   float64
 }
 
 // Demands is the soft memory of what fronts ask for. It is in no log: what is
@@ -82,9 +77,8 @@
 	}
 	for _, one := range d.items {
 		if turn {
-			one.before, one.rateBefore = one.Live+one.Held, one.Rate
+			one.before = one.Live + one.Held
 		}
-		one.fewestMs = 0
 		one.Rate, one.Live, one.Held, one.Late = 0, 0, 0, 0
 	}
 	// In order, since sums of fractions depend on it.
@@ -104,9 +98,6 @@
 	}
 	part := min(float64(past)/slowMs, 1)
 	for name, one := range d.items {
-		if one.fewestMs > 0 {
-			one.ReadMs = one.fewestMs
-		}
 		one.slow += (float64(one.Rate) - one.slow) * part
 		if one.slow < 1 && one.Rate+one.Live+one.Held == 0 {
 			delete(d.items, name)
@@ -125,9 +116,6 @@
 	one.Held += asked.Held
 	one.Late += asked.Late
 	one.Weight = max(one.Weight, asked.Weight)
-	if asked.Read > 0 && (one.fewestMs == 0 || asked.Read < one.fewestMs) {
-		one.fewestMs = asked.Read
-	}
 	if asked.Rate+asked.Live+asked.Held > 0 {
 		one.LastMs = now
 	}
@@ -156,17 +144,6 @@
 // and as many more as came since a moment ago.
 func (d Demand) ahead() int64 { return d.Live + d.Held + max(d.Live+d.Held-d.before, 0) }
 
-// aheadTrends is how many times the last rise is seen to come again: until a
-// load that is ordered now is done.
-const aheadTrends = 2
-
-// reading is how much of a worker's time is to be expected for reading prompts,
-// in thousandths of one worker: requests ahead by what each takes to its first
-// piece. What comes more and more often is seen as far ahead as it came about.
-func (d Demand) reading() int64 {
-	return (d.Rate + aheadTrends*max(d.Rate-d.rateBefore, 0)) * d.ReadMs / 1000
-}
-
 // kept are the workers that have or will have an item, and stand, and the one of
 // them that keeps it while others make way: owners that decide at the same moment
 // must not each count on the other's. It is another one every few seconds.
@@ -227,16 +204,11 @@
 	return p.counts
 }
 
-// readShare is the part of a worker's time, in thousandths, that reading prompts
-// for one item may take before another copy is due: while prompts are read one
-// after the other, streams pause.
-const readShare = 200
-
 // copyShare is the part of a worker's slots that requests for one item may fill
 // before another copy is due; spareShare the part from which on a copy is put
 // where there is room anyway.
 const (
-	copyShare  = 4
+	copyShare  = 2
 	spareShare = 16
 )
 
@@ -247,7 +219,7 @@
 		return 1
 	}
 	asked, per := p.view.Demands.Of(item), max(slots/copyShare, 1)
-	return max((asked.ahead()+per-1)/per, (asked.reading()+readShare-1)/readShare, 1)
+	return max((asked.ahead()+per-1)/per, 1)
 }
 
 // stake is what a worker loses with an item.
--- a/internal/dataplane/feed/demand.go
+++ b/internal/dataplane/feed/demand.go
@@ -10,10 +10,8 @@
 type work struct {
 	item           string
 	weight, change int64
-	// readMs is how long a first piece took, where one came; fresh is a request
-	// that has just come.
-	readMs int64
-	fresh  bool
+	// fresh is a request that has just come.
+	fresh bool
 }
 
 // demand is what requests for an item do here.
@@ -21,14 +19,8 @@
 	weight, live int64
 	// began counts those since the last tally, rate so many in 1000 s.
 	began, rate int64
-	// readMs is what a first piece takes where little else is in the way: it falls
-	// at once and rises slowly.
-	readMs float64
 }
 
-// readRise is the part by which readMs rises towards a first piece that took longer.
-const readRise = 1.0 / 256
-
 // rateKeep of so many parts of a rate is what was before the last tally.
 const (
 	rateKeep  = 3
@@ -53,32 +45,12 @@
 	}
 }
 
-// Read notes how long a request's first piece took.
-//
-//	plugs.Read("lens-7b", 41)
-func (p *Feed) Read(item string, tookMs int64) {
-	if item != "" {
-		select {
-		case p.works <- work{item: item, readMs: max(tookMs, 1)}:
-		default:
-		}
-	}
-}
-
 func (p *Feed) worked(one work) {
 	kept := p.demand[one.item]
 	if kept == nil {
 		kept = &demand{}
 		p.demand[one.item] = kept
 	}
-	if one.readMs > 0 {
-		if took := float64(one.readMs); kept.readMs == 0 || took < kept.readMs {
-			kept.readMs = took
-		} else {
-			kept.readMs += (took - kept.readMs) * readRise
-		}
-		return
-	}
 	kept.weight = one.weight
 	kept.live += one.change
 	if one.fresh {
@@ -103,7 +75,7 @@
 		} else {
 			p.toldTo[item] = true
 		}
-		one := wire.Demand{Item: item, Rate: kept.rate, Live: kept.live, Weight: kept.weight, Read: int64(kept.readMs)}
+		one := wire.Demand{Item: item, Rate: kept.rate, Live: kept.live, Weight: kept.weight}
 		if held := p.holding[item]; held != nil {
 			one.Held = held.Held
 		}
--- a/internal/dataplane/pipeline/pipeline_test.go
+++ b/internal/dataplane/pipeline/pipeline_test.go
@@ -32,7 +32,6 @@
 func (b *book) Hold(_ string, _, change int64) { b.holds <- change }
 func (b *book) Work(string, int64, int64)      {}
 func (b *book) Ask(string, int64)              {}
-func (b *book) Read(string, int64)             {}
 func (b *book) Come(string, int64, int64)      {}
 func (b *book) Ticket(_ context.Context, call idempotency.Call) idempotency.Decision {
 	out := b.tickets.Take(1, 1, call)
--- a/internal/dataplane/pipeline/proxy.go
+++ b/internal/dataplane/pipeline/proxy.go
@@ -44,8 +44,6 @@
 	Ask(item string, weight int64)
 	// Work hears of requests for an item that are at a server, or no longer are.
 	Work(item string, weight, change int64)
-	// Read hears how long a request's first piece took, in milliseconds.
-	Read(item string, tookMs int64)
 	// Come hears of clients who were told to come back for an item.
 	Come(item string, weight, untilMs int64)
 	// Ticket tells to which server a call with a key goes, and notes it.
--- a/internal/dataplane/pipeline/stream.go
+++ b/internal/dataplane/pipeline/stream.go
@@ -51,7 +51,6 @@
 		if pending {
 			read()
 			load.Keep(c.openings)
-			s.ledger.Read(c.item, now-sent)
 		}
 		if resumed && piece.Number <= c.passed {
 			continue
--- a/internal/transport/wire/messages_gen.go
+++ b/internal/transport/wire/messages_gen.go
@@ -1037,11 +1037,10 @@
 	Live   int64  `avro:"live"`
 	Held   int64  `avro:"held"`
 	Late   int64  `avro:"late"`
-	Read   int64  `avro:"read"`
 	Weight int64  `avro:"weight"`
 }
 
-var schemaDemand = schemaOf(`{"name":"Demand","type":"record","fields":[{"name":"item","type":"string"},{"name":"rate","type":"long"},{"name":"live","type":"long"},{"name":"held","type":"long"},{"name":"late","type":"long"},{"name":"read","type":"long"},{"name":"weight","type":"long"}]}`)
+var schemaDemand = schemaOf(`{"name":"Demand","type":"record","fields":[{"name":"item","type":"string"},{"name":"rate","type":"long"},{"name":"live","type":"long"},{"name":"held","type":"long"},{"name":"late","type":"long"},{"name":"weight","type":"long"}]}`)
 
 // Schema returns the schema for Demand.
 func (o *Demand) Schema() avro.Schema {
