Logs: the core set that a process takes up, its first configuration, or that it has none

Each process now logs a core set when it takes it up and its first configuration, and warns 2 s after its start, and each 10 s, that it knows no core set, with its seeds, its members and how many of them are controllers.

--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -233,6 +233,14 @@
 	return page
 }
 
+// Progress tells how far this node is after its start; its configuration is the one
+// that the proxy was given.
+//
+//	progress := upstream.Progress()
+func (l *Agent) Progress() controller.Progress {
+	return controller.NewProgress(l.proposer.Core(), l.boot.Seeds, l.members, l.fedVersion)
+}
+
 // Board shows the news kept here.
 //
 //	topic, ok := upstream.Board().Get("policy")
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -6,6 +6,7 @@
 
 	"applequay/internal/configuration"
 	"applequay/internal/controlplane/distribution"
+	"applequay/internal/controlplane/membership"
 	"applequay/internal/controlplane/partition"
 	"applequay/internal/transport/wire"
 )
@@ -65,6 +66,31 @@
 	return page
 }
 
+// Progress is how far a node is after its start.
+type Progress struct {
+	Core  wire.CoreSet
+	Seeds []string
+	// Members are all others known, Controllers those of them that stand and are
+	// controllers.
+	Members, Controllers int
+	// Configuration is the version in force here; nought if there is none yet.
+	Configuration int64
+}
+
+// NewProgress is the progress of a node that knows some members.
+//
+//	return controller.NewProgress(core, seeds, members, version)
+func NewProgress(core wire.CoreSet, seeds []string, members *membership.Members, configuration int64) Progress {
+	return Progress{Core: core, Seeds: seeds, Members: len(members.All()) - 1, Controllers: len(members.Alive("controller")), Configuration: configuration}
+}
+
+// Progress tells how far this node is after its start.
+//
+//	progress := core.Progress()
+func (f *Controller) Progress() Progress {
+	return NewProgress(f.proposer.Core(), f.boot.Seeds, f.members, f.versions[PolicyKey])
+}
+
 // Addr returns where a member is reached.
 //
 //	addr, ok := core.Addr("l2~77")
--- a/internal/controlplane/eventloop/eventloop.go
+++ b/internal/controlplane/eventloop/eventloop.go
@@ -66,6 +66,7 @@
 	lastNow  int64
 	jumped   int64
 	looked   int64
+	progress progress
 	// ticked is when the machine last had a tick, tickAt when it gets the next.
 	ticked, tickAt int64
 }
@@ -140,6 +141,7 @@
 			p.perform(now, p.machine.Tick(now, p.wall()))
 			p.watchDisk(now)
 			p.watchMachine(now)
+			p.watchProgress(now)
 		case made := <-p.Page.asks:
 			p.Page.Store(p.machine.Page(p.Now()))
 			close(made)
