--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -77,11 +77,12 @@
 	Configuration int64
 }
 
-// NewProgress is the progress of a node that knows some members.
+// NewProgress is the progress of a node that knows some members and goes by a version of
+// the configuration.
 //
 //	return controller.NewProgress(core, seeds, members, version)
-func NewProgress(core wire.CoreSet, seeds []string, members *membership.Members, configuration int64) Progress {
-	return Progress{Core: core, Seeds: seeds, Members: len(members.All()) - 1, Controllers: len(members.Alive("controller")), Configuration: configuration}
+func NewProgress(core wire.CoreSet, seeds []string, members *membership.Members, version int64) Progress {
+	return Progress{Core: core, Seeds: seeds, Members: len(members.All()) - 1, Controllers: len(members.Alive("controller")), Configuration: version}
 }
 
 // Progress tells how far this node is after its start.
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -37,13 +37,7 @@
 func (w *World) newController(name, addr string) *controllerNode {
 	e := &controllerNode{disk: newDisk()}
 	e.node = w.newNode(name, addr)
-	count := w.Shape.Cores
-	if w.Shape.Seeds > 0 {
-		count = w.Shape.Seeds
-	}
-	for i := range count {
-		e.founder = append(e.founder, fmt.Sprintf("10.0.0.%d:1", i+1))
-	}
+	e.founder = w.Shape.founders()
 	e.Hear = func(from string, body wire.Record) { e.perform(e.core.Hear(e.Clock(), from, body)) }
 	e.Tick = e.ticked
 	w.Add(&e.Node)
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -24,6 +24,8 @@
 	// Seeds is how many of the core machines, first in order, found the core set;
 	// 0 means all, who are then told of each other.
 	Seeds int
+	// AgentSeeds says that the seeds are fronts, first in order, that have no disk.
+	AgentSeeds bool
 	// Single workers take one order at a time and show what they held a moment ago.
 	Single bool
 }
@@ -118,7 +120,26 @@
 		w.At(w.Random.Int63n(300), core.start)
 	}
 	for _, one := range w.fronts {
+		if shape.AgentSeeds {
+			one.seeds = shape.founders()
+		}
 		one.start()
 	}
 	return w
 }
+
+// founders are the addresses of those who are to found the first core set.
+func (s Shape) founders() []string {
+	count, form := s.Cores, "10.0.0.%d:1"
+	if s.Seeds > 0 {
+		count = s.Seeds
+	}
+	if s.AgentSeeds {
+		form = "10.0.1.%d:1"
+	}
+	var addrs []string
+	for i := range count {
+		addrs = append(addrs, fmt.Sprintf(form, i+1))
+	}
+	return addrs
+}
