Fronts ask the controllers that they know for the core set, not their seeds alone

Cause: an agent without a core set asked its seeds for it, and nobody else. Since agents serve control, seeds may be three agents without a disk, which forgot at the same moment. Probes by the controllers told the agents who the controllers are, but not the core set, without which an agent subscribes nowhere. Each asked three that knew as little, for good.

Now an agent without a core set also asks the controllers that it knows, one after another, and a controller that knows no front probes its seeds each time, not one time in sixteen.

A front whose seeds are agents while the controllers' seeds are controllers has nobody to be told by: that subtest moved to TestReturnsWithoutSeeds, which is red for that cause.

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -71,11 +71,12 @@
 	// passing is what the zone's peers are to be told, newsMs when news went last.
 	passing map[string]wire.Topic
 	newsMs  int64
-	// toldFronts and toldContact are what the proxy was told; youngAsked counts
-	// the controllers asked at the start.
+	// toldFronts and toldContact are what the proxy was told; youngAsked and coreAsked
+	// count the controllers asked at the start, for news and for the core set.
 	toldFronts  int64
 	toldContact wire.Contact
 	youngAsked  int
+	coreAsked   int
 	agreement   agreement
 	// turns counts how often homes were asked.
 	turns int
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"strconv"
 
 	"applequay/internal/controlplane/controller"
@@ -32,6 +33,23 @@
 	l.newestOf = l.members.Version()
 }
 
+// findCore asks for the core set while none is known here: the seeds, and one controller
+// after another of those that were heard of, since seeds may know as little.
+func (l *Agent) findCore(now int64, out *wire.Outputs) {
+	if l.proposer.Core().Epoch > 0 || !l.due(now, "found", l.boot.ProbeMs) {
+		return
+	}
+	asked := slices.Clone(l.boot.Seeds)
+	if controllers := l.members.Alive("controller"); len(controllers) > 0 {
+		l.coreAsked++
+		asked = append(asked, controllers[l.coreAsked%len(controllers)].Addr)
+	}
+	slices.Sort(asked)
+	for _, addr := range slices.Compact(asked) {
+		out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: wire.Voter{ID: l.boot.ID, Addr: l.boot.Addr}})
+	}
+}
+
 // begin makes sure, after a start, of the policy that clients get first: the one
 // that a controller reads for this front at a majority, or, where the core cannot be
 // reached, none older than any that the other fronts have heard of. The controllers
--- a/internal/controlplane/agent/tick.go
+++ b/internal/controlplane/agent/tick.go
@@ -21,11 +21,7 @@
 	out.Add(l.members.Tick(now))
 	out.Add(l.proposer.Tick(now))
 	l.begin(now, &out)
-	if l.proposer.Core().Epoch == 0 && l.due(now, "found", l.boot.ProbeMs) {
-		for _, seed := range l.boot.Seeds {
-			out.Send(seed, wire.KindFoundAsk, &wire.FoundAsk{Voter: wire.Voter{ID: l.boot.ID, Addr: l.boot.Addr}})
-		}
-	}
+	l.findCore(now, &out)
 	l.subscribe(now, &out)
 	l.ticketsTick(now, &out)
 	told := l.due(now, "contact", l.boot.ProbeMs) && l.contact(now, &out)
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -111,7 +111,7 @@
 		proposer: register.NewProposer(fmt.Sprintf("%s/%x", boot.ID, random.Int63()), random, register.Limits{CallMs: boot.CallMs, RepairMs: boot.CatchUpMs, PhaseMs: boot.CallMs / 4, LineageLen: LineageLen}),
 		grantor:  lease.NewGrantor(leaseLimits, now),
 		holder:   lease.NewHolder(leaseLimits),
-		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs), random, boot.Seeds),
+		members:  membership.New(self, membership.LimitsFor(boot.ProbeMs).Meeting("agent"), random, boot.Seeds),
 		board:    distribution.NewBoard(),
 		view:     &partition.View{Policy: configuration.Empty(), Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Owners: map[int64]wire.Owner{}, Count: boot.Partitions},
 		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, versions: map[string]int64{},
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -18,6 +18,8 @@
 	// Near is how many others of its role a node probes where there are many more;
 	// nought for all.
 	Near int
+	// Meets is a role: while nobody who has it is known, the seeds are probed each time.
+	Meets string
 }
 
 type seen struct {
--- a/internal/controlplane/membership/round.go
+++ b/internal/controlplane/membership/round.go
@@ -21,6 +21,15 @@
 	return l
 }
 
+// Meeting are limits under which a node probes its seeds each time until it knows
+// somebody of a role. It is for roles of few nodes: their seeds are probed without bound.
+//
+//	limits := membership.LimitsFor(200).Meeting("agent")
+func (l Limits) Meeting(role string) Limits {
+	l.Meets = role
+	return l
+}
+
 // LimitsFor derives all times from the time between probes.
 //
 //	limits := membership.LimitsFor(200)
--- a/internal/controlplane/membership/seeds.go
+++ b/internal/controlplane/membership/seeds.go
@@ -7,12 +7,14 @@
 //	picture.SetSeeds([]string{"127.0.0.1:7100"})
 func (m *Members) SetSeeds(seeds []string) { m.seeds = seeds }
 
-// seedsNow are the seeds to be probed now: all while nobody else is known, and else
-// now and then, so that halves that lost each other meet again. How often falls as
-// the fleet grows: all nodes together probe the seeds at a bounded rate.
+// seedsNow are the seeds to be probed now: all while nobody else is known, or nobody
+// of a role that this node has to meet, and else now and then, so that halves that lost
+// each other meet again. How often falls as the fleet grows: all nodes together probe
+// the seeds at a bounded rate.
 func (m *Members) seedsNow() []string {
 	known := len(m.Alive(""))
-	if known > 1 && m.random.Intn(max(seedsOnceIn, known/2)) > 0 {
+	met := known > 1 && (m.limits.Meets == "" || len(m.Alive(m.limits.Meets)) > 0)
+	if met && m.random.Intn(max(seedsOnceIn, known/2)) > 0 {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(m.seeds), func(seed string) bool { return seed == m.self.Addr })
--- a/internal/simulation/seeds_test.go
+++ b/internal/simulation/seeds_test.go
@@ -35,6 +35,7 @@
 		for w.NowMs < began+recoverMs && w.Configured(newest) < len(w.fronts)-l.away {
 			w.Run(w.NowMs + 50)
 		}
+		c.Logf("seed %d: %d ms", seed, w.NowMs-began)
 		c.Check(w.Configured(newest), qt.Equals, len(w.fronts)-l.away, qt.Commentf("seed %d: fronts with the policy after %d ms", seed, w.NowMs-began))
 	}
 }
@@ -51,7 +52,6 @@
 	for _, one := range []loss{
 		{name: "all lose power", plan: toAgents, lose: (*World).LosePower},
 		{name: "all fronts are killed", plan: toAgents, lose: (*World).CrashFronts},
-		{name: "only the fronts' seeds are agents", plan: func(w *World) { w.SetFrontSeeds(agentSeeds) }, lose: (*World).LosePower},
 		{name: "one seed, an agent", plan: func(w *World) { w.SetSeeds(agentSeeds[2:]) }, lose: (*World).LosePower},
 	} {
 		c.Run(one.name, one.check)
@@ -65,6 +65,7 @@
 	c := qt.New(t)
 	toGone := func(w *World) { w.SetSeeds([]string{"10.0.2.1:1", "10.0.2.2:1", "10.0.2.3:1"}) }
 	for _, one := range []loss{
+		{name: "only the fronts' seeds are agents", plan: func(w *World) { w.SetFrontSeeds(agentSeeds) }, lose: (*World).LosePower},
 		{name: "seeds are gone", plan: toGone, lose: (*World).LosePower},
 		{name: "seeds are gone, all fronts are killed", plan: toGone, lose: (*World).CrashFronts},
 		{name: "seeds are other machines", plan: func(w *World) { w.SetSeeds([]string{w.fronts[0].board.Addr, w.fronts[1].board.Addr}) }, lose: (*World).LosePower},
