Controllers remember the fronts on disk and find them again after a loss of all machines

Cause, of the same class: a process that starts knowing nothing is led to the others by three addresses alone. Controllers know each other from disk, but forget the fronts, and fronts have no disk. Where the seeds lead nowhere, neither side can speak first.

Tests of the memory itself: TestRemembersFronts (log, checkpoint, a second end before all are back, forgetting), TestMissingFrontsInTurn.

--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -87,6 +87,7 @@
 	StartedMs    int64
 	coreVersion  int64
 	rereplicated int
+	peers        peers
 	Recoveries   int64
 }
 
@@ -122,6 +123,7 @@
 	f.holder.NumberFrom(random.Int63n(numbers))
 	f.replay(snapshot, writes)
 	f.recallOwners()
+	f.recallPeers()
 	if core, ok := f.acceptor.Core(); ok {
 		f.core = core
 		f.proposer.Learn(core)
--- a/internal/controlplane/controller/tick.go
+++ b/internal/controlplane/controller/tick.go
@@ -18,6 +18,7 @@
 	f.foundTick(now, &out)
 	f.members.Tell(f.sums())
 	out.Add(f.members.Tick(now))
+	f.peersTick(now, &out)
 	out.Add(f.proposer.Tick(now))
 	f.readRepairTick(now, &out)
 	f.coordinatorTick(now, &out)
--- a/internal/controlplane/membership/membership.go
+++ b/internal/controlplane/membership/membership.go
@@ -155,10 +155,7 @@
 			m.send(now, &out, target, &probe{target: target, sent: now})
 		}
 	}
-	for _, seed := range m.seedsNow() {
-		m.nextSeq++
-		out.Send(seed, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling("", nil), Sums: m.sums(bucketsFor(len(m.table))), Board: m.board})
-	}
+	out.Add(m.ProbeAddrs(now, m.seedsNow()))
 	return out
 }
 
@@ -180,7 +177,12 @@
 func (m *Members) send(now int64, out *wire.Outputs, target string, sent *probe) {
 	m.nextSeq++
 	m.probes[m.nextSeq] = sent
-	out.Send(target, wire.KindProbe, &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling(target, nil), Sums: m.sums(bucketsFor(len(m.table))), Board: m.board})
+	out.Send(target, wire.KindProbe, m.probeTo(now, target))
+}
+
+// probeTo is the next probe, to a member, or to nobody known where none is named.
+func (m *Members) probeTo(now int64, target string) *wire.Probe {
+	return &wire.Probe{Seq: m.nextSeq, WallMs: now + m.offset, Members: m.telling(target, nil), Sums: m.sums(bucketsFor(len(m.table))), Board: m.board}
 }
 
 // overdue asks others about those who did not answer, then suspects them.
--- a/internal/controlplane/register/acceptor.go
+++ b/internal/controlplane/register/acceptor.go
@@ -4,7 +4,6 @@
 
 import (
 	"sort"
-	"strings"
 
 	"applequay/internal/transport/wire"
 )
@@ -18,6 +17,7 @@
 	chosenKey   = "#core"
 	foundersKey = "#founders"
 	boundKey    = "#bound"
+	peersKey    = "#peers"
 )
 
 type cell struct {
@@ -37,6 +37,8 @@
 	// that one's address.
 	bound     []string
 	boundAddr string
+	// peers are the addresses of the fronts that this machine last knew.
+	peers []string
 }
 
 // NewAcceptor makes a copy with nothing in it.
@@ -44,53 +46,6 @@
 //	acceptor := register.NewAcceptor()
 func NewAcceptor() *Acceptor { return &Acceptor{cells: map[string]*cell{}} }
 
-// Replay takes a record read back from the journal.
-//
-//	acceptor.Replay(&wire.AcceptorRecord{Key: "policy", Promised: ballot})
-func (a *Acceptor) Replay(record *wire.AcceptorRecord) {
-	if record.Key == epochKey {
-		a.epoch = max(a.epoch, record.Promised.N)
-		return
-	}
-	if record.Key == chosenKey {
-		a.chosen = record.Value
-		return
-	}
-	if record.Key == foundersKey {
-		a.founders = strings.Split(string(record.Value), ",")
-		return
-	}
-	if record.Key == boundKey {
-		a.bound, a.boundAddr = strings.Split(string(record.Value), ","), record.Promised.By
-		return
-	}
-	kept := a.cell(record.Key)
-	if Less(kept.promised, record.Promised) {
-		kept.promised = record.Promised
-	}
-	if record.Accepted.N > 0 {
-		kept.accepted, kept.value = record.Accepted, record.Value
-	}
-}
-
-// Snapshot lists all that must be in a checkpoint.
-//
-//	snapshot.Registers = acceptor.Snapshot()
-func (a *Acceptor) Snapshot() []wire.AcceptorRecord {
-	out := []wire.AcceptorRecord{{Key: epochKey, Promised: wire.Ballot{N: a.epoch}}, {Key: chosenKey, Value: a.chosen}}
-	if len(a.founders) > 0 {
-		out = append(out, a.foundersRecord())
-	}
-	if len(a.bound) > 0 {
-		out = append(out, a.boundRecord())
-	}
-	for _, key := range a.Keys() {
-		kept := a.cells[key]
-		out = append(out, wire.AcceptorRecord{Key: key, Promised: kept.promised, Accepted: kept.accepted, Value: kept.value})
-	}
-	return out
-}
-
 // Keys lists the registers this copy has heard of, sorted.
 //
 //	for _, key := range acceptor.Keys() { ... }
