A first start whose seeds are all agents without a disk founds the core through them

Nothing on the users' pages promises that, and since agents serve control most of those who may be named are agents.

Cause: only seeds may found, and a seed without a disk has no vote.

Now, where all seeds answered that they have no vote, a controller of the very first start proposes itself to them; the seed with the lowest address nominates the first that does, once, in its first life only. The nominee founds the set alone; the others join. Ruled out: founding by whoever is lowest among those heard of (two halves that hear of different ones found two sets).

--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -28,6 +28,8 @@
 	LinkMbps int64
 	// KeyMs is how long after its first use a key may be repeated.
 	KeyMs int64
+	// Bootstrap says that the whole system starts for the very first time.
+	Bootstrap bool
 	// Form is how operators write policies; the product's own where none is named.
 	Form configuration.Form
 }
@@ -78,6 +80,8 @@
 	youngAsked  int
 	coreAsked   int
 	agreement   agreement
+	// nominee is the controller that this agent, a seed, nominated to found the core.
+	nominee string
 	// turns counts how often homes were asked.
 	turns int
 	// newestOf and frontsOf are the versions of the members that were looked at.
@@ -142,7 +146,7 @@
 			l.learnCore(core)
 		}
 	case *wire.FoundAsk:
-		out.Send(from, wire.KindFoundTold, l.foundTold())
+		out.Send(from, wire.KindFoundTold, l.foundTold(told))
 	case *wire.Subscribe:
 		l.subscribed(&out, from, told)
 	case *wire.News:
@@ -161,24 +165,6 @@
 	return out
 }
 
-// foundTold answers one that looks for the core set: with the set, if it is known here,
-// and else with no more than the address of a machine that has no vote. A seed may be
-// such a machine.
-func (l *Agent) foundTold() *wire.FoundTold {
-	told := &wire.FoundTold{Voter: wire.Voter{Addr: l.boot.Addr}}
-	if core := l.proposer.Core(); core.Epoch > 0 {
-		told.Founded = true
-		told.Core = wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
-	}
-	return told
-}
-
-func (l *Agent) learnCore(core wire.CoreSet) {
-	l.proposer.Learn(core)
-	l.SetSeeds(l.boot.Seeds)
-	l.board.Put(register.CoreTopic(core))
-}
-
 // take puts a topic on the board and learns from it; false if it did not rise.
 func (l *Agent) take(topic wire.Topic) bool {
 	if topic.Name == zoneTopic || !l.board.Put(topic) {
--- a/internal/controlplane/agent/first.go
+++ b/internal/controlplane/agent/first.go
@@ -6,6 +6,7 @@
 
 	"applequay/internal/controlplane/controller"
 	"applequay/internal/controlplane/distribution"
+	"applequay/internal/controlplane/register"
 	"applequay/internal/transport/wire"
 )
 
@@ -50,6 +51,28 @@
 	}
 }
 
+// foundTold answers one that looks for the core set: with the set, if it is known here,
+// and else as a machine that has no vote, with whom it nominated to found the set. A seed
+// may be such a machine.
+func (l *Agent) foundTold(asked *wire.FoundAsk) *wire.FoundTold {
+	core := l.proposer.Core()
+	if asked.Propose && l.boot.Bootstrap && l.nominee == "" && core.Epoch == 0 {
+		l.nominee = asked.Voter.ID
+	}
+	told := &wire.FoundTold{Voter: wire.Voter{Addr: l.boot.Addr}, Bound: l.nominee}
+	if core.Epoch > 0 {
+		told.Founded = true
+		told.Core = wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
+	}
+	return told
+}
+
+func (l *Agent) learnCore(core wire.CoreSet) {
+	l.proposer.Learn(core)
+	l.SetSeeds(l.boot.Seeds)
+	l.board.Put(register.CoreTopic(core))
+}
+
 // begin makes sure, after a start, of the policy that clients get first: the one
 // that a controller reads for this front at a majority, or, where the core cannot be
 // reached, none older than any that the other fronts have heard of. The controllers
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -62,10 +62,11 @@
 		return
 	}
 	f.noteFounders(out)
-	if f.proposes() {
+	candidate := f.candidate()
+	if candidate || f.proposes() {
 		out.Add(f.acceptor.Bind(f.voter()))
 	}
-	asked := &wire.FoundAsk{Voter: f.voter(), Propose: f.acceptor.Bound() == f.boot.ID}
+	proposes := f.acceptor.Bound() == f.boot.ID
 	addrs := append(slices.Clone(f.founders()), f.boot.Seeds...)
 	for _, member := range f.members.Alive("") {
 		addrs = append(addrs, member.Addr)
@@ -74,11 +75,11 @@
 	for _, addr := range slices.Compact(addrs) {
 		switch {
 		case addr == f.boot.Addr:
-		case asked.Propose:
+		case proposes && (!candidate || slices.Contains(f.boot.Seeds, addr)):
 			// Nobody is bound to a founder that may forget that it is one.
-			out.After(addr, wire.KindFoundAsk, asked)
+			out.After(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: f.voter(), Propose: true})
 		default:
-			out.Send(addr, wire.KindFoundAsk, asked)
+			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: f.voter()})
 		}
 	}
 	if founders := f.founders(); len(founders) == 1 && founders[0] == f.boot.Addr {
@@ -114,6 +115,7 @@
 			return out
 		}
 		f.founding.told[told.Voter.Addr] = *told
+		f.takeNomination(&out)
 		f.found(now, &out)
 	case *wire.Found:
 		if core, ok := register.ParseCore(told.Core); ok {
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -35,7 +35,7 @@
 	id := health.Identity(given.Name)
 	line := agent.New(1, agent.Boot{
 		ID: id, Name: given.Name, Addr: given.Advertise, Zone: given.Zone, Outward: given.Listen, Born: epoch.UnixMilli(),
-		Proxy: given.Proxy, Seeds: given.Seeds, Partitions: given.Partitions,
+		Proxy: given.Proxy, Seeds: given.Seeds, Partitions: given.Partitions, Bootstrap: given.Bootstrap,
 		LeaseMs: given.LeaseMs, ProbeMs: given.ProbeMs, CallMs: given.CallMs, KeyMs: given.KeyMs, LinkMbps: given.LinkMbps, Form: start.Form,
 	}, rand.New(rand.NewSource(epoch.UnixNano())))
 	messages := transport.New(work, id, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4, transport.FrontDepth)
--- a/internal/simulation/front.go
+++ b/internal/simulation/front.go
@@ -77,6 +77,7 @@
 	f.line = agent.New(f.Clock(), agent.Boot{
 		ID: f.ID, Name: f.Name, Addr: f.Addr, Zone: f.zone, Born: w.NowMs + 1 + f.WallMs, Proxy: f.board.Addr, Seeds: seeds,
 		Partitions: w.Shape.Partitions, LeaseMs: w.Shape.LeaseMs, ProbeMs: w.Shape.ProbeMs, CallMs: w.Shape.CallMs, KeyMs: KeyMs,
+		Bootstrap: f.Life == 1 && w.Shape.Seeds > 0,
 	}, rand.New(rand.NewSource(w.Random.Int63())))
 	f.Every(w.Shape.TickMs)
 	f.board.Every(100)
