--- a/deploy_test.go
+++ b/internal/testbed/fleet/deploy_test.go
@@ -1,4 +1,4 @@
-package applequay
+package fleet
 
 import (
 	"os"
@@ -17,20 +17,23 @@
 	runLine   = regexp.MustCompile(`(?m)^run = "(\S+).*"$`)
 )
 
+// root is the folder of the whole project.
+const root = "../../.."
+
 // Guards against FAULT: where git refuses the checkout (it belongs to another user, or
 // its folder of git is not whole) the build of the deploy file failed, and nothing started.
 func TestDeployFileBuildsWhereGitRefuses(t *testing.T) {
 	c := qt.New(t)
-	deploy, err := os.ReadFile("deploy/system.toml")
+	deploy, err := os.ReadFile(filepath.Join(root, "deploy", "system.toml"))
 	c.Assert(err, qt.IsNil)
 	build := buildLine.FindStringSubmatch(string(deploy))
 	c.Assert(build, qt.HasLen, 2)
 	checkout := c.TempDir()
 	for _, folder := range []string{"cmd", "coordination", "internal", "platform"} {
-		c.Assert(os.CopyFS(filepath.Join(checkout, folder), os.DirFS(folder)), qt.IsNil)
+		c.Assert(os.CopyFS(filepath.Join(checkout, folder), os.DirFS(filepath.Join(root, folder))), qt.IsNil)
 	}
 	for _, file := range []string{"go.mod", "go.sum"} {
-		body, err := os.ReadFile(file)
+		body, err := os.ReadFile(filepath.Join(root, file))
 		c.Assert(err, qt.IsNil)
 		c.Assert(os.WriteFile(filepath.Join(checkout, file), body, 0o600), qt.IsNil)
 	}
