--- a/cmd/testbed/day.go
+++ b/cmd/testbed/day.go
@@ -80,11 +80,9 @@
 func playDay(ctx context.Context, plan stand.Plan, bin, dir, picture string, straight bool) error {
 	var launch stand.Launch
 	if !straight {
-		if !fleet.HasPrograms(bin, "controller", "agent", "proxy") {
-			return fmt.Errorf("%w: folder %q lacks the programs: run go build -o %s/ ./cmd/... first", errUsage, bin, bin)
-		}
-		launch = func(name, program string, env []string, log string) stand.Process {
-			return fleet.NewProgram(bin, name, program, env, log)
+		var err error
+		if launch, err = launchFrom(bin); err != nil {
+			return err
 		}
 	}
 	if dir == "" {
@@ -124,6 +122,16 @@
 	return nil
 }
 
+// launchFrom makes processes of the programs in a folder.
+func launchFrom(bin string) (stand.Launch, error) {
+	if !fleet.HasPrograms(bin, "controller", "agent", "proxy") {
+		return nil, fmt.Errorf("%w: folder %q lacks the programs: run go build -o %s/ ./cmd/... first", errUsage, bin, bin)
+	}
+	return func(name, program string, env []string, log string) stand.Process {
+		return fleet.NewProgram(bin, name, program, env, log)
+	}, nil
+}
+
 // printTimes prints how long first pieces and answers took, by class.
 func printTimes(day *stand.Day) {
 	times := map[string]*hdrhistogram.Histogram{}
--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -24,9 +24,9 @@
 )
 
 func main() {
-	root := &ffcli.Command{ShortUsage: "testbed run|figures|sim|losses|changes|day|explore", FlagSet: flag.NewFlagSet("testbed", flag.ContinueOnError),
+	root := &ffcli.Command{ShortUsage: "testbed run|figures|sim|losses|changes|day|soak|explore", FlagSet: flag.NewFlagSet("testbed", flag.ContinueOnError),
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
-		Subcommands: []*ffcli.Command{runCommand(), figuresCommand(), simCommand(), lossesCommand(), changesCommand(), dayCommand(), exploreCommand()}}
+		Subcommands: []*ffcli.Command{runCommand(), figuresCommand(), simCommand(), lossesCommand(), changesCommand(), dayCommand(), soakCommand(), exploreCommand()}}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		_, _ = fmt.Fprintln(os.Stderr, "testbed:", err)
--- a/internal/simulation/seeds.go
+++ b/internal/simulation/seeds.go
@@ -41,6 +41,16 @@
 	w.CrashFronts()
 }
 
+// LosePowerAndDisk is a loss of power of all machines at which one controller also loses
+// its disk.
+//
+//	world.LosePowerAndDisk()
+func (w *World) LosePowerAndDisk() {
+	w.Crash(0, true)
+	w.After(500, func() { w.Restart(0, true) })
+	w.LosePower()
+}
+
 // CrashFronts kills all fronts at once; each is back within a second.
 //
 //	world.CrashFronts()
--- a/internal/simulation/seeds_test.go
+++ b/internal/simulation/seeds_test.go
@@ -36,6 +36,8 @@
 			w.Run(w.NowMs + 50)
 		}
 		c.Logf("seed %d: %d ms", seed, w.NowMs-began)
+		w.Run(began + recoverMs)
+		c.Check(w.allIn(), qt.IsTrue, qt.Commentf("seed %d: %v", seed, w.coreAt(1)))
 		c.Check(w.Configured(newest), qt.Equals, len(w.fronts)-l.away, qt.Commentf("seed %d: fronts with the policy after %d ms", seed, w.NowMs-began))
 	}
 }
@@ -51,6 +53,7 @@
 	toAgents := func(w *World) { w.SetSeeds(agentSeeds) }
 	for _, one := range []loss{
 		{name: "all lose power", plan: toAgents, lose: (*World).LosePower},
+		{name: "all lose power, one its disk", plan: toAgents, lose: (*World).LosePowerAndDisk},
 		{name: "all fronts are killed", plan: toAgents, lose: (*World).CrashFronts},
 		{name: "one seed, an agent", plan: func(w *World) { w.SetSeeds(agentSeeds[2:]) }, lose: (*World).LosePower},
 	} {
@@ -67,6 +70,7 @@
 	for _, one := range []loss{
 		{name: "only the fronts' seeds are agents", plan: func(w *World) { w.SetFrontSeeds(agentSeeds) }, lose: (*World).LosePower},
 		{name: "seeds are gone", plan: toGone, lose: (*World).LosePower},
+		{name: "seeds are gone, one disk is lost", plan: toGone, lose: (*World).LosePowerAndDisk},
 		{name: "seeds are gone, all fronts are killed", plan: toGone, lose: (*World).CrashFronts},
 		{name: "seeds are other machines", plan: func(w *World) { w.SetSeeds([]string{w.fronts[0].board.Addr, w.fronts[1].board.Addr}) }, lose: (*World).LosePower},
 		{name: "no seeds", plan: func(w *World) { w.SetSeeds([]string{}) }, lose: (*World).LosePower},
--- a/internal/testbed/fleet/process.go
+++ b/internal/testbed/fleet/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -13,11 +14,26 @@
 	name, program string
 	args, env     []string
 	log           string
-	running       *exec.Cmd
-	ended         chan struct{}
+	// guard is held while running and ended are read or changed: troubles overlap.
+	guard   sync.Mutex
+	running *exec.Cmd
+	ended   chan struct{}
 }
 
+// life is the process that was started last, if any was, and what tells its end.
+func (p *process) life() (*exec.Cmd, chan struct{}) {
+	p.guard.Lock()
+	defer p.guard.Unlock()
+	return p.running, p.ended
+}
+
+// start starts the process, if it does not run.
 func (p *process) start(bin string) error {
+	p.guard.Lock()
+	defer p.guard.Unlock()
+	if p.running != nil && !over(p.ended) {
+		return nil
+	}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -43,42 +59,47 @@
 }
 
 func (p *process) up() bool {
-	if p.running == nil {
-		return false
-	}
+	running, ended := p.life()
+	return running != nil && !over(ended)
+}
+
+// over tells whether a life has ended.
+func over(ended chan struct{}) bool {
 	select {
-	case <-p.ended:
-		return false
-	default:
+	case <-ended:
 		return true
+	default:
+		return false
 	}
 }
 
 func (p *process) signal(signal syscall.Signal) {
-	if p.up() {
-		_ = p.running.Process.Signal(signal)
+	if running, ended := p.life(); running != nil && !over(ended) {
+		_ = running.Process.Signal(signal)
 	}
 }
 
 // kill ends a process at once and waits until it is gone.
 func (p *process) kill() {
-	if p.up() {
-		p.signal(syscall.SIGKILL)
-		<-p.ended
+	if running, ended := p.life(); running != nil && !over(ended) {
+		_ = running.Process.Signal(syscall.SIGKILL)
+		<-ended
 	}
 }
 
 // stop asks a process to end and kills it if it does not.
 func (p *process) stop(wait time.Duration) bool {
-	if !p.up() {
+	running, ended := p.life()
+	if running == nil || over(ended) {
 		return true
 	}
-	p.signal(syscall.SIGTERM)
+	_ = running.Process.Signal(syscall.SIGTERM)
 	select {
-	case <-p.ended:
+	case <-ended:
 		return true
 	case <-time.After(wait):
-		p.kill()
+		_ = running.Process.Signal(syscall.SIGKILL)
+		<-ended
 		return false
 	}
 }
--- a/internal/testbed/fleet/program.go
+++ b/internal/testbed/fleet/program.go
@@ -24,12 +24,7 @@
 // Start starts the program, if it does not run.
 //
 //	err := program.Start()
-func (p *Program) Start() error {
-	if p.of.up() {
-		return nil
-	}
-	return p.of.start(p.bin)
-}
+func (p *Program) Start() error { return p.of.start(p.bin) }
 
 // Up tells whether it runs.
 //
--- a/test.sh
+++ b/test.sh
@@ -40,3 +40,6 @@
   ./internal/controlplane/{eventloop,adminapi,orders,journal} ./platform/...
 # A short day on the platform: the programs as real processes, with stand-ins.
 "$kept/bin/testbed" day -bin "$kept/bin" -seconds 8 -net -1
+# A short soak: series of restarts, signals, turnovers of seeds and changes that overlap,
+# and then a loss of all processes or of a disk.
+"$kept/bin/testbed" soak -bin "$kept/bin" -first 1 -seeds 6 -jobs 3 -seconds 8
