Daemon: seeds of settings read again do not wait for a disk that refuses to be written

While the disk was full whoever told it waited, so that the agent in the same process, told before it, heard of no second change.

TestSeedsDoNotWaitForTheDisk failed before ('seeds wait for the disk', after 5 s) and passes, also under the race detector.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -31,8 +32,10 @@
 	log   *zap.Logger
 	// listen is where it listens for other processes, advertise how they reach it.
 	listen, advertise string
-	// opened is closed once the journal was read and the state machine made.
+	// opened is closed once the journal was read and the state machine made; seeds are
+	// those of settings that were read again since the start.
 	opened   chan struct{}
+	seeds    atomic.Pointer[[]string]
 	folder   *journal.Folder
 	core     *controller.Controller
 	messages *transport.Transport
@@ -65,6 +68,9 @@
 		return err
 	}
 	close(n.opened)
+	if seeds := n.seeds.Load(); seeds != nil {
+		go n.control.Seeds(work, *seeds)
+	}
 	go n.tellPlacement(work)
 	go func() {
 		<-ctx.Done()
@@ -74,14 +80,15 @@
 	return supervisor.Run(work, n.log, settings.Patience, n.children(stop)...)
 }
 
-// Seeds gives the controller other seeds, once its journal is open.
+// Seeds gives the controller other seeds; while its journal cannot be opened they wait.
 //
 //	controller.Seeds(ctx, []string{"10.0.0.7:7100"})
 func (n *Controller) Seeds(ctx context.Context, seeds []string) {
+	n.seeds.Store(&seeds)
 	select {
 	case <-n.opened:
 		n.control.Seeds(ctx, seeds)
-	case <-ctx.Done():
+	default:
 	}
 }
 
--- a/test.sh
+++ b/test.sh
@@ -37,7 +37,7 @@
 ./fuzz.sh 1000x
 # Data races, where goroutines share something; the state machines have none.
 FLAGS=-partial tests -race ./internal/dataplane/... ./internal/transport/... ./internal/settings ./internal/supervisor \
-  ./internal/controlplane/{eventloop,adminapi,orders,journal} ./platform/...
+  ./internal/controlplane/{eventloop,adminapi,orders,journal} ./internal/daemon ./platform/...
 # A short day on the platform: the programs as real processes, with stand-ins.
 "$kept/bin/testbed" day -bin "$kept/bin" -seconds 8 -net -1
 # A short soak: series of restarts, signals, turnovers of seeds and changes that overlap,
