--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -93,7 +93,7 @@
 
 // New makes an agent that knows nothing but its seeds.
 //
-//	line := agent.New(now, boot, random)
+//	agent := agent.New(now, boot, random)
 func New(now int64, boot Boot, random *rand.Rand) *Agent {
 	if boot.Form == nil {
 		boot.Form = configuration.Native
@@ -116,93 +116,93 @@
 
 // Hear takes a message from another process.
 //
-//	out := upstream.Hear(now, "c2~51", body)
-func (l *Agent) Hear(now int64, from string, body wire.Record) wire.Outputs {
+//	out := agent.Hear(now, "c2~51", body)
+func (a *Agent) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
-	l.now = now
+	a.now = now
 	switch told := body.(type) {
 	case *wire.TicketWish:
-		l.sawBoard(now, from)
-		l.wished(now, &out, told)
+		a.sawBoard(now, from)
+		a.wished(now, &out, told)
 	case *wire.Bare:
-		l.noteBare(now, told.AgeMs)
+		a.noteBare(now, told.AgeMs)
 	case *wire.TicketAsk:
-		out.Send(l.boot.Proxy, wire.KindTicketAsk, told)
+		out.Send(a.boot.Proxy, wire.KindTicketAsk, told)
 	case *wire.TicketTold:
-		l.toldTicket(now, &out, from, told)
+		a.toldTicket(now, &out, from, told)
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
-		return l.proposer.Hear(now, from, body)
+		return a.proposer.Hear(now, from, body)
 	case *wire.Probe:
-		l.compare(now, &told.Board)
-		l.members.Tell(l.sums(now))
-		return l.members.Hear(now, from, body)
+		a.compare(now, &told.Board)
+		a.members.Tell(a.sums(now))
+		return a.members.Hear(now, from, body)
 	case *wire.ProbeAck:
-		l.compare(now, &told.Board)
-		return l.members.Hear(now, from, body)
+		a.compare(now, &told.Board)
+		return a.members.Hear(now, from, body)
 	case *wire.ProbeVia:
-		return l.members.Hear(now, from, body)
+		return a.members.Hear(now, from, body)
 	case *wire.FoundTold:
 		if core, ok := register.ParseCore(told.Core); ok {
-			l.learnCore(core)
+			a.learnCore(core)
 		}
 	case *wire.FoundAsk:
-		out.Send(from, wire.KindFoundTold, l.foundTold(told))
+		out.Send(from, wire.KindFoundTold, a.foundTold(told))
 	case *wire.Subscribe:
-		l.subscribed(&out, from, told)
+		a.subscribed(&out, from, told)
 	case *wire.News:
-		l.heardNews(now, &out, from, told)
+		a.heardNews(now, &out, from, told)
 	case *wire.Report:
-		l.sawBoard(now, from)
-		l.reported(now, &out, told)
+		a.sawBoard(now, from)
+		a.reported(now, &out, told)
 	case *wire.Tally:
-		l.sawBoard(now, from)
-		l.tallied(now, &out, told)
+		a.sawBoard(now, from)
+		a.tallied(now, &out, told)
 	case *wire.PostAck:
-		l.acked(told)
+		a.acked(told)
 	case *wire.HomeTold:
-		out.Send(l.boot.Proxy, wire.KindHomeTold, told)
+		out.Send(a.boot.Proxy, wire.KindHomeTold, told)
 	}
 	return out
 }
 
 // take puts a topic on the board and learns from it; false if it did not rise.
-func (l *Agent) take(topic wire.Topic) bool {
-	if topic.Name == zoneTopic || !l.board.Put(topic) {
+func (a *Agent) take(topic wire.Topic) bool {
+	if topic.Name == zoneTopic || !a.board.Put(topic) {
 		return false
 	}
 	switch {
 	case topic.Name == register.CoreKey:
 		var core wire.CoreSet
 		if core.Unmarshal(topic.Body) == nil {
-			l.proposer.Learn(core)
-			l.SetSeeds(l.boot.Seeds)
+			a.proposer.Learn(core)
+			a.SetSeeds(a.boot.Seeds)
 		}
 	case topic.Name == controller.PolicyKey:
 		body, _ := wire.Unpack(topic)
-		if table, faults, _ := l.boot.Form.Parse(body, topic.Step); table != nil && len(faults) == 0 {
-			l.policy = table.Placement()
+		if table, faults, _ := a.boot.Form.Parse(body, topic.Step); table != nil && len(faults) == 0 {
+			a.policy = table.Placement()
 		}
-		l.versions[controller.PolicyKey] = topic.Step
-		l.members.Set("mark", fmt.Sprint(topic.Step))
+		a.versions[controller.PolicyKey] = topic.Step
+		a.members.Set("mark", fmt.Sprint(topic.Step))
 	case topic.Name == controller.DirectoryKey:
 		var list wire.WorkerList
 		if body, err := wire.Unpack(topic); err == nil && list.Unmarshal(body) == nil {
-			l.learntList(topic.Step)
-			l.workers, l.rosters = map[string]wire.Worker{}, sortedRosters(&list)
+			a.learntList(topic.Step)
+			a.workers, a.rosters = map[string]wire.Worker{}, sortedRosters(&list)
 			for _, worker := range list.Workers {
-				l.workers[worker.Name] = worker
+				a.workers[worker.Name] = worker
 			}
 		}
-		l.versions[controller.DirectoryKey] = topic.Step
+		a.versions[controller.DirectoryKey] = topic.Step
 	case strings.HasPrefix(topic.Name, "owner/"):
 		var owner wire.Owner
-		if owner.Unmarshal(topic.Body) == nil && owner.Fence > l.owners[owner.Partition].Fence {
-			l.owners[owner.Partition] = owner
+		if owner.Unmarshal(topic.Body) == nil && owner.Fence > a.owners[owner.Partition].Fence {
+			a.owners[owner.Partition] = owner
 		}
 	case strings.HasPrefix(topic.Name, "homes/"):
 		var room wire.WorkerNews
 		if room.Unmarshal(topic.Body) == nil {
-			l.rooms[room.Worker] = room
+			a.rooms[room.Worker] = room
 		}
 	}
 	return true
@@ -214,22 +214,22 @@
 
 // feedWaits tells the proxy when loads will be done, and how long ago
 // that was said by the clocks; what is old is of no use.
-func (l *Agent) feedWaits(out *wire.Outputs, topic wire.Topic) {
+func (a *Agent) feedWaits(out *wire.Outputs, topic wire.Topic) {
 	var told wire.Waits
 	if told.Unmarshal(topic.Body) != nil {
 		return
 	}
-	told.AgeMs, told.ValidMs = l.members.Wall(l.now)-told.WallMs, 2*l.boot.LeaseMs
+	told.AgeMs, told.ValidMs = a.members.Wall(a.now)-told.WallMs, 2*a.boot.LeaseMs
 	if told.AgeMs < told.ValidMs && told.AgeMs > -told.ValidMs {
 		told.AgeMs = max(told.AgeMs, 0)
-		out.Send(l.boot.Proxy, wire.KindWaits, &told)
+		out.Send(a.boot.Proxy, wire.KindWaits, &told)
 	}
 }
 
-func (l *Agent) due(now int64, name string, everyMs int64) bool {
-	if last, ok := l.timers[name]; ok && now-last < everyMs {
+func (a *Agent) due(now int64, name string, everyMs int64) bool {
+	if last, ok := a.timers[name]; ok && now-last < everyMs {
 		return false
 	}
-	l.timers[name] = now
+	a.timers[name] = now
 	return true
 }
--- a/internal/controlplane/agent/agreement.go
+++ b/internal/controlplane/agent/agreement.go
@@ -39,21 +39,21 @@
 }
 
 // compare takes what another node has of the news.
-func (l *Agent) compare(now int64, theirs *wire.BoardSums) {
-	mine := l.board.Sums()
+func (a *Agent) compare(now int64, theirs *wire.BoardSums) {
+	mine := a.board.Sums()
 	same := mine.Control == theirs.Control
-	l.agreement.control.compared(now, same)
-	l.agreement.homes.compared(now, mine.Homes == theirs.Homes)
+	a.agreement.control.compared(now, same)
+	a.agreement.homes.compared(now, mine.Homes == theirs.Homes)
 	if same && theirs.AgeMs > 0 {
-		l.agreement.coreMs = max(l.agreement.coreMs, now-theirs.AgeMs+1)
+		a.agreement.coreMs = max(a.agreement.coreMs, now-theirs.AgeMs+1)
 	}
 }
 
 // sums are what this node's messages say of its news.
-func (l *Agent) sums(now int64) wire.BoardSums {
-	out := l.board.Sums()
-	if l.agreement.coreMs > 0 {
-		out.AgeMs = now - l.agreement.coreMs + 1
+func (a *Agent) sums(now int64) wire.BoardSums {
+	out := a.board.Sums()
+	if a.agreement.coreMs > 0 {
+		out.AgeMs = now - a.agreement.coreMs + 1
 	}
 	return out
 }
--- a/internal/controlplane/agent/fronts.go
+++ b/internal/controlplane/agent/fronts.go
@@ -34,57 +34,57 @@
 const mostProbes = 16
 
 // graceMs is for how long a front that lost sight of the others sends no keys.
-func (l *Agent) graceMs() int64 { return 2 * l.boot.LeaseMs }
+func (a *Agent) graceMs() int64 { return 2 * a.boot.LeaseMs }
 
 // learntList notes when this front's list changed. The first of a life counts
 // as known for ever: this front never went by an older one.
-func (l *Agent) learntList(version int64) {
-	if l.versions[controller.DirectoryKey] == 0 {
-		l.listAt = 0
+func (a *Agent) learntList(version int64) {
+	if a.versions[controller.DirectoryKey] == 0 {
+		a.listAt = 0
 	} else {
-		l.listAt = l.members.Wall(l.now)
+		a.listAt = a.members.Wall(a.now)
 	}
-	l.list = fmt.Sprintf("%d@%d", version, l.listAt)
-	l.tellList()
+	a.list = fmt.Sprintf("%d@%d", version, a.listAt)
+	a.tellList()
 }
 
 // tellList tells the others by which list this front goes: at once, but where lists
 // follow one another soon only the last of them. Until then this front passes for
 // one that goes by an older list, which refuses keys and sends none.
-func (l *Agent) tellList() {
-	if l.list != "" && l.now-l.listToldMs >= l.boot.LeaseMs/2 {
-		l.listToldMs = l.now
-		l.members.Set(listFact, l.list)
+func (a *Agent) tellList() {
+	if a.list != "" && a.now-a.listToldMs >= a.boot.LeaseMs/2 {
+		a.listToldMs = a.now
+		a.members.Set(listFact, a.list)
 	}
 }
 
 // watchFronts keeps account of the other fronts, those that went among them.
-func (l *Agent) watchFronts(now int64) {
-	wall := l.members.Wall(now)
-	if version := l.members.Version(); version != l.frontsOf {
-		l.frontsOf = version
-		for _, member := range l.members.All() {
-			if member.Role == "agent" && member.ID != l.boot.ID {
-				l.sawFront(now, wall, member)
+func (a *Agent) watchFronts(now int64) {
+	wall := a.members.Wall(now)
+	if version := a.members.Version(); version != a.frontsOf {
+		a.frontsOf = version
+		for _, member := range a.members.All() {
+			if member.Role == "agent" && member.ID != a.boot.ID {
+				a.sawFront(now, wall, member)
 			}
 		}
 	}
-	for id, kept := range l.fronts {
+	for id, kept := range a.fronts {
 		if kept.stands {
 			kept.stoodMs, kept.stoodAt = now, wall
 		}
-		if now-kept.stoodMs > 2*l.boot.KeyMs {
-			delete(l.fronts, id)
+		if now-kept.stoodMs > 2*a.boot.KeyMs {
+			delete(a.fronts, id)
 		}
 	}
 }
 
 // sawFront takes what is new of another front.
-func (l *Agent) sawFront(now, wall int64, member wire.Member) {
-	kept, known := l.fronts[member.ID]
+func (a *Agent) sawFront(now, wall int64, member wire.Member) {
+	kept, known := a.fronts[member.ID]
 	if !known {
 		kept = &otherFront{name: member.Name, stoodMs: now, stoodAt: wall, seenAt: wall}
-		l.fronts[member.ID] = kept
+		a.fronts[member.ID] = kept
 	}
 	kept.stands = wire.Standing(member.Standing) < wire.StandingLeaving
 	var version, learnt int64
@@ -99,13 +99,13 @@
 // inTouch tells whether this front would hear of a new list: it knows the
 // others, is not behind them, and reaches a majority of the core or of the
 // fronts. A front that does not for long sends no keys anywhere.
-func (l *Agent) inTouch() bool {
-	if len(l.members.All()) == 1 || l.versions[controller.DirectoryKey] == 0 {
+func (a *Agent) inTouch() bool {
+	if len(a.members.All()) == 1 || a.versions[controller.DirectoryKey] == 0 {
 		return false
 	}
-	names, stand := map[string]bool{l.boot.Name: true}, map[string]bool{l.boot.Name: true}
-	for _, front := range l.fronts {
-		if front.stands && front.version > l.versions[controller.DirectoryKey] {
+	names, stand := map[string]bool{a.boot.Name: true}, map[string]bool{a.boot.Name: true}
+	for _, front := range a.fronts {
+		if front.stands && front.version > a.versions[controller.DirectoryKey] {
 			return false
 		}
 		names[front.name] = true
@@ -113,48 +113,48 @@
 			stand[front.name] = true
 		}
 	}
-	return l.members.Majority(l.proposer.Core().Voters) || 2*len(stand) > len(names)
+	return a.members.Majority(a.proposer.Core().Voters) || 2*len(stand) > len(names)
 }
 
 // settle raises the version up to which lists that were replaced do not matter any
 // more: every front has gone by a newer one for longer than a key may be
 // repeated. It never falls.
-func (l *Agent) settle(now int64) {
-	wall, keyMs := l.members.Wall(now), l.boot.KeyMs
-	for _, roster := range l.rosters {
-		if roster.UntilMs == 0 || roster.Version <= l.settled {
+func (a *Agent) settle(now int64) {
+	wall, keyMs := a.members.Wall(now), a.boot.KeyMs
+	for _, roster := range a.rosters {
+		if roster.UntilMs == 0 || roster.Version <= a.settled {
 			continue
 		}
 		fresh := func(version, learnt int64) bool {
 			return version < roster.Version || (learnt > 0 && wall < learnt+keyMs)
 		}
-		open := wall < roster.UntilMs+keyMs*3/2 || fresh(l.versions[controller.DirectoryKey], l.listAt)
-		for _, front := range l.fronts {
+		open := wall < roster.UntilMs+keyMs*3/2 || fresh(a.versions[controller.DirectoryKey], a.listAt)
+		for _, front := range a.fronts {
 			open = open || fresh(front.version, front.learnt)
 		}
 		if open {
 			return
 		}
-		l.settled = roster.Version
+		a.settled = roster.Version
 	}
 }
 
 // contact tells the proxy that keys may be sent, and which old lists
 // still matter for them; false if nothing is to be told.
-func (l *Agent) contact(now int64, out *wire.Outputs) bool {
-	l.tellList()
-	l.watchFronts(now)
-	l.settle(now)
-	if !l.inTouch() {
-		l.toldContact = wire.Contact{}
+func (a *Agent) contact(now int64, out *wire.Outputs) bool {
+	a.tellList()
+	a.watchFronts(now)
+	a.settle(now)
+	if !a.inTouch() {
+		a.toldContact = wire.Contact{}
 		return false
 	}
-	told := wire.Contact{Settled: l.settled, KeyMs: l.boot.KeyMs, AnswerMs: l.boot.LeaseMs / 4, GraceMs: l.graceMs()}
-	if told == l.toldContact && !l.due(now, "unchanged", 2*l.boot.ProbeMs) {
+	told := wire.Contact{Settled: a.settled, KeyMs: a.boot.KeyMs, AnswerMs: a.boot.LeaseMs / 4, GraceMs: a.graceMs()}
+	if told == a.toldContact && !a.due(now, "unchanged", 2*a.boot.ProbeMs) {
 		return false
 	}
-	l.toldContact, l.timers["unchanged"] = told, now
-	out.Send(l.boot.Proxy, wire.KindContact, &told)
+	a.toldContact, a.timers["unchanged"] = told, now
+	out.Send(a.boot.Proxy, wire.KindContact, &told)
 	return true
 }
 
@@ -168,14 +168,14 @@
 // judge works out which fronts lost their memory of keys sent by a list that was
 // in force from a moment on, until the one with a version: those that went since.
 // A reason says that one of them may have sent keys that nobody else knows of.
-func (l *Agent) judge(fromMs, version int64) (lost []string, bad string) {
-	for _, id := range slices.Sorted(maps.Keys(l.fronts)) {
-		front := l.fronts[id]
-		last := front.stoodAt + l.boot.LeaseMs
-		if front.stands || last+l.boot.KeyMs/2 < fromMs {
+func (a *Agent) judge(fromMs, version int64) (lost []string, bad string) {
+	for _, id := range slices.Sorted(maps.Keys(a.fronts)) {
+		front := a.fronts[id]
+		last := front.stoodAt + a.boot.LeaseMs
+		if front.stands || last+a.boot.KeyMs/2 < fromMs {
 			continue
 		}
-		if front.version < version && !l.cameBack(front) {
+		if front.version < version && !a.cameBack(front) {
 			bad = "a front that may still send keys is out of sight"
 		}
 		if last < fromMs {
@@ -194,10 +194,10 @@
 
 // cameBack tells whether a front that went was started again so soon that it
 // cannot have sent keys out of sight of the others in between.
-func (l *Agent) cameBack(gone *otherFront) bool {
-	for _, front := range l.fronts {
-		soon := gone.stoodAt - mostProbes*l.boot.ProbeMs + l.graceMs()
-		if front.name == gone.name && front != gone && front.seenAt >= gone.stoodAt-l.boot.LeaseMs && front.seenAt <= soon {
+func (a *Agent) cameBack(gone *otherFront) bool {
+	for _, front := range a.fronts {
+		soon := gone.stoodAt - mostProbes*a.boot.ProbeMs + a.graceMs()
+		if front.name == gone.name && front != gone && front.seenAt >= gone.stoodAt-a.boot.LeaseMs && front.seenAt <= soon {
 			return true
 		}
 	}
--- a/internal/controlplane/agent/page.go
+++ b/internal/controlplane/agent/page.go
@@ -8,20 +8,20 @@
 
 // Page copies what operators may be shown.
 //
-//	page := upstream.Page(now)
-func (l *Agent) Page(int64) controller.Page {
-	page := controller.Page{ID: l.boot.ID, Role: "agent", Core: l.proposer.Core(), Policy: l.policy, Versions: map[string]int64{}, Members: l.members.All(),
-		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Rounds: l.proposer.Rounds, Seeds: l.boot.Seeds, Partitions: l.boot.Partitions}
-	for key, version := range l.versions {
+//	page := agent.Page(now)
+func (a *Agent) Page(int64) controller.Page {
+	page := controller.Page{ID: a.boot.ID, Role: "agent", Core: a.proposer.Core(), Policy: a.policy, Versions: map[string]int64{}, Members: a.members.All(),
+		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{}, Rounds: a.proposer.Rounds, Seeds: a.boot.Seeds, Partitions: a.boot.Partitions}
+	for key, version := range a.versions {
 		page.Versions[key] = version
 	}
-	for number, owner := range l.owners {
+	for number, owner := range a.owners {
 		page.Owners[number] = owner
 	}
-	for name, worker := range l.workers {
+	for name, worker := range a.workers {
 		page.Workers[name] = worker
 	}
-	for name, room := range l.rooms {
+	for name, room := range a.rooms {
 		page.Rooms[name] = room
 	}
 	return page
@@ -30,12 +30,12 @@
 // Progress tells how far this node is after its start; its configuration is the one
 // that the proxy was given.
 //
-//	progress := upstream.Progress()
-func (l *Agent) Progress() controller.Progress {
-	return controller.NewProgress(l.proposer.Core(), l.boot.Seeds, l.members, l.fedVersion)
+//	progress := agent.Progress()
+func (a *Agent) Progress() controller.Progress {
+	return controller.NewProgress(a.proposer.Core(), a.boot.Seeds, a.members, a.fedVersion)
 }
 
 // Board shows the news kept here.
 //
-//	topic, ok := upstream.Board().Get("policy")
-func (l *Agent) Board() *distribution.Board { return l.board }
+//	topic, ok := agent.Board().Get("policy")
+func (a *Agent) Board() *distribution.Board { return a.board }
--- a/internal/controlplane/agent/posts.go
+++ b/internal/controlplane/agent/posts.go
@@ -21,14 +21,14 @@
 // anyway, and uses only age.
 const mostUnsent = 64
 
-func (l *Agent) sender() string { return "front/" + l.boot.ID }
+func (a *Agent) sender() string { return "front/" + a.boot.ID }
 
-func (l *Agent) post(kind wire.Kind, key string, body wire.Record) {
-	number := partition.Of(key, l.boot.Partitions)
-	kept := l.boxes[number]
+func (a *Agent) post(kind wire.Kind, key string, body wire.Record) {
+	number := partition.Of(key, a.boot.Partitions)
+	kept := a.boxes[number]
 	if kept == nil {
 		kept = &box{}
-		l.boxes[number] = kept
+		a.boxes[number] = kept
 	}
 	if len(kept.msgs) >= mostUnsent {
 		return
@@ -40,46 +40,46 @@
 
 // reported takes what the proxy saw: models it holds requests for, and
 // what it used.
-func (l *Agent) reported(now int64, out *wire.Outputs, told *wire.Report) {
-	if l.policy.Rollout != nil && l.due(now, "calls", l.boot.LeaseMs/4) {
-		l.members.Set(controller.CallsFact, fmt.Sprintf("%d/%d", told.Bad, told.Came))
+func (a *Agent) reported(now int64, out *wire.Outputs, told *wire.Report) {
+	if a.policy.Rollout != nil && a.due(now, "calls", a.boot.LeaseMs/4) {
+		a.members.Set(controller.CallsFact, fmt.Sprintf("%d/%d", told.Bad, told.Came))
 	}
 	for _, want := range told.Wants {
-		if _, ok := l.policy.Items[want.Item]; !ok || l.stands(want.Item) {
+		if _, ok := a.policy.Items[want.Item]; !ok || a.stands(want.Item) {
 			continue
 		}
-		kept, known := l.wants[want.Item]
-		l.wants[want.Item] = want
-		if known && want.Held == kept.Held && now-l.wanted[want.Item] < l.boot.LeaseMs/2 {
+		kept, known := a.wants[want.Item]
+		a.wants[want.Item] = want
+		if known && want.Held == kept.Held && now-a.wanted[want.Item] < a.boot.LeaseMs/2 {
 			continue
 		}
-		if known && now-l.wanted[want.Item] < l.boot.ProbeMs {
+		if known && now-a.wanted[want.Item] < a.boot.ProbeMs {
 			continue
 		}
-		l.wanted[want.Item] = now
-		l.post(wire.KindWant, partition.ItemKey(want.Item), &want)
+		a.wanted[want.Item] = now
+		a.post(wire.KindWant, partition.ItemKey(want.Item), &want)
 	}
-	l.talliedUses(now, out, told.Uses)
-	l.resend(now, out)
+	a.talliedUses(now, out, told.Uses)
+	a.resend(now, out)
 }
 
-func (l *Agent) wantsTick(now int64, _ *wire.Outputs) {
-	for item, since := range l.wanted {
-		if now-since > 4*l.boot.LeaseMs {
-			delete(l.wanted, item)
-			delete(l.wants, item)
+func (a *Agent) wantsTick(now int64, _ *wire.Outputs) {
+	for item, since := range a.wanted {
+		if now-since > 4*a.boot.LeaseMs {
+			delete(a.wanted, item)
+			delete(a.wants, item)
 		}
 	}
 }
 
-func (l *Agent) resend(now int64, out *wire.Outputs) {
-	numbers := make([]int64, 0, len(l.boxes))
-	for number := range l.boxes {
+func (a *Agent) resend(now int64, out *wire.Outputs) {
+	numbers := make([]int64, 0, len(a.boxes))
+	for number := range a.boxes {
 		numbers = append(numbers, number)
 	}
 	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
 	for _, number := range numbers {
-		kept, owner := l.boxes[number], l.owners[number]
+		kept, owner := a.boxes[number], a.owners[number]
 		if owner.Fence > kept.fence {
 			kept.fence, kept.next, kept.sentMs = owner.Fence, 0, 0
 			for i := range kept.msgs {
@@ -87,19 +87,19 @@
 				kept.msgs[i].Pos = kept.next
 			}
 		}
-		if len(kept.msgs) == 0 || kept.fence == 0 || (kept.sentMs > 0 && now-kept.sentMs < l.boot.LeaseMs/8) {
+		if len(kept.msgs) == 0 || kept.fence == 0 || (kept.sentMs > 0 && now-kept.sentMs < a.boot.LeaseMs/8) {
 			continue
 		}
 		kept.sentMs = now
 		for _, msg := range kept.msgs {
-			out.Send(owner.ID, wire.KindPost, &wire.Post{Sender: l.sender(), SenderFence: 1, Partition: number, Fence: kept.fence, Pos: msg.Pos, Kind: msg.Kind, Key: msg.Key, Body: msg.Body})
+			out.Send(owner.ID, wire.KindPost, &wire.Post{Sender: a.sender(), SenderFence: 1, Partition: number, Fence: kept.fence, Pos: msg.Pos, Kind: msg.Kind, Key: msg.Key, Body: msg.Body})
 		}
 	}
 }
 
-func (l *Agent) acked(ack *wire.PostAck) {
-	kept := l.boxes[ack.Partition]
-	if kept == nil || ack.Refused || ack.Fence != kept.fence || ack.Sender != l.sender() {
+func (a *Agent) acked(ack *wire.PostAck) {
+	kept := a.boxes[ack.Partition]
+	if kept == nil || ack.Refused || ack.Fence != kept.fence || ack.Sender != a.sender() {
 		return
 	}
 	kept.msgs = slices.DeleteFunc(kept.msgs, func(m wire.OutMsg) bool { return m.Pos <= ack.Pos })
--- a/internal/controlplane/agent/rest_test.go
+++ b/internal/controlplane/agent/rest_test.go
@@ -47,10 +47,10 @@
 }
 
 // answerAll lets all who are probed answer.
-func (l *Agent) answerAll(now int64, out wire.Outputs) {
+func (a *Agent) answerAll(now int64, out wire.Outputs) {
 	for _, send := range out.Sends {
 		if probe, is := send.Body.(*wire.Probe); is {
-			l.Hear(now, send.To, &wire.ProbeAck{Seq: probe.Seq})
+			a.Hear(now, send.To, &wire.ProbeAck{Seq: probe.Seq})
 		}
 	}
 }
@@ -209,9 +209,9 @@
 	c.Check(line.self().Fact[listFact], qt.Matches, "20@.*")
 }
 
-func (l *Agent) self() wire.Member {
-	for _, member := range l.members.All() {
-		if member.ID == l.boot.ID {
+func (a *Agent) self() wire.Member {
+	for _, member := range a.members.All() {
+		if member.ID == a.boot.ID {
 			return member
 		}
 	}
--- a/internal/controlplane/agent/services.go
+++ b/internal/controlplane/agent/services.go
@@ -10,14 +10,14 @@
 )
 
 // services lists all that a zone has homes for.
-func (l *Agent) services() []string {
+func (a *Agent) services() []string {
 	out := []string{distribution.ControlService}
-	for _, service := range l.policy.Services {
+	for _, service := range a.policy.Services {
 		if name := "homes/" + service.Pool; !slices.Contains(out, name) {
 			out = append(out, name)
 		}
 	}
-	for _, item := range l.policy.Items {
+	for _, item := range a.policy.Items {
 		if name := "homes/" + item.Pool; !slices.Contains(out, name) {
 			out = append(out, name)
 		}
@@ -28,35 +28,35 @@
 
 // SetSeeds takes the seeds of settings that were read again.
 //
-//	upstream.SetSeeds([]string{"10.0.0.7:7100"})
-func (l *Agent) SetSeeds(seeds []string) {
-	l.boot.Seeds = seeds
-	l.members.SetSeeds(controller.SeedsWith(seeds, l.proposer.Core()))
+//	agent.SetSeeds([]string{"10.0.0.7:7100"})
+func (a *Agent) SetSeeds(seeds []string) {
+	a.boot.Seeds = seeds
+	a.members.SetSeeds(controller.SeedsWith(seeds, a.proposer.Core()))
 }
 
 // heardNews passes on and feeds what rose: to the zone's peers what a controller
 // told this front as their home. News of homes that comes in a burst goes together.
-func (l *Agent) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
-	told.Topics = slices.DeleteFunc(told.Topics, func(topic wire.Topic) bool { return !l.take(topic) })
-	if told.Confirms == l.boot.ID {
-		l.begun, l.newsMs = true, now-l.boot.ProbeMs
+func (a *Agent) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
+	told.Topics = slices.DeleteFunc(told.Topics, func(topic wire.Topic) bool { return !a.take(topic) })
+	if told.Confirms == a.boot.ID {
+		a.begun, a.newsMs = true, now-a.boot.ProbeMs
 	}
-	if l.members.Role(from) == "controller" {
-		agents := l.members.Alive("agent")
+	if a.members.Role(from) == "controller" {
+		agents := a.members.Alive("agent")
 		for _, topic := range told.Topics {
 			// What a front that is no home asked for is for itself alone.
-			if binding(topic.Name) && l.inZone(from) {
+			if binding(topic.Name) && a.inZone(from) {
 				continue
 			}
-			if distribution.Home(distribution.ServiceOf(topic.Name), l.boot.Zone, agents) == l.boot.ID {
-				l.passing[topic.Name] = topic
+			if distribution.Home(distribution.ServiceOf(topic.Name), a.boot.Zone, agents) == a.boot.ID {
+				a.passing[topic.Name] = topic
 			}
 		}
 	}
 	if slices.ContainsFunc(told.Topics, func(topic wire.Topic) bool { return distribution.ServiceOf(topic.Name) == distribution.ControlService }) {
-		l.newsMs = now - l.boot.ProbeMs
+		a.newsMs = now - a.boot.ProbeMs
 	}
-	l.newsOut(now, out)
+	a.newsOut(now, out)
 }
 
 // binding tells whether a topic is in force at all fronts at once.
@@ -66,30 +66,30 @@
 
 // inZone tells whether a controller that stands is in this zone: it tells all fronts
 // here itself of what binds them all (controller.push).
-func (l *Agent) inZone(id string) bool {
-	return slices.ContainsFunc(l.members.Alive("controller"), func(one wire.Member) bool { return one.ID == id && one.Zone == l.boot.Zone })
+func (a *Agent) inZone(id string) bool {
+	return slices.ContainsFunc(a.members.Alive("controller"), func(one wire.Member) bool { return one.ID == id && one.Zone == a.boot.Zone })
 }
 
 // newsOut passes on and feeds what rose, unless something went out just before.
-func (l *Agent) newsOut(now int64, out *wire.Outputs) {
-	if now-l.newsMs < l.boot.ProbeMs/newsPerProbe {
+func (a *Agent) newsOut(now int64, out *wire.Outputs) {
+	if now-a.newsMs < a.boot.ProbeMs/newsPerProbe {
 		return
 	}
-	if len(l.passing) > 0 {
+	if len(a.passing) > 0 {
 		told := &wire.News{}
-		for _, name := range slices.Sorted(maps.Keys(l.passing)) {
-			told.Topics = append(told.Topics, l.passing[name])
+		for _, name := range slices.Sorted(maps.Keys(a.passing)) {
+			told.Topics = append(told.Topics, a.passing[name])
 		}
-		clear(l.passing)
-		for _, member := range l.members.Alive("agent") {
-			if member.ID != l.boot.ID && member.Zone == l.boot.Zone {
+		clear(a.passing)
+		for _, member := range a.members.Alive("agent") {
+			if member.ID != a.boot.ID && member.Zone == a.boot.Zone {
 				out.Send(member.ID, wire.KindNews, told)
 			}
 		}
-		l.newsMs = now
+		a.newsMs = now
 	}
-	if l.feed(out) {
-		l.newsMs = now
+	if a.feed(out) {
+		a.newsMs = now
 	}
 }
 
@@ -99,11 +99,11 @@
 
 // subscribed answers one that asks for what it lacks. The proxy beside gets only
 // what it may.
-func (l *Agent) subscribed(out *wire.Outputs, from string, asked *wire.Subscribe) {
-	kind, body := l.board.Answers(asked)
+func (a *Agent) subscribed(out *wire.Outputs, from string, asked *wire.Subscribe) {
+	kind, body := a.board.Answers(asked)
 	if told, is := body.(*wire.News); is {
-		if _, peer := l.members.Addr(from); !peer {
-			told.Topics = l.fed(told.Topics)
+		if _, peer := a.members.Addr(from); !peer {
+			told.Topics = a.fed(told.Topics)
 		}
 		if len(told.Topics) == 0 {
 			return
@@ -115,15 +115,15 @@
 }
 
 // feed gives the proxy beside this agent what rose; false if nothing did.
-func (l *Agent) feed(out *wire.Outputs) bool {
-	fresh := l.board.Fresh()
+func (a *Agent) feed(out *wire.Outputs) bool {
+	fresh := a.board.Fresh()
 	some := len(fresh) > 0
 	if at := slices.IndexFunc(fresh, func(t wire.Topic) bool { return t.Name == distribution.WaitsTopic }); at >= 0 {
-		l.feedWaits(out, fresh[at])
+		a.feedWaits(out, fresh[at])
 		fresh = slices.Delete(fresh, at, at+1)
 	}
-	if fresh = l.fed(fresh); len(fresh) > 0 {
-		out.Send(l.boot.Proxy, wire.KindNews, &wire.News{Topics: fresh})
+	if fresh = a.fed(fresh); len(fresh) > 0 {
+		out.Send(a.boot.Proxy, wire.KindNews, &wire.News{Topics: fresh})
 	}
 	return some
 }
--- a/internal/controlplane/agent/tallies.go
+++ b/internal/controlplane/agent/tallies.go
@@ -18,31 +18,31 @@
 // tallied takes what the proxy counted, and now and then passes it on to
 // one who owns a partition, who tells the others: which item stays, and which has to
 // make way, is worked out from all that is asked for. It is soft and in no log.
-func (l *Agent) tallied(now int64, out *wire.Outputs, told *wire.Tally) {
-	l.tallyMs = now
-	if now-l.toldMs < tallyEvery || len(l.told)+len(told.Demands) == 0 {
+func (a *Agent) tallied(now int64, out *wire.Outputs, told *wire.Tally) {
+	a.tallyMs = now
+	if now-a.toldMs < tallyEvery || len(a.told)+len(told.Demands) == 0 {
 		return
 	}
-	if now-l.toldMs < tallyCalm*tallyEvery && !changed(l.told, told.Demands) {
+	if now-a.toldMs < tallyCalm*tallyEvery && !changed(a.told, told.Demands) {
 		return
 	}
-	l.toldMs, l.told = now, told.Demands
-	if owner := l.anyOwner(); owner != "" {
-		out.Send(owner, wire.KindTally, &wire.Tally{Front: l.boot.ID, Demands: told.Demands})
+	a.toldMs, a.told = now, told.Demands
+	if owner := a.anyOwner(); owner != "" {
+		out.Send(owner, wire.KindTally, &wire.Tally{Front: a.boot.ID, Demands: told.Demands})
 	}
 }
 
 // anyOwner is one of those who own a partition, another each time, so that one who
 // cannot pass on what it is told is no lasting harm; of those that stand well, if
 // any does.
-func (l *Agent) anyOwner() string {
+func (a *Agent) anyOwner() string {
 	var owners, well []string
-	for _, owner := range l.owners {
+	for _, owner := range a.owners {
 		if slices.Contains(owners, owner.ID) {
 			continue
 		}
 		owners = append(owners, owner.ID)
-		if standing, _ := l.members.Standing(owner.ID); standing == wire.StandingWell {
+		if standing, _ := a.members.Standing(owner.ID); standing == wire.StandingWell {
 			well = append(well, owner.ID)
 		}
 	}
@@ -53,7 +53,7 @@
 		return ""
 	}
 	slices.Sort(owners)
-	return owners[l.random.Intn(len(owners))]
+	return owners[a.random.Intn(len(owners))]
 }
 
 // changed tells whether demands differ by more than a little.
@@ -79,12 +79,12 @@
 
 // talliedUses makes demands of uses alone, for a proxy that counts no more:
 // they were counted since the report before.
-func (l *Agent) talliedUses(now int64, out *wire.Outputs, uses []wire.Use) {
-	past := now - l.usesMs
-	if len(uses) == 0 || now-l.tallyMs < tallyCalm*tallyEvery*2 {
+func (a *Agent) talliedUses(now int64, out *wire.Outputs, uses []wire.Use) {
+	past := now - a.usesMs
+	if len(uses) == 0 || now-a.tallyMs < tallyCalm*tallyEvery*2 {
 		return
 	}
-	l.usesMs = now
+	a.usesMs = now
 	rates := map[string]wire.Demand{}
 	for _, use := range uses {
 		one := rates[use.Item]
@@ -97,15 +97,15 @@
 		told.Demands = append(told.Demands, one)
 	}
 	slices.SortFunc(told.Demands, func(a, b wire.Demand) int { return strings.Compare(a.Item, b.Item) })
-	was := l.tallyMs
-	l.tallied(now, out, told)
-	l.tallyMs = was
+	was := a.tallyMs
+	a.tallied(now, out, told)
+	a.tallyMs = was
 }
 
 // stands tells whether some worker has an item ready.
-func (l *Agent) stands(item string) bool {
-	for _, room := range l.rooms {
-		if room.Dark || room.Leaving || l.workers[room.Worker].Leaving {
+func (a *Agent) stands(item string) bool {
+	for _, room := range a.rooms {
+		if room.Dark || room.Leaving || a.workers[room.Worker].Leaving {
 			continue
 		}
 		if slices.ContainsFunc(room.Loaded, func(one wire.Loaded) bool { return one.Item == item && one.Ready }) {
--- a/internal/controlplane/controller/candidate.go
+++ b/internal/controlplane/controller/candidate.go
@@ -12,23 +12,23 @@
 // only in the life in which the system starts for the very first time. Nobody is
 // nominated twice, so that at most one set is founded, by that machine alone; the others
 // join.
-func (f *Controller) candidate() bool {
-	if !f.boot.Bootstrap || len(f.boot.Core) > 0 || len(f.boot.Seeds) == 0 || slices.Contains(f.boot.Seeds, f.boot.Addr) || len(f.founders()) > 0 {
+func (c *Controller) candidate() bool {
+	if !c.boot.Bootstrap || len(c.boot.Core) > 0 || len(c.boot.Seeds) == 0 || slices.Contains(c.boot.Seeds, c.boot.Addr) || len(c.founders()) > 0 {
 		return false
 	}
-	return !slices.ContainsFunc(f.boot.Seeds, func(seed string) bool {
-		told, answered := f.founding.told[seed]
+	return !slices.ContainsFunc(c.boot.Seeds, func(seed string) bool {
+		told, answered := c.founding.told[seed]
 		return !votelessSeed(told, answered)
 	})
 }
 
 // takeNomination makes this machine the only founder if the lowest seed nominated it.
 // It is nominated by its identity, which it loses with its disk.
-func (f *Controller) takeNomination(out *wire.Outputs) {
-	if !f.candidate() || f.founded() {
+func (c *Controller) takeNomination(out *wire.Outputs) {
+	if !c.candidate() || c.founded() {
 		return
 	}
-	if f.founding.told[slices.Min(f.boot.Seeds)].Bound == f.boot.ID {
-		out.Add(f.acceptor.Found([]string{f.boot.Addr}))
+	if c.founding.told[slices.Min(c.boot.Seeds)].Bound == c.boot.ID {
+		out.Add(c.acceptor.Found([]string{c.boot.Addr}))
 	}
 }
--- a/internal/controlplane/controller/confirm.go
+++ b/internal/controlplane/controller/confirm.go
@@ -27,51 +27,51 @@
 }
 
 // confirm notes a subscriber that waits for the majority's word on the policy.
-func (f *Controller) confirm(from string, asked *wire.Subscribe) {
+func (c *Controller) confirm(from string, asked *wire.Subscribe) {
 	one := waiting{id: from, confirms: true}
 	for _, topic := range asked.Have {
 		if topic.Name == PolicyKey {
 			one.version = topic.Step
 		}
 	}
-	f.confirming.waits = append(f.confirming.waits, one)
+	c.confirming.waits = append(c.confirming.waits, one)
 }
 
 // confirmTick reads the policy once for all who wait.
-func (f *Controller) confirmTick(now int64, out *wire.Outputs) {
-	if f.confirming.asking || len(f.confirming.waits) == 0 {
+func (c *Controller) confirmTick(now int64, out *wire.Outputs) {
+	if c.confirming.asking || len(c.confirming.waits) == 0 {
 		return
 	}
-	waits := f.confirming.waits
-	f.confirming.waits = nil
-	if !f.members.Majority(f.proposer.Core().Voters) {
+	waits := c.confirming.waits
+	c.confirming.waits = nil
+	if !c.members.Majority(c.proposer.Core().Voters) {
 		return
 	}
 	slices.SortFunc(waits, func(a, b waiting) int {
 		return cmp.Or(strings.Compare(a.id, b.id), cmp.Compare(a.version, b.version))
 	})
 	waits = slices.Compact(waits)
-	f.confirming.asking = true
-	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
+	c.confirming.asking = true
+	call := c.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
-		f.confirming.asking = false
+		c.confirming.asking = false
 		if outcome.Fate != register.FateDone {
 			return out
 		}
 		if outcome.Has {
-			f.learn(now, &out, PolicyKey, outcome.Value)
+			c.learn(now, &out, PolicyKey, outcome.Value)
 		}
-		f.confirmed(&out, waits)
+		c.confirmed(&out, waits)
 		return out
 	})
-	ballot, held := f.acceptor.Accepted(PolicyKey)
-	out.Add(f.proposer.Read(now, call, PolicyKey, ballot, held))
+	ballot, held := c.acceptor.Accepted(PolicyKey)
+	out.Add(c.proposer.Read(now, call, PolicyKey, ballot, held))
 }
 
 // confirmed tells those who wait what the majority holds: the policy kept here is no
 // older, and a read found none that is newer.
-func (f *Controller) confirmed(out *wire.Outputs, waits []waiting) {
-	topic, known := f.board.Get(PolicyKey)
+func (c *Controller) confirmed(out *wire.Outputs, waits []waiting) {
+	topic, known := c.board.Get(PolicyKey)
 	for _, subscriber := range waits {
 		told := &wire.News{}
 		if known && subscriber.version < topic.Step {
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -132,90 +132,90 @@
 	return f
 }
 
-func (f *Controller) accepted(key string) []byte {
-	_, value := f.acceptor.Accepted(key)
+func (c *Controller) accepted(key string) []byte {
+	_, value := c.acceptor.Accepted(key)
 	return value
 }
 
 // Hear takes a message from another process, or what a worker showed.
 //
 //	out := core.Hear(now, "c2~51", body)
-func (f *Controller) Hear(now int64, from string, body wire.Record) wire.Outputs {
+func (c *Controller) Hear(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
-	if voterOf(f.proposer.Core().Voters, from) {
-		f.coordinator.heard[from] = now
+	if voterOf(c.proposer.Core().Voters, from) {
+		c.coordinator.heard[from] = now
 	}
 	switch told := body.(type) {
 	case *wire.Prepare, *wire.Accept, *wire.Query, *wire.KeysAsk:
 		switch {
-		case epochOf(body) > f.proposer.Core().Epoch:
-			f.askSet(&out, from)
-		case f.admitted():
-			out = f.acceptor.Hear(from, body)
+		case epochOf(body) > c.proposer.Core().Epoch:
+			c.askSet(&out, from)
+		case c.admitted():
+			out = c.acceptor.Hear(from, body)
 		}
 		// A round that is turned away, perhaps of one who hears nobody, holds nobody up.
-		if asked, is := body.(*wire.Prepare); is && from != f.boot.ID && f.acceptor.Promised(asked.Key) == asked.Ballot {
-			out.Add(f.proposer.Sense(now, from, asked))
+		if asked, is := body.(*wire.Prepare); is && from != c.boot.ID && c.acceptor.Promised(asked.Key) == asked.Ballot {
+			out.Add(c.proposer.Sense(now, from, asked))
 		}
 	case *wire.Promise, *wire.Accepted, *wire.KeysTold:
-		out = f.proposer.Hear(now, from, body)
-		f.noticeCore(now, &out)
+		out = c.proposer.Hear(now, from, body)
+		c.noticeCore(now, &out)
 	case *wire.WriteAsk:
-		if f.admitted() && !f.proposer.Knows(told.Key, told.Name) {
-			asked := f.then(func(int64, register.Outcome) wire.Outputs { return wire.Outputs{} })
-			out = f.proposer.Change(now, asked, told.Key, told.Expected, told.Next, told.Body, told.Name)
+		if c.admitted() && !c.proposer.Knows(told.Key, told.Name) {
+			asked := c.then(func(int64, register.Outcome) wire.Outputs { return wire.Outputs{} })
+			out = c.proposer.Change(now, asked, told.Key, told.Expected, told.Next, told.Body, told.Name)
 		}
 	case *wire.Chosen:
-		f.chosen(now, &out, told)
+		c.chosen(now, &out, told)
 	case *wire.FoundAsk, *wire.FoundTold, *wire.Found:
-		out = f.foundHeard(now, from, body)
+		out = c.foundHeard(now, from, body)
 	case *wire.Probe, *wire.ProbeAck, *wire.ProbeVia:
-		f.members.Tell(f.sums())
-		out = f.members.Hear(now, from, body)
+		c.members.Tell(c.sums())
+		out = c.members.Hear(now, from, body)
 	case *wire.GrantAsk:
-		out = f.leaseRequested(now, from, told)
+		out = c.leaseRequested(now, from, told)
 	case *wire.GrantTold:
-		f.moves(now, &out, f.holder.Told(now, from, told, f.proposer.Core().Voters))
+		c.moves(now, &out, c.holder.Told(now, from, told, c.proposer.Core().Voters))
 	case *wire.GrantBack:
-		f.grantor.Back(now, from, told)
+		c.grantor.Back(now, from, told)
 	case *wire.Post:
-		if owned := f.mine(now, told.Partition); owned != nil {
+		if owned := c.mine(now, told.Partition); owned != nil {
 			out = owned.Post(now, from, told)
 		}
 	case *wire.PostAck:
-		out = f.acked(now, told)
+		out = c.acked(now, told)
 	case *wire.Handover:
-		out = f.handedOver(from, told)
+		out = c.handedOver(from, told)
 	case *wire.HandoverTaken:
-		out = f.handoverTaken(now, from, told)
+		out = c.handoverTaken(now, from, told)
 	case *wire.Tally, *wire.Tallies:
-		f.tallied(now, body)
+		c.tallied(now, body)
 	case *wire.Subscribe:
-		f.tellSubscriber(&out, from, told)
+		c.tellSubscriber(&out, from, told)
 	case *wire.News:
-		f.heardNews(now, &out, from, told)
+		c.heardNews(now, &out, from, told)
 	case *wire.Seen:
-		if owned := f.mine(now, told.Partition); owned != nil {
+		if owned := c.mine(now, told.Partition); owned != nil {
 			out = owned.Seen(now, told)
 		}
 	}
-	return f.settle(now, out)
+	return c.settle(now, out)
 }
 
 // settle runs the continuations of calls that this machine made to itself.
-func (f *Controller) settle(now int64, out wire.Outputs) wire.Outputs {
+func (c *Controller) settle(now int64, out wire.Outputs) wire.Outputs {
 	for again := true; again; {
 		again = false
 		rest := out.Answers[:0:0]
 		pending := out.Answers
 		out.Answers = nil
 		for _, answer := range pending {
-			next, ok := f.calls[answer.Call]
+			next, ok := c.calls[answer.Call]
 			if !ok {
 				rest = append(rest, answer)
 				continue
 			}
-			delete(f.calls, answer.Call)
+			delete(c.calls, answer.Call)
 			out.Add(next(now, answer.Body.(register.Outcome)))
 			again = true
 		}
@@ -225,16 +225,16 @@
 }
 
 // then notes what to do with a call's outcome; such calls have negative numbers.
-func (f *Controller) then(next func(now int64, outcome register.Outcome) wire.Outputs) int64 {
-	f.nextCall--
-	f.calls[f.nextCall] = next
-	return f.nextCall
+func (c *Controller) then(next func(now int64, outcome register.Outcome) wire.Outputs) int64 {
+	c.nextCall--
+	c.calls[c.nextCall] = next
+	return c.nextCall
 }
 
-func (f *Controller) acked(now int64, ack *wire.PostAck) wire.Outputs {
+func (c *Controller) acked(now int64, ack *wire.PostAck) wire.Outputs {
 	var out wire.Outputs
 	if number, is := partition.Sender(ack.Sender); is {
-		if owned := f.mine(now, number); owned != nil {
+		if owned := c.mine(now, number); owned != nil {
 			out = owned.Acked(now, ack)
 		}
 	}
@@ -242,9 +242,9 @@
 }
 
 // mine returns a partition if a turn may be taken on it now.
-func (f *Controller) mine(now, number int64) *partition.Partition {
-	if _, ok := f.holder.Mine(now, number); !ok {
+func (c *Controller) mine(now, number int64) *partition.Partition {
+	if _, ok := c.holder.Mine(now, number); !ok {
 		return nil
 	}
-	return f.owned[number]
+	return c.owned[number]
 }
--- a/internal/controlplane/controller/coordinator.go
+++ b/internal/controlplane/controller/coordinator.go
@@ -34,21 +34,21 @@
 	sizes []sized
 }
 
-func (f *Controller) coordinatorTick(now int64, out *wire.Outputs) {
-	core := f.proposer.Core()
-	if !f.founded() || f.leaving || !voterOf(core.Voters, f.boot.ID) || !f.due(now, "coordinator", f.boot.ProbeMs/4) {
+func (c *Controller) coordinatorTick(now int64, out *wire.Outputs) {
+	core := c.proposer.Core()
+	if !c.founded() || c.leaving || !voterOf(core.Voters, c.boot.ID) || !c.due(now, "coordinator", c.boot.ProbeMs/4) {
 		return
 	}
-	s := &f.coordinator
-	if !f.members.Majority(core.Voters) {
+	s := &c.coordinator
+	if !c.members.Majority(core.Voters) {
 		s.aloneAt = now
 	}
 	// What was asked for now might pass at the heal, by what this node thought of
 	// the others while it was cut off from them; it first hears how they stand.
-	if s.aloneAt > 0 && now-s.aloneAt < f.heardMs() {
+	if s.aloneAt > 0 && now-s.aloneAt < c.heardMs() {
 		return
 	}
-	next, change := f.nextCore(now, core)
+	next, change := c.nextCore(now, core)
 	if core.Epoch != s.epoch || core.Rereplicated != s.rereplicated || (!change && core.Rereplicated) {
 		// What was under way for the set before is of no use.
 		s.busy = s.busy && core.Epoch == s.epoch
@@ -56,52 +56,52 @@
 	}
 	rank := int64(0)
 	for _, voter := range core.Voters {
-		if standing, _ := f.members.Standing(voter.ID); standing == wire.StandingWell && voter.ID < f.boot.ID {
+		if standing, _ := c.members.Standing(voter.ID); standing == wire.StandingWell && voter.ID < c.boot.ID {
 			rank++
 		}
 	}
 	switch {
-	case now-s.since < rank*f.deputyMs()<<s.tries:
+	case now-s.since < rank*c.deputyMs()<<s.tries:
 	case change && (!s.busy || (len(core.Joining) > 0 && s.gaveUp != core.Epoch)):
 		if len(core.Joining) > 0 {
 			s.gaveUp = core.Epoch
 		}
-		f.changeCore(now, out, next)
+		c.changeCore(now, out, next)
 	case !s.busy && !core.Rereplicated:
-		f.rereplicate(now, out, core)
+		c.rereplicate(now, out, core)
 	}
 }
 
-func (f *Controller) changeCore(now int64, out *wire.Outputs, next wire.CoreSet) {
-	turn, before := f.begin(), f.proposer.Core()
-	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
+func (c *Controller) changeCore(now int64, out *wire.Outputs, next wire.CoreSet) {
+	turn, before := c.begin(), c.proposer.Core()
+	call := c.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
-		if f.end(turn) && outcome.Fate == register.FateUnknown {
-			f.triedInVain(now)
+		if c.end(turn) && outcome.Fate == register.FateUnknown {
+			c.triedInVain(now)
 		}
 		if outcome.Has {
-			f.learn(now, &out, register.CoreKey, outcome.Value)
-			f.tellSet(&out, before)
-			delete(f.timers, "coordinator")
+			c.learn(now, &out, register.CoreKey, outcome.Value)
+			c.tellSet(&out, before)
+			delete(c.timers, "coordinator")
 		}
 		return out
 	})
-	name := fmt.Sprintf("%s#%d.%x", f.boot.ID, next.Epoch, f.random.Int63())
-	out.Add(f.proposer.Change(now, call, register.CoreKey, f.coreVersion, 0, wire.Encode(&next), name))
+	name := fmt.Sprintf("%s#%d.%x", c.boot.ID, next.Epoch, c.random.Int63())
+	out.Add(c.proposer.Change(now, call, register.CoreKey, c.coreVersion, 0, wire.Encode(&next), name))
 }
 
 // begin starts a piece of work on the set; one that was under way is given up.
-func (f *Controller) begin() int64 {
-	f.coordinator.turn++
-	f.coordinator.busy = true
-	return f.coordinator.turn
+func (c *Controller) begin() int64 {
+	c.coordinator.turn++
+	c.coordinator.busy = true
+	return c.coordinator.turn
 }
 
-func (f *Controller) end(turn int64) bool {
-	if turn != f.coordinator.turn {
+func (c *Controller) end(turn int64) bool {
+	if turn != c.coordinator.turn {
 		return false
 	}
-	f.coordinator.busy = false
+	c.coordinator.busy = false
 	return true
 }
 
@@ -110,61 +110,61 @@
 
 // triedInVain notes an attempt of which nobody knows what became: where all disks
 // are slow, two coordinators would else turn each other away without end.
-func (f *Controller) triedInVain(now int64) {
-	f.coordinator.since = now
-	f.coordinator.tries = min(f.coordinator.tries+1, mostDoublings)
+func (c *Controller) triedInVain(now int64) {
+	c.coordinator.since = now
+	c.coordinator.tries = min(c.coordinator.tries+1, mostDoublings)
 }
 
 // rereplicate writes every register again under this epoch; only when all are
 // through does a newcomer count, and only then may the set change again.
-func (f *Controller) rereplicate(now int64, out *wire.Outputs, core wire.CoreSet) {
-	turn := f.begin()
-	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
+func (c *Controller) rereplicate(now int64, out *wire.Outputs, core wire.CoreSet) {
+	turn := c.begin()
+	call := c.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
 		if outcome.Fate != register.FateDone || len(outcome.Keys) == 0 {
-			f.rereplicationFailed(now, turn, core)
+			c.rereplicationFailed(now, turn, core)
 			return out
 		}
 		left := len(outcome.Keys)
 		for _, key := range outcome.Keys {
-			mended := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
+			mended := c.then(func(now int64, outcome register.Outcome) wire.Outputs {
 				var done wire.Outputs
 				if outcome.Fate != register.FateDone {
-					f.rereplicationFailed(now, turn, core)
+					c.rereplicationFailed(now, turn, core)
 					return done
 				}
-				f.rereplicated++
-				if left--; left == 0 && f.end(turn) && f.proposer.Core().Epoch == core.Epoch {
-					f.changeCore(now, &done, f.rereplicatedCore(now, core))
+				c.rereplicated++
+				if left--; left == 0 && c.end(turn) && c.proposer.Core().Epoch == core.Epoch {
+					c.changeCore(now, &done, c.rereplicatedCore(now, core))
 				}
 				return done
 			})
-			out.Add(f.proposer.Mend(now, mended, key))
+			out.Add(c.proposer.Mend(now, mended, key))
 		}
 		return out
 	})
-	out.Add(f.proposer.Keys(now, call, f.settledVoters(now, core)))
+	out.Add(c.proposer.Keys(now, call, c.settledVoters(now, core)))
 }
 
-func (f *Controller) rereplicationFailed(now, turn int64, core wire.CoreSet) {
-	if !f.end(turn) {
+func (c *Controller) rereplicationFailed(now, turn int64, core wire.CoreSet) {
+	if !c.end(turn) {
 		return
 	}
-	f.triedInVain(now)
+	c.triedInVain(now)
 	if len(core.Joining) > 0 {
-		f.coordinator.failed[core.Joining[0].ID] = now
+		c.coordinator.failed[core.Joining[0].ID] = now
 	}
 }
 
 // rereplicatedCore is the set that comes once all registers are through: a newcomer
 // gets its vote, or the set is whole and may change again.
-func (f *Controller) rereplicatedCore(now int64, core wire.CoreSet) wire.CoreSet {
+func (c *Controller) rereplicatedCore(now int64, core wire.CoreSet) wire.CoreSet {
 	if len(core.Joining) > 0 {
 		return coreOf(core.Epoch+1, append(slices.Clone(core.Voters), core.Joining...))
 	}
 	next := coreOf(core.Epoch, core.Voters)
 	next.Rereplicated = true
-	next, _ = f.nextCore(now, next)
+	next, _ = c.nextCore(now, next)
 	return next
 }
 
--- a/internal/controlplane/controller/epochs.go
+++ b/internal/controlplane/controller/epochs.go
@@ -26,17 +26,17 @@
 }
 
 // askSet asks a node that goes by a newer set for that set.
-func (f *Controller) askSet(out *wire.Outputs, from string) {
-	out.Send(from, wire.KindSubscribe, f.board.Asks(distribution.ControlService))
+func (c *Controller) askSet(out *wire.Outputs, from string) {
+	out.Send(from, wire.KindSubscribe, c.board.Asks(distribution.ControlService))
 }
 
 // tellSet tells a new set to those of it who had no vote before: all others hear
 // of it as of any value that was chosen.
-func (f *Controller) tellSet(out *wire.Outputs, before wire.CoreSet) {
-	core := f.proposer.Core()
+func (c *Controller) tellSet(out *wire.Outputs, before wire.CoreSet) {
+	core := c.proposer.Core()
 	for _, list := range [][]wire.Voter{core.Voters, core.Joining} {
 		for _, voter := range list {
-			if voter.ID != f.boot.ID && !voterOf(before.Voters, voter.ID) {
+			if voter.ID != c.boot.ID && !voterOf(before.Voters, voter.ID) {
 				out.Send(voter.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{register.CoreTopic(core)}})
 			}
 		}
@@ -45,7 +45,7 @@
 
 // admitted tells whether this node's identity is in the core set, or on its way
 // in: only then does it vote or keep copies.
-func (f *Controller) admitted() bool {
-	core := f.proposer.Core()
-	return voterOf(core.Voters, f.boot.ID) || voterOf(core.Joining, f.boot.ID)
+func (c *Controller) admitted() bool {
+	core := c.proposer.Core()
+	return voterOf(core.Voters, c.boot.ID) || voterOf(core.Joining, c.boot.ID)
 }
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -26,11 +26,11 @@
 // been founded before, as far as this node was told at its start. The seeds of
 // the very first start last on disk, for a node that starts again before all
 // were found.
-func (f *Controller) founders() []string {
-	if len(f.boot.Core) > 0 {
-		return f.boot.Core
+func (c *Controller) founders() []string {
+	if len(c.boot.Core) > 0 {
+		return c.boot.Core
 	}
-	if seeds := f.acceptor.Founders(); len(seeds) > 0 {
+	if seeds := c.acceptor.Founders(); len(seeds) > 0 {
 		return seeds
 	}
 	return nil
@@ -38,9 +38,9 @@
 
 // noteFounders keeps the seeds of the very first start. Who is bound to a founder
 // by then may have said that it is none, and stays so.
-func (f *Controller) noteFounders(out *wire.Outputs) {
-	if f.acceptor.Bound() == "" && f.boot.Bootstrap && len(f.boot.Core) == 0 && slices.Contains(f.boot.Seeds, f.boot.Addr) && len(f.acceptor.Founders()) == 0 {
-		out.Add(f.acceptor.Found(f.boot.Seeds))
+func (c *Controller) noteFounders(out *wire.Outputs) {
+	if c.acceptor.Bound() == "" && c.boot.Bootstrap && len(c.boot.Core) == 0 && slices.Contains(c.boot.Seeds, c.boot.Addr) && len(c.acceptor.Founders()) == 0 {
+		out.Add(c.acceptor.Found(c.boot.Seeds))
 	}
 }
 
@@ -50,84 +50,84 @@
 
 func newFounding() founding { return founding{told: map[string]wire.FoundTold{}} }
 
-func (f *Controller) founded() bool { return len(f.accepted(register.CoreKey)) > 0 }
+func (c *Controller) founded() bool { return len(c.accepted(register.CoreKey)) > 0 }
 
-func (f *Controller) voter() wire.Voter {
-	return wire.Voter{ID: f.boot.ID, Name: f.boot.Name, Addr: f.boot.Addr}
+func (c *Controller) voter() wire.Voter {
+	return wire.Voter{ID: c.boot.ID, Name: c.boot.Name, Addr: c.boot.Addr}
 }
 
 // foundTick asks the others as long as this node has no core set.
-func (f *Controller) foundTick(now int64, out *wire.Outputs) {
-	if f.founded() || !f.due(now, "found", f.boot.ProbeMs) {
+func (c *Controller) foundTick(now int64, out *wire.Outputs) {
+	if c.founded() || !c.due(now, "found", c.boot.ProbeMs) {
 		return
 	}
-	f.noteFounders(out)
-	candidate := f.candidate()
-	if candidate || f.proposes() {
-		out.Add(f.acceptor.Bind(f.voter()))
+	c.noteFounders(out)
+	candidate := c.candidate()
+	if candidate || c.proposes() {
+		out.Add(c.acceptor.Bind(c.voter()))
 	}
-	proposes := f.acceptor.Bound() == f.boot.ID
-	addrs := append(slices.Clone(f.founders()), f.boot.Seeds...)
-	for _, member := range f.members.Alive("") {
+	proposes := c.acceptor.Bound() == c.boot.ID
+	addrs := append(slices.Clone(c.founders()), c.boot.Seeds...)
+	for _, member := range c.members.Alive("") {
 		addrs = append(addrs, member.Addr)
 	}
 	slices.Sort(addrs)
 	for _, addr := range slices.Compact(addrs) {
 		switch {
-		case addr == f.boot.Addr:
-		case proposes && (!candidate || slices.Contains(f.boot.Seeds, addr)):
+		case addr == c.boot.Addr:
+		case proposes && (!candidate || slices.Contains(c.boot.Seeds, addr)):
 			// Nobody is bound to a founder that may forget that it is one.
-			out.After(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: f.voter(), Propose: true})
+			out.After(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: c.voter(), Propose: true})
 		default:
-			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: f.voter()})
+			out.Send(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: c.voter()})
 		}
 	}
-	if founders := f.founders(); len(founders) == 1 && founders[0] == f.boot.Addr {
-		f.found(now, out)
+	if founders := c.founders(); len(founders) == 1 && founders[0] == c.boot.Addr {
+		c.found(now, out)
 	}
 }
 
 // proposes tells whether this machine is the founder that proposes the first set:
 // no address below its own is a founder's any more.
-func (f *Controller) proposes() bool {
-	founders := f.founders()
+func (c *Controller) proposes() bool {
+	founders := c.founders()
 	for _, addr := range founders {
-		told, ok := f.founding.told[addr]
-		if addr < f.boot.Addr && (!ok || told.Founder) && !votelessSeed(told, ok) {
+		told, ok := c.founding.told[addr]
+		if addr < c.boot.Addr && (!ok || told.Founder) && !votelessSeed(told, ok) {
 			return false
 		}
 	}
-	return slices.Contains(founders, f.boot.Addr)
+	return slices.Contains(founders, c.boot.Addr)
 }
 
-func (f *Controller) foundHeard(now int64, from string, body wire.Record) wire.Outputs {
+func (c *Controller) foundHeard(now int64, from string, body wire.Record) wire.Outputs {
 	var out wire.Outputs
 	switch told := body.(type) {
 	case *wire.FoundAsk:
-		f.noteFounders(&out)
-		if told.Propose && !f.founded() {
-			out.Add(f.acceptor.Bind(told.Voter))
+		c.noteFounders(&out)
+		if told.Propose && !c.founded() {
+			out.Add(c.acceptor.Bind(told.Voter))
 		}
-		out.After(from, wire.KindFoundTold, &wire.FoundTold{Voter: f.voter(), Founded: f.founded(), Core: f.chosenCore(), Founder: len(f.founders()) > 0, Bound: f.acceptor.Bound()})
+		out.After(from, wire.KindFoundTold, &wire.FoundTold{Voter: c.voter(), Founded: c.founded(), Core: c.chosenCore(), Founder: len(c.founders()) > 0, Bound: c.acceptor.Bound()})
 	case *wire.FoundTold:
 		if core, ok := register.ParseCore(told.Core); told.Founded && ok {
-			f.adopt(now, &out, core, told.Core, told.Voter.ID)
+			c.adopt(now, &out, core, told.Core, told.Voter.ID)
 			return out
 		}
-		f.founding.told[told.Voter.Addr] = *told
-		f.takeNomination(&out)
-		f.found(now, &out)
+		c.founding.told[told.Voter.Addr] = *told
+		c.takeNomination(&out)
+		c.found(now, &out)
 	case *wire.Found:
 		if core, ok := register.ParseCore(told.Core); ok {
-			f.adopt(now, &out, core, told.Core, told.By)
+			c.adopt(now, &out, core, told.Core, told.By)
 		}
 	}
 	return out
 }
 
 // chosenCore is the core set known to be chosen, as a register's value.
-func (f *Controller) chosenCore() []byte {
-	core, ok := f.acceptor.Core()
+func (c *Controller) chosenCore() []byte {
+	core, ok := c.acceptor.Core()
 	if !ok {
 		return nil
 	}
@@ -136,32 +136,32 @@
 
 // found makes the first core set, once all founders' addresses answered that they
 // are bound to this machine.
-func (f *Controller) found(now int64, out *wire.Outputs) {
-	founders := f.founders()
-	if f.founded() || !slices.Contains(founders, f.boot.Addr) || f.acceptor.Bound() != f.boot.ID {
+func (c *Controller) found(now int64, out *wire.Outputs) {
+	founders := c.founders()
+	if c.founded() || !slices.Contains(founders, c.boot.Addr) || c.acceptor.Bound() != c.boot.ID {
 		return
 	}
 	// The first voter is the one that made the set (see takesUp).
-	core := coreOf(1, []wire.Voter{f.voter()})
+	core := coreOf(1, []wire.Voter{c.voter()})
 	core.Rereplicated = true
 	for _, addr := range founders {
-		told, ok := f.founding.told[addr]
-		if addr == f.boot.Addr {
+		told, ok := c.founding.told[addr]
+		if addr == c.boot.Addr {
 			continue
 		}
 		if votelessSeed(told, ok) {
 			continue
 		}
-		if !ok || told.Bound != f.boot.ID {
+		if !ok || told.Bound != c.boot.ID {
 			return
 		}
 		core.Voters = append(core.Voters, told.Voter)
 	}
 	value := wire.Encode(&wire.Value{Version: 1, Body: wire.Encode(&core)})
-	f.adopt(now, out, core, value, f.boot.ID)
+	c.adopt(now, out, core, value, c.boot.ID)
 	for _, voter := range core.Voters {
-		if voter.ID != f.boot.ID {
-			out.After(voter.ID, wire.KindFound, &wire.Found{By: f.boot.ID, Core: value})
+		if voter.ID != c.boot.ID {
+			out.After(voter.ID, wire.KindFound, &wire.Found{By: c.boot.ID, Core: value})
 		}
 	}
 }
@@ -169,33 +169,33 @@
 // adopt takes a founding core set that names this identity, as another has it,
 // if this machine is bound to nobody else (see takesUp). One that does not name it
 // only tells the proposer whom to ask: the coordinators will let this node in.
-func (f *Controller) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte, from string) {
-	if core.Epoch == 1 && voterOf(core.Voters, f.boot.ID) && !f.founded() {
-		if !f.takesUp(core, from) {
+func (c *Controller) adopt(now int64, out *wire.Outputs, core wire.CoreSet, value []byte, from string) {
+	if core.Epoch == 1 && voterOf(core.Voters, c.boot.ID) && !c.founded() {
+		if !c.takesUp(core, from) {
 			return
 		}
 		first := wire.Ballot{N: 1, By: "founding"}
 		record := &wire.AcceptorRecord{Key: register.CoreKey, Promised: first, Accepted: first, Value: value}
-		f.acceptor.Replay(record)
+		c.acceptor.Replay(record)
 		out.Write(wire.KindAcceptorRecord, record)
 	}
-	f.learnCore(now, out, core)
+	c.learnCore(now, out, core)
 }
 
 // takesUp tells whether a first set may be taken up, by the founder that this
 // machine is bound to: that one made it, or has it itself; or the founder is this
 // machine, and made none yet.
-func (f *Controller) takesUp(core wire.CoreSet, from string) bool {
-	bound := f.acceptor.Bound()
-	return bound != "" && (bound == f.boot.ID || bound == core.Voters[0].ID || bound == from)
+func (c *Controller) takesUp(core wire.CoreSet, from string) bool {
+	bound := c.acceptor.Bound()
+	return bound != "" && (bound == c.boot.ID || bound == core.Voters[0].ID || bound == from)
 }
 
 // SetSeeds takes the seeds of settings that were read again.
 //
 //	core.SetSeeds([]string{"10.0.0.7:7100"})
-func (f *Controller) SetSeeds(seeds []string) {
-	f.boot.Seeds = seeds
-	f.members.SetSeeds(SeedsWith(seeds, f.proposer.Core()))
+func (c *Controller) SetSeeds(seeds []string) {
+	c.boot.Seeds = seeds
+	c.members.SetSeeds(SeedsWith(seeds, c.proposer.Core()))
 }
 
 // SeedsWith are the seeds and, should none of them be up, the core machines
--- a/internal/controlplane/controller/learn.go
+++ b/internal/controlplane/controller/learn.go
@@ -9,133 +9,133 @@
 )
 
 // chosen takes a proposer's word that a ballot was chosen.
-func (f *Controller) chosen(now int64, out *wire.Outputs, told *wire.Chosen) {
-	if f.admitted() {
-		out.Add(f.acceptor.Mend(told))
+func (c *Controller) chosen(now int64, out *wire.Outputs, told *wire.Chosen) {
+	if c.admitted() {
+		out.Add(c.acceptor.Mend(told))
 	}
 	body := told.Value
-	if ballot, value := f.acceptor.Accepted(told.Key); len(body) == 0 && ballot == told.Ballot {
+	if ballot, value := c.acceptor.Accepted(told.Key); len(body) == 0 && ballot == told.Ballot {
 		body = value
 	}
 	if len(body) == 0 {
 		return
 	}
 	if value, err := wire.DecodeValue(body); err == nil {
-		out.Add(f.proposer.Chose(now, told.Key, value))
-		f.learn(now, out, told.Key, value)
+		out.Add(c.proposer.Chose(now, told.Key, value))
+		c.learn(now, out, told.Key, value)
 	}
 }
 
 // learn takes a chosen value; versions only rise.
-func (f *Controller) learn(now int64, out *wire.Outputs, key string, value wire.Value) {
+func (c *Controller) learn(now int64, out *wire.Outputs, key string, value wire.Value) {
 	value = register.Standing(value)
 	if key == register.CoreKey {
-		f.coreVersion = max(f.coreVersion, value.Version)
+		c.coreVersion = max(c.coreVersion, value.Version)
 		var core wire.CoreSet
 		if core.Unmarshal(value.Body) == nil {
-			f.learnCore(now, out, core)
+			c.learnCore(now, out, core)
 		}
 	}
-	if value.Version <= f.versions[key] {
+	if value.Version <= c.versions[key] {
 		return
 	}
-	f.versions[key] = value.Version
+	c.versions[key] = value.Version
 	switch {
 	case key == PolicyKey:
-		if table, faults, _ := f.boot.Form.Parse(value.Body, value.Version); table != nil && len(faults) == 0 {
-			f.view.Policy = table.Placement()
+		if table, faults, _ := c.boot.Form.Parse(value.Body, value.Version); table != nil && len(faults) == 0 {
+			c.view.Policy = table.Placement()
 		}
-		f.members.Set("mark", strconv.FormatInt(value.Version, 10))
+		c.members.Set("mark", strconv.FormatInt(value.Version, 10))
 		topic := wire.Pack(wire.Topic{Name: PolicyKey, Step: value.Version, Body: value.Body})
-		f.board.Put(topic)
-		f.push(out, topic, false)
+		c.board.Put(topic)
+		c.push(out, topic, false)
 	case key == DirectoryKey:
 		var list wire.WorkerList
 		if list.Unmarshal(value.Body) == nil {
-			f.listed = list
-			f.viewWorkers()
+			c.listed = list
+			c.viewWorkers()
 		}
 		topic := wire.Pack(wire.Topic{Name: DirectoryKey, Step: value.Version, Body: value.Body})
-		f.board.Put(topic)
-		f.push(out, topic, false)
+		c.board.Put(topic)
+		c.push(out, topic, false)
 	case strings.HasPrefix(key, ownerPrefix):
 		var owner wire.Owner
-		if owner.Unmarshal(value.Body) == nil && owner.Fence > f.view.Owners[owner.Partition].Fence {
-			f.view.Owners[owner.Partition] = owner
-			f.board.Put(wire.Topic{Name: key, Term: owner.Fence, Body: value.Body})
+		if owner.Unmarshal(value.Body) == nil && owner.Fence > c.view.Owners[owner.Partition].Fence {
+			c.view.Owners[owner.Partition] = owner
+			c.board.Put(wire.Topic{Name: key, Term: owner.Fence, Body: value.Body})
 		}
 	}
 }
 
 // noticeCore takes up a core set that the proposer learned by an answer. What
 // goes with a new set is done whichever way it became known.
-func (f *Controller) noticeCore(now int64, out *wire.Outputs) {
-	if core := f.proposer.Core(); core.Epoch > f.core.Epoch {
-		f.learnCore(now, out, core)
+func (c *Controller) noticeCore(now int64, out *wire.Outputs) {
+	if core := c.proposer.Core(); core.Epoch > c.core.Epoch {
+		c.learnCore(now, out, core)
 	}
 }
 
 // learnCore takes up a core set; it is compared with the one that this machine
 // took up before, since the proposer may already work with the newer one.
-func (f *Controller) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
-	known := f.core
+func (c *Controller) learnCore(now int64, out *wire.Outputs, core wire.CoreSet) {
+	known := c.core
 	if core.Epoch < known.Epoch || (core.Epoch == known.Epoch && known.Rereplicated) {
 		return
 	}
 	// To lose a vote and get one again takes three changes, of which a node that
 	// was cut off may not have heard.
 	missed := known.Epoch > 0 && core.Epoch >= known.Epoch+regained
-	if core.Epoch > 1 && voterOf(core.Voters, f.boot.ID) && (missed || !voterOf(known.Voters, f.boot.ID)) {
-		f.grantor.Quiet(now)
+	if core.Epoch > 1 && voterOf(core.Voters, c.boot.ID) && (missed || !voterOf(known.Voters, c.boot.ID)) {
+		c.grantor.Quiet(now)
 	}
-	f.core = core
-	f.noteSize(now, known, core)
-	f.noteAdmitted(now, known, core)
-	if voterOf(known.Voters, f.boot.ID) && !voterOf(core.Voters, f.boot.ID) {
-		f.outSince = core.Epoch
+	c.core = core
+	c.noteSize(now, known, core)
+	c.noteAdmitted(now, known, core)
+	if voterOf(known.Voters, c.boot.ID) && !voterOf(core.Voters, c.boot.ID) {
+		c.outSince = core.Epoch
 	}
 	if core.Epoch > known.Epoch {
-		f.holder.Hurry(now)
+		c.holder.Hurry(now)
 	}
-	f.proposer.Learn(core)
-	f.SetSeeds(f.boot.Seeds)
-	out.Add(f.acceptor.Raise(core.Epoch))
-	out.Add(f.acceptor.Chose(core))
-	f.board.Put(register.CoreTopic(core))
+	c.proposer.Learn(core)
+	c.SetSeeds(c.boot.Seeds)
+	out.Add(c.acceptor.Raise(core.Epoch))
+	out.Add(c.acceptor.Chose(core))
+	c.board.Put(register.CoreTopic(core))
 }
 
-func (f *Controller) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
+func (c *Controller) heardNews(now int64, out *wire.Outputs, from string, told *wire.News) {
 	for _, topic := range told.Topics {
-		if !f.board.Put(topic) {
+		if !c.board.Put(topic) {
 			continue
 		}
-		if from == f.boot.ID {
-			f.tellVoters(out, topic)
-			f.push(out, topic, true)
+		if from == c.boot.ID {
+			c.tellVoters(out, topic)
+			c.push(out, topic, true)
 		}
 		switch {
 		case strings.HasPrefix(topic.Name, "homes/"):
 			var room wire.WorkerNews
 			if room.Unmarshal(topic.Body) == nil {
-				f.view.Rooms[room.Worker] = room
+				c.view.Rooms[room.Worker] = room
 			}
 		case topic.Name == register.CoreKey:
 			var core wire.CoreSet
 			if core.Unmarshal(topic.Body) == nil {
-				f.learnCore(now, out, core)
+				c.learnCore(now, out, core)
 			}
 		case strings.HasPrefix(topic.Name, ownerPrefix):
 			var owner wire.Owner
-			if owner.Unmarshal(topic.Body) == nil && owner.Fence > f.view.Owners[owner.Partition].Fence {
-				f.view.Owners[owner.Partition] = owner
+			if owner.Unmarshal(topic.Body) == nil && owner.Fence > c.view.Owners[owner.Partition].Fence {
+				c.view.Owners[owner.Partition] = owner
 			}
 		}
 	}
 }
 
-func (f *Controller) tellVoters(out *wire.Outputs, topic wire.Topic) {
-	for _, voter := range f.proposer.Core().Voters {
-		if voter.ID != f.boot.ID {
+func (c *Controller) tellVoters(out *wire.Outputs, topic wire.Topic) {
+	for _, voter := range c.proposer.Core().Voters {
+		if voter.ID != c.boot.ID {
 			out.Send(voter.ID, wire.KindNews, &wire.News{Topics: []wire.Topic{topic}})
 		}
 	}
@@ -144,25 +144,25 @@
 // readRepairTick reads registers in turn: reads mend the copies they find old, and
 // bring here what this node missed. What is chosen is told at once and asked for
 // as news, so a turn now and then is enough.
-func (f *Controller) readRepairTick(now int64, out *wire.Outputs) {
-	if !f.founded() || !f.due(now, "read repair", f.often(now, f.boot.LeaseMs/8)) {
+func (c *Controller) readRepairTick(now int64, out *wire.Outputs) {
+	if !c.founded() || !c.due(now, "read repair", c.often(now, c.boot.LeaseMs/8)) {
 		return
 	}
-	keys := f.acceptor.Keys()
-	f.timers["swept"]++
-	turn := int(f.timers["swept"])
+	keys := c.acceptor.Keys()
+	c.timers["swept"]++
+	turn := int(c.timers["swept"])
 	// Every other turn is for what must be in effect soon.
 	key := []string{PolicyKey, DirectoryKey}[turn/2%2]
 	if turn%2 == 0 && len(keys) > 0 {
 		key = keys[turn/2%len(keys)]
 	}
-	ballot, held := f.acceptor.Accepted(key)
-	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
+	ballot, held := c.acceptor.Accepted(key)
+	call := c.then(func(now int64, outcome register.Outcome) wire.Outputs {
 		var out wire.Outputs
 		if outcome.Fate == register.FateDone && outcome.Has {
-			f.learn(now, &out, key, outcome.Value)
+			c.learn(now, &out, key, outcome.Value)
 		}
 		return out
 	})
-	out.Add(f.proposer.Read(now, call, key, ballot, held))
+	out.Add(c.proposer.Read(now, call, key, ballot, held))
 }
--- a/internal/controlplane/controller/page.go
+++ b/internal/controlplane/controller/page.go
@@ -41,26 +41,26 @@
 // Page copies what may be shown; nothing in it is changed later.
 //
 //	page := core.Page(now)
-func (f *Controller) Page(now int64) Page {
-	page := Page{ID: f.boot.ID, Role: "controller", Core: f.proposer.Core(), Policy: f.view.Policy, Versions: map[string]int64{}, Members: f.members.All(),
+func (c *Controller) Page(now int64) Page {
+	page := Page{ID: c.boot.ID, Role: "controller", Core: c.proposer.Core(), Policy: c.view.Policy, Versions: map[string]int64{}, Members: c.members.All(),
 		Owners: map[int64]wire.Owner{}, Workers: map[string]wire.Worker{}, Rooms: map[string]wire.WorkerNews{},
-		Owned: f.holder.Owned(now), Recovered: f.Recoveries, Rereplicated: f.rereplicated, Rounds: f.proposer.Rounds, Seeds: f.boot.Seeds, Partitions: f.boot.Partitions}
-	page.Events, page.Moving, page.Moves = f.events, len(f.moving), f.Moves
-	page.Needed = f.Needed()
-	for _, owned := range f.owned {
+		Owned: c.holder.Owned(now), Recovered: c.Recoveries, Rereplicated: c.rereplicated, Rounds: c.proposer.Rounds, Seeds: c.boot.Seeds, Partitions: c.boot.Partitions}
+	page.Events, page.Moving, page.Moves = c.events, len(c.moving), c.Moves
+	page.Needed = c.Needed()
+	for _, owned := range c.owned {
 		page.Events += owned.Steps
 		page.Placement.Add(owned.Placement(now))
 	}
-	for key, version := range f.versions {
+	for key, version := range c.versions {
 		page.Versions[key] = version
 	}
-	for number, owner := range f.view.Owners {
+	for number, owner := range c.view.Owners {
 		page.Owners[number] = owner
 	}
-	for name, worker := range f.view.Workers {
+	for name, worker := range c.view.Workers {
 		page.Workers[name] = worker
 	}
-	for name, room := range f.view.Rooms {
+	for name, room := range c.view.Rooms {
 		page.Rooms[name] = room
 	}
 	return page
@@ -88,18 +88,18 @@
 // Progress tells how far this node is after its start.
 //
 //	progress := core.Progress()
-func (f *Controller) Progress() Progress {
-	return NewProgress(f.proposer.Core(), f.boot.Seeds, f.members, f.versions[PolicyKey])
+func (c *Controller) Progress() Progress {
+	return NewProgress(c.proposer.Core(), c.boot.Seeds, c.members, c.versions[PolicyKey])
 }
 
 // Addr returns where a member is reached.
 //
 //	addr, ok := core.Addr("l2~77")
-func (f *Controller) Addr(id string) (string, bool) {
-	if addr, ok := f.members.Addr(id); ok {
+func (c *Controller) Addr(id string) (string, bool) {
+	if addr, ok := c.members.Addr(id); ok {
 		return addr, true
 	}
-	core := f.proposer.Core()
+	core := c.proposer.Core()
 	for _, voter := range append(core.Voters, core.Joining...) {
 		if voter.ID == id {
 			return voter.Addr, true
@@ -111,18 +111,18 @@
 // Board shows the news kept here.
 //
 //	topic, ok := core.Board().Get("policy")
-func (f *Controller) Board() *distribution.Board { return f.board }
+func (c *Controller) Board() *distribution.Board { return c.board }
 
 // Fact notes a fact about this node that all others hear.
 //
 //	core.Fact("sync_ms", "12")
-func (f *Controller) Fact(name, fact string) { f.members.Set(name, fact) }
+func (c *Controller) Fact(name, fact string) { c.members.Set(name, fact) }
 
 // ownedFact lists the partitions on which this node may take turns.
-func (f *Controller) ownedFact(now int64) string {
+func (c *Controller) ownedFact(now int64) string {
 	var numbers []string
-	for number := range f.boot.Partitions {
-		if f.mine(now, number) != nil {
+	for number := range c.boot.Partitions {
+		if c.mine(now, number) != nil {
 			numbers = append(numbers, fmt.Sprint(number))
 		}
 	}
--- a/internal/controlplane/controller/peers.go
+++ b/internal/controlplane/controller/peers.go
@@ -31,59 +31,59 @@
 }
 
 // recallPeers takes up the fronts that were known before this start.
-func (f *Controller) recallPeers() {
-	f.peers = peers{seenMs: map[string]int64{}}
-	for _, addr := range f.acceptor.Peers() {
-		f.peers.seenMs[addr] = f.StartedMs
+func (c *Controller) recallPeers() {
+	c.peers = peers{seenMs: map[string]int64{}}
+	for _, addr := range c.acceptor.Peers() {
+		c.peers.seenMs[addr] = c.StartedMs
 	}
 }
 
 // peersTick keeps account of the fronts, and probes those that are missing.
-func (f *Controller) peersTick(now int64, out *wire.Outputs) {
-	if !f.due(now, "peers", f.boot.ProbeMs) {
+func (c *Controller) peersTick(now int64, out *wire.Outputs) {
+	if !c.due(now, "peers", c.boot.ProbeMs) {
 		return
 	}
-	note := f.due(now, "notePeers", f.boot.LeaseMs)
-	if version := f.members.Version(); note || version != f.peers.seenOf {
-		f.peers.seenOf = version
-		f.seePeers(now)
+	note := c.due(now, "notePeers", c.boot.LeaseMs)
+	if version := c.members.Version(); note || version != c.peers.seenOf {
+		c.peers.seenOf = version
+		c.seePeers(now)
 	}
 	if note {
-		f.notePeers(now, out)
+		c.notePeers(now, out)
 	}
 	most := missingLater
-	if now-f.StartedMs < peerStartLeases*f.boot.LeaseMs {
+	if now-c.StartedMs < peerStartLeases*c.boot.LeaseMs {
 		most = missingAtStart
 	}
-	out.Add(f.members.ProbeAddrs(now, f.peers.someMissing(most)))
+	out.Add(c.members.ProbeAddrs(now, c.peers.someMissing(most)))
 }
 
 // peerStartLeases is for how many leases after a start many missing fronts are probed.
 const peerStartLeases = 8
 
 // seePeers notes which fronts are up, and which of those remembered are not.
-func (f *Controller) seePeers(now int64) {
+func (c *Controller) seePeers(now int64) {
 	up := map[string]bool{}
-	for _, member := range f.members.Alive("agent") {
+	for _, member := range c.members.Alive("agent") {
 		up[member.Addr] = true
-		f.peers.seenMs[member.Addr] = now
+		c.peers.seenMs[member.Addr] = now
 	}
-	f.peers.missing = f.peers.missing[:0]
-	for _, addr := range slices.Sorted(maps.Keys(f.peers.seenMs)) {
+	c.peers.missing = c.peers.missing[:0]
+	for _, addr := range slices.Sorted(maps.Keys(c.peers.seenMs)) {
 		if !up[addr] {
-			f.peers.missing = append(f.peers.missing, addr)
+			c.peers.missing = append(c.peers.missing, addr)
 		}
 	}
 }
 
 // notePeers writes the addresses down if they are others than were written last, less
 // those that were not seen for long.
-func (f *Controller) notePeers(now int64, out *wire.Outputs) {
-	maps.DeleteFunc(f.peers.seenMs, func(_ string, seenMs int64) bool { return now-seenMs > peerMs })
-	known := slices.Sorted(maps.Keys(f.peers.seenMs))
+func (c *Controller) notePeers(now int64, out *wire.Outputs) {
+	maps.DeleteFunc(c.peers.seenMs, func(_ string, seenMs int64) bool { return now-seenMs > peerMs })
+	known := slices.Sorted(maps.Keys(c.peers.seenMs))
 	known = known[:min(len(known), mostPeers)]
-	if !slices.Equal(known, f.acceptor.Peers()) {
-		out.Add(f.acceptor.NotePeers(known))
+	if !slices.Equal(known, c.acceptor.Peers()) {
+		out.Add(c.acceptor.NotePeers(known))
 	}
 }
 
--- a/internal/controlplane/controller/push.go
+++ b/internal/controlplane/controller/push.go
@@ -13,18 +13,18 @@
 // controller tells the zones that it looks after, and in its own zone every front
 // itself, since its link carries that sooner than any front's and nobody then waits
 // for a home that is slow or gone (toldByController in package agent).
-func (f *Controller) push(out *wire.Outputs, topic wire.Topic, all bool) {
-	agents := f.members.Alive("agent")
+func (c *Controller) push(out *wire.Outputs, topic wire.Topic, all bool) {
+	agents := c.members.Alive("agent")
 	told := &wire.News{Topics: []wire.Topic{topic}}
 	homes := map[string]bool{}
 	for _, agent := range agents {
-		if !all && agent.Zone == f.boot.Zone {
-			if f.looksAfter(agent.Zone) {
+		if !all && agent.Zone == c.boot.Zone {
+			if c.looksAfter(agent.Zone) {
 				out.Send(agent.ID, wire.KindNews, told)
 			}
 			continue
 		}
-		if homes[agent.Zone] || (!all && !f.looksAfter(agent.Zone)) {
+		if homes[agent.Zone] || (!all && !c.looksAfter(agent.Zone)) {
 			continue
 		}
 		homes[agent.Zone] = true
@@ -34,27 +34,27 @@
 
 // looksAfter tells whether this controller tells a zone what all controllers hear:
 // the first that stands there does, or the first of all where none is there.
-func (f *Controller) looksAfter(zone string) bool {
+func (c *Controller) looksAfter(zone string) bool {
 	first, there := "", false
-	for _, voter := range f.members.Alive("controller") {
+	for _, voter := range c.members.Alive("controller") {
 		here := voter.Zone == zone
 		if first == "" || (here && !there) || (here == there && voter.ID < first) {
 			first, there = voter.ID, here
 		}
 	}
-	return first == f.boot.ID
+	return first == c.boot.ID
 }
 
 // tellSubscriber answers with what is past the subscriber's versions, of the service
 // it names or of all; with the policy only once that is known to stand.
-func (f *Controller) tellSubscriber(out *wire.Outputs, from string, asked *wire.Subscribe) {
+func (c *Controller) tellSubscriber(out *wire.Outputs, from string, asked *wire.Subscribe) {
 	if asked.Confirm {
-		f.confirm(from, asked)
+		c.confirm(from, asked)
 		return
 	}
-	kind, body := f.board.Answers(asked)
+	kind, body := c.board.Answers(asked)
 	if news, is := body.(*wire.News); is {
-		news.Topics = f.withoutUnconfirmed(from, news.Topics)
+		news.Topics = c.withoutUnconfirmed(from, news.Topics)
 		if len(news.Topics) == 0 {
 			return
 		}
@@ -66,20 +66,20 @@
 
 // withoutUnconfirmed leaves the policy out of what a subscriber is told; the
 // subscriber gets it once a majority has confirmed it (confirmTick).
-func (f *Controller) withoutUnconfirmed(subscriber string, topics []wire.Topic) []wire.Topic {
+func (c *Controller) withoutUnconfirmed(subscriber string, topics []wire.Topic) []wire.Topic {
 	at := slices.IndexFunc(topics, func(topic wire.Topic) bool { return topic.Name == PolicyKey })
 	if at < 0 {
 		return topics
 	}
-	f.confirming.waits = append(f.confirming.waits, waiting{id: subscriber})
+	c.confirming.waits = append(c.confirming.waits, waiting{id: subscriber})
 	return slices.Delete(topics, at, at+1)
 }
 
 // sums are what this node's probes say of its news. It vouches for its control topics
 // only while it may be in touch with a majority.
-func (f *Controller) sums() wire.BoardSums {
-	out := f.board.Sums()
-	if f.founded() && f.members.Majority(f.proposer.Core().Voters) {
+func (c *Controller) sums() wire.BoardSums {
+	out := c.board.Sums()
+	if c.founded() && c.members.Majority(c.proposer.Core().Voters) {
 		out.AgeMs = 1
 	}
 	return out
--- a/internal/controlplane/controller/recovery.go
+++ b/internal/controlplane/controller/recovery.go
@@ -5,17 +5,17 @@
 	"applequay/internal/transport/wire"
 )
 
-func (f *Controller) replay(snapshot *wire.Snapshot, writes []wire.Write) {
+func (c *Controller) replay(snapshot *wire.Snapshot, writes []wire.Write) {
 	for i := range snapshot.Registers {
-		f.acceptor.Replay(&snapshot.Registers[i])
+		c.acceptor.Replay(&snapshot.Registers[i])
 	}
 	for i := range snapshot.Partitions {
 		state := snapshot.Partitions[i]
-		f.kept[state.Partition] = &state
+		c.kept[state.Partition] = &state
 	}
 	for i := range snapshot.Handed {
 		state := snapshot.Handed[i]
-		f.handed[state.Partition] = &state
+		c.handed[state.Partition] = &state
 	}
 	for _, write := range writes {
 		body, err := wire.Decode(write.Kind, write.Body)
@@ -24,16 +24,16 @@
 		}
 		switch record := body.(type) {
 		case *wire.AcceptorRecord:
-			f.acceptor.Replay(record)
+			c.acceptor.Replay(record)
 		case *wire.AdoptRecord:
 			var from *wire.PartitionState
 			if record.From > 0 {
-				from = f.source(record.Partition, f.sealedOwner(record))
+				from = c.source(record.Partition, c.sealedOwner(record))
 			}
-			f.adoptState(record.Partition, record.Fence, record.Owner, from)
-			f.took[record.Partition] = false
+			c.adoptState(record.Partition, record.Fence, record.Owner, from)
+			c.took[record.Partition] = false
 		case *wire.SealRecord:
-			if state := f.kept[record.Partition]; state != nil && state.Fence == record.Fence {
+			if state := c.kept[record.Partition]; state != nil && state.Fence == record.Fence {
 				state.Sealed = true
 			}
 		case *wire.Handover:
@@ -41,16 +41,16 @@
 			if err := state.Unmarshal(record.State); err != nil {
 				panic(err)
 			}
-			f.handed[record.Partition] = state
+			c.handed[record.Partition] = state
 		case *wire.Event:
-			state := f.kept[record.Partition]
+			state := c.kept[record.Partition]
 			event, err := wire.Decode(wire.Kind(record.Kind), record.Body)
 			if err != nil {
 				panic(err)
 			}
 			if state != nil && state.Fence == record.Fence {
 				partition.Apply(state, wire.Kind(record.Kind), event)
-				f.Recoveries++
+				c.Recoveries++
 			}
 		}
 	}
@@ -59,15 +59,15 @@
 // Snapshot is the whole durable state, for a checkpoint.
 //
 //	body := wire.Encode(core.Snapshot())
-func (f *Controller) Snapshot() *wire.Snapshot {
-	snapshot := &wire.Snapshot{Registers: f.acceptor.Snapshot()}
-	for number := range f.boot.Partitions {
-		if owned := f.owned[number]; owned != nil {
+func (c *Controller) Snapshot() *wire.Snapshot {
+	snapshot := &wire.Snapshot{Registers: c.acceptor.Snapshot()}
+	for number := range c.boot.Partitions {
+		if owned := c.owned[number]; owned != nil {
 			snapshot.Partitions = append(snapshot.Partitions, *owned.State())
-		} else if kept := f.kept[number]; kept != nil {
+		} else if kept := c.kept[number]; kept != nil {
 			snapshot.Partitions = append(snapshot.Partitions, *kept)
 		}
-		if handed := f.handed[number]; handed != nil {
+		if handed := c.handed[number]; handed != nil {
 			snapshot.Handed = append(snapshot.Handed, *handed)
 		}
 	}
@@ -75,8 +75,8 @@
 }
 
 // sealedOwner names the owner of the sealed state that a record took up.
-func (f *Controller) sealedOwner(record *wire.AdoptRecord) wire.Owner {
-	for _, state := range []*wire.PartitionState{f.kept[record.Partition], f.handed[record.Partition]} {
+func (c *Controller) sealedOwner(record *wire.AdoptRecord) wire.Owner {
+	for _, state := range []*wire.PartitionState{c.kept[record.Partition], c.handed[record.Partition]} {
 		if state != nil && state.Sealed && state.Fence == record.From {
 			return wire.Owner{ID: state.Owner, Fence: state.Fence}
 		}
--- a/internal/controlplane/controller/rollout.go
+++ b/internal/controlplane/controller/rollout.go
@@ -36,59 +36,59 @@
 // rolloutTick drives a roll-out: after each pause one zone more, or a halt as
 // soon as calls in the zones that go by the next policy end badly more often than
 // elsewhere.
-func (f *Controller) rolloutTick(now int64, out *wire.Outputs) {
-	table := f.view.Policy
-	if table.Rollout == nil || table.Rollout.Halted != "" || f.mine(now, partition.Of(rolloutKey, f.boot.Partitions)) == nil {
-		f.rolling = nil
+func (c *Controller) rolloutTick(now int64, out *wire.Outputs) {
+	table := c.view.Policy
+	if table.Rollout == nil || table.Rollout.Halted != "" || c.mine(now, partition.Of(rolloutKey, c.boot.Partitions)) == nil {
+		c.rolling = nil
 		return
 	}
-	if f.rolling == nil || f.rolling.version != table.Version {
+	if c.rolling == nil || c.rolling.version != table.Version {
 		var usual tally
-		if f.rolling != nil {
-			usual = f.rolling.usual
+		if c.rolling != nil {
+			usual = c.rolling.usual
 		}
-		f.rolling = &rolling{version: table.Version, sinceMs: now, begun: f.callsTold(), usual: usual}
+		c.rolling = &rolling{version: table.Version, sinceMs: now, begun: c.callsTold(), usual: usual}
 	}
-	step := f.rolling
+	step := c.rolling
 	if step.asked {
 		return
 	}
-	kept, _ := f.board.Get(PolicyKey)
-	if why := f.worse(table.Rollout); why != "" {
-		f.writeStep(now, out, kept, func(body []byte) ([]byte, error) { return configuration.Halt(body, why) })
+	kept, _ := c.board.Get(PolicyKey)
+	if why := c.worse(table.Rollout); why != "" {
+		c.writeStep(now, out, kept, func(body []byte) ([]byte, error) { return configuration.Halt(body, why) })
 	} else if now-step.sinceMs >= table.Rollout.PauseMs {
-		f.writeStep(now, out, kept, configuration.Step)
+		c.writeStep(now, out, kept, configuration.Step)
 	}
 }
 
 // writeStep writes what a step makes of the policy, if it still has the version
 // that the step began with.
-func (f *Controller) writeStep(now int64, out *wire.Outputs, kept wire.Topic, step func([]byte) ([]byte, error)) {
+func (c *Controller) writeStep(now int64, out *wire.Outputs, kept wire.Topic, step func([]byte) ([]byte, error)) {
 	stands, err := wire.Unpack(kept)
 	if err != nil {
 		return
 	}
 	body, err := step(stands)
-	if err != nil || kept.Step != f.rolling.version {
+	if err != nil || kept.Step != c.rolling.version {
 		return
 	}
-	f.rolling.asked = true
-	call := f.then(func(now int64, outcome register.Outcome) wire.Outputs {
-		if f.rolling != nil {
-			f.rolling.asked = false
+	c.rolling.asked = true
+	call := c.then(func(now int64, outcome register.Outcome) wire.Outputs {
+		if c.rolling != nil {
+			c.rolling.asked = false
 		}
 		if !outcome.Has {
 			return wire.Outputs{}
 		}
-		return f.Learnt(now, PolicyKey, outcome.Value)
+		return c.Learnt(now, PolicyKey, outcome.Value)
 	})
-	out.Add(f.proposer.Change(now, call, PolicyKey, kept.Step, 0, body, f.writeName()))
+	out.Add(c.proposer.Change(now, call, PolicyKey, kept.Step, 0, body, c.writeName()))
 }
 
 // callsTold is what each standing front tells of its calls: bad ones, and all.
-func (f *Controller) callsTold() map[string]tally {
+func (c *Controller) callsTold() map[string]tally {
 	out := map[string]tally{}
-	for _, member := range f.members.Alive("agent") {
+	for _, member := range c.members.Alive("agent") {
 		var bad, came int64
 		if _, err := fmt.Sscanf(member.Fact[CallsFact], "%d/%d", &bad, &came); err == nil {
 			out[member.ID] = tally{bad, came}
@@ -110,21 +110,21 @@
 // worse says why a roll-out is to be halted, if it is: since this step began,
 // more calls ended badly in the zones that go by the next policy than in the
 // others by so many in a hundred.
-func (f *Controller) worse(rollout *configuration.Rollout) string {
+func (c *Controller) worse(rollout *configuration.Rollout) string {
 	var staged, others tally
-	told := f.callsTold()
-	for _, member := range f.members.Alive("agent") {
+	told := c.callsTold()
+	for _, member := range c.members.Alive("agent") {
 		calls, ok := told[member.ID]
-		begun, known := f.rolling.begun[member.ID]
+		begun, known := c.rolling.begun[member.ID]
 		if !ok {
 			continue
 		}
 		if !known {
-			f.rolling.begun[member.ID] = calls
+			c.rolling.begun[member.ID] = calls
 			continue
 		}
 		sum := &others
-		if f.view.Policy.For(member.Zone) != f.view.Policy {
+		if c.view.Policy.For(member.Zone) != c.view.Policy {
 			sum = &staged
 		}
 		sum.bad, sum.calls = sum.bad+calls.bad-begun.bad, sum.calls+calls.calls-begun.calls
@@ -133,9 +133,9 @@
 		return ""
 	}
 	if others.calls >= leastCalls {
-		f.rolling.usual = others
+		c.rolling.usual = others
 	}
-	if usual := f.rolling.usual; usual.calls == 0 || !clearly(staged, usual, rollout.HaltPercent) {
+	if usual := c.rolling.usual; usual.calls == 0 || !clearly(staged, usual, rollout.HaltPercent) {
 		return ""
 	}
 	return fmt.Sprintf("of %d calls in the zones that go by it %d ended badly, elsewhere %d of %d", staged.calls, staged.bad, others.bad, others.calls)
--- a/internal/controlplane/controller/rosters.go
+++ b/internal/controlplane/controller/rosters.go
@@ -48,18 +48,18 @@
 // believed tells whether the platform's word may be taken: a list that lost all
 // its workers at once, or that is older than one taken before, comes from a
 // directory that broke down, and the last good list stays.
-func (f *Controller) believed(list *wire.WorkerList) bool {
-	f.unbelieved = ""
+func (c *Controller) believed(list *wire.WorkerList) bool {
+	c.unbelieved = ""
 	switch {
-	case len(list.Workers) == 0 && len(f.listed.Workers) > 0:
-		f.unbelieved = "the platform lists no worker at all"
-	case list.Platform > 0 && list.Platform < f.listed.Platform:
-		f.unbelieved = "the platform's list is older than the one kept"
+	case len(list.Workers) == 0 && len(c.listed.Workers) > 0:
+		c.unbelieved = "the platform lists no worker at all"
+	case list.Platform > 0 && list.Platform < c.listed.Platform:
+		c.unbelieved = "the platform's list is older than the one kept"
 	}
-	return f.unbelieved == ""
+	return c.unbelieved == ""
 }
 
 // Unbelieved says why the platform's last list was not taken, if it was not.
 //
 //	if why := core.Unbelieved(); why != "" { ... }
-func (f *Controller) Unbelieved() string { return f.unbelieved }
+func (c *Controller) Unbelieved() string { return c.unbelieved }
--- a/internal/controlplane/controller/tallies.go
+++ b/internal/controlplane/controller/tallies.go
@@ -15,28 +15,28 @@
 
 // tallied takes what a front tells, and keeps it for the other controllers, or what
 // another controller passes on.
-func (f *Controller) tallied(now int64, body wire.Record) {
+func (c *Controller) tallied(now int64, body wire.Record) {
 	switch told := body.(type) {
 	case *wire.Tally:
-		f.view.Demands.Note(now, told)
-		f.tallies[told.Front] = *told
+		c.view.Demands.Note(now, told)
+		c.tallies[told.Front] = *told
 	case *wire.Tallies:
-		f.view.Demands.NoteAll(now, told)
+		c.view.Demands.NoteAll(now, told)
 	}
 }
 
 // talliesTick passes on what fronts told here.
-func (f *Controller) talliesTick(now int64, out *wire.Outputs) {
-	if len(f.tallies) == 0 || !f.due(now, "tallies", f.boot.ProbeMs/talliesPerProbe) {
+func (c *Controller) talliesTick(now int64, out *wire.Outputs) {
+	if len(c.tallies) == 0 || !c.due(now, "tallies", c.boot.ProbeMs/talliesPerProbe) {
 		return
 	}
 	told := &wire.Tallies{}
-	for _, front := range slices.Sorted(maps.Keys(f.tallies)) {
-		told.Tallies = append(told.Tallies, f.tallies[front])
+	for _, front := range slices.Sorted(maps.Keys(c.tallies)) {
+		told.Tallies = append(told.Tallies, c.tallies[front])
 	}
-	clear(f.tallies)
-	for _, member := range f.members.Alive("controller") {
-		if member.ID != f.boot.ID {
+	clear(c.tallies)
+	for _, member := range c.members.Alive("controller") {
+		if member.ID != c.boot.ID {
 			out.Send(member.ID, wire.KindTallies, told)
 		}
 	}
--- a/internal/controlplane/eventloop/answers.go
+++ b/internal/controlplane/eventloop/answers.go
@@ -10,17 +10,17 @@
 }
 
 // hearAll gives the machine a message and all that wait behind it.
-func (p *Loop) hearAll(message transport.Arrived) {
+func (l *Loop) hearAll(message transport.Arrived) {
 	for {
-		held := p.gate.Held()
-		p.hear(message)
-		if p.gate.Held() > held {
-			p.unsynced = append(p.unsynced, unsynced{message: message, after: p.gate.Written()})
+		held := l.gate.Held()
+		l.hear(message)
+		if l.gate.Held() > held {
+			l.unsynced = append(l.unsynced, unsynced{message: message, after: l.gate.Written()})
 		} else {
-			p.heard = append(p.heard, message)
+			l.heard = append(l.heard, message)
 		}
 		select {
-		case message = <-p.inbox:
+		case message = <-l.inbox:
 		default:
 			return
 		}
@@ -29,14 +29,14 @@
 
 // tellHeard lets the answers go to which this step has added all that it will, and
 // those that waited for records up to a number of which all last by now.
-func (p *Loop) tellHeard(durable int64) {
-	for at := range p.heard {
-		p.heard[at].Heard()
+func (l *Loop) tellHeard(durable int64) {
+	for at := range l.heard {
+		l.heard[at].Heard()
 	}
-	clear(p.heard)
-	p.heard = p.heard[:0]
-	for len(p.unsynced) > 0 && p.unsynced[0].after <= durable {
-		p.unsynced[0].message.Heard()
-		p.unsynced = p.unsynced[1:]
+	clear(l.heard)
+	l.heard = l.heard[:0]
+	for len(l.unsynced) > 0 && l.unsynced[0].after <= durable {
+		l.unsynced[0].message.Heard()
+		l.unsynced = l.unsynced[1:]
 	}
 }
--- a/internal/controlplane/eventloop/answers_test.go
+++ b/internal/controlplane/eventloop/answers_test.go
@@ -48,7 +48,7 @@
 func (a *acceptor) DueMs(now int64) int64                            { return now + 1000 }
 
 // started runs a loop with a journal behind a transport; posts counts its batches.
-func started(c *qt.C, id string) (cable *transport.Transport, addr string, machine *acceptor, posts *atomic.Int64) {
+func started(c *qt.C, id string) (messages *transport.Transport, addr string, machine *acceptor, posts *atomic.Int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,12 +59,12 @@
 	kept, _, err := journal.Open(folder, id, controller.EmptySnapshot())
 	c.Assert(err, qt.IsNil)
 	machine, posts = &acceptor{heard: make(chan wire.Record, 8)}, &atomic.Int64{}
-	cable = transport.New(ctx, id, addr, "127.0.0.1:0", 8*time.Second, transport.ControllerDepth)
+	messages = transport.New(ctx, id, addr, "127.0.0.1:0", 8*time.Second, transport.ControllerDepth)
 	writer := NewWriter(kept, 1<<20, controller.EmptySnapshot)
-	loop := New(Options{Machine: machine, Self: id, Cable: cable, Log: zap.NewNop(), Writer: writer, Epoch: time.Now(), Tick: 50 * time.Millisecond})
+	loop := New(Options{Machine: machine, Self: id, Messages: messages, Log: zap.NewNop(), Writer: writer, Epoch: time.Now(), Tick: 50 * time.Millisecond})
 	go func() { _ = writer.Run(ctx) }()
 	go func() { _ = loop.Run(ctx) }()
-	handler := cable.Handler(loop.Deliver)
+	handler := messages.Handler(loop.Deliver)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		posts.Add(1)
 		handler.ServeHTTP(w, r)
@@ -73,7 +73,7 @@
 	server.Listener = listener
 	server.Start()
 	c.Cleanup(server.Close)
-	return cable, addr, machine, posts
+	return messages, addr, machine, posts
 }
 
 // What a machine sends back goes with the answer to the batch that asked for it,
@@ -89,9 +89,9 @@
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			c := qt.New(t)
-			cable, _, machine, posts := started(c, "c1~1")
+			messages, _, machine, posts := started(c, "c1~1")
 			_, addr, _, otherPosts := started(c, "c2~1")
-			cable.Send(addr, one.kind, one.body)
+			messages.Send(addr, one.kind, one.body)
 			select {
 			case got := <-machine.heard:
 				c.Check(got.(*wire.Promise).Op, qt.Equals, int64(4))
--- a/internal/controlplane/eventloop/eventloop.go
+++ b/internal/controlplane/eventloop/eventloop.go
@@ -30,23 +30,23 @@
 
 // Loop is one machine with its thread.
 type Loop struct {
-	machine Machine
-	self    string
-	cable   *transport.Transport
-	log     *zap.Logger
-	gate    controller.Gate
-	writer  *Writer
-	pending []wire.Write
-	busy    bool
-	busyAt  int64
-	stalled bool
-	inbox   chan transport.Arrived
-	calls   chan func(now int64) wire.Outputs
-	answers map[int64]chan register.Outcome
-	next    int64
-	addrs   map[string]string
-	local   []transport.Arrived
-	heard   []transport.Arrived // in this step
+	machine  Machine
+	self     string
+	messages *transport.Transport
+	log      *zap.Logger
+	gate     controller.Gate
+	writer   *Writer
+	pending  []wire.Write
+	busy     bool
+	busyAt   int64
+	stalled  bool
+	inbox    chan transport.Arrived
+	calls    chan func(now int64) wire.Outputs
+	answers  map[int64]chan register.Outcome
+	next     int64
+	addrs    map[string]string
+	local    []transport.Arrived
+	heard    []transport.Arrived // in this step
 	// unsynced are messages to which something is sent back once records last.
 	unsynced []unsynced
 	durable  int64
@@ -71,20 +71,20 @@
 	ticked, tickAt int64
 }
 
-// Options are what a position is made of.
+// Options are what a loop is made of.
 type Options struct {
-	Machine Machine
-	Self    string
-	Cable   *transport.Transport
-	Log     *zap.Logger
-	Writer  *Writer
-	Epoch   time.Time
-	Tick    time.Duration
+	Machine  Machine
+	Self     string
+	Messages *transport.Transport
+	Log      *zap.Logger
+	Writer   *Writer
+	Epoch    time.Time
+	Tick     time.Duration
 	// Wall is the clock on the wall; time.Now if there is no other.
 	Wall func() int64
 }
 
-// New makes a position. Writer is nil where there is no disk.
+// New makes a loop. Writer is nil where there is no disk.
 //
 //	control := eventloop.New(options)
 func New(o Options) *Loop {
@@ -94,7 +94,7 @@
 	}
 	return &Loop{
 		wall:    wall,
-		machine: o.Machine, self: o.Self, cable: o.Cable, log: o.Log, writer: o.Writer, epoch: o.Epoch, tick: o.Tick,
+		machine: o.Machine, self: o.Self, messages: o.Messages, log: o.Log, writer: o.Writer, epoch: o.Epoch, tick: o.Tick,
 		inbox: make(chan transport.Arrived, 8192), calls: make(chan func(int64) wire.Outputs, 64),
 		answers: map[int64]chan register.Outcome{}, addrs: map[string]string{}, Page: NewPages(),
 		Special: func(int64, wire.Send) {},
@@ -103,10 +103,10 @@
 
 // Deliver puts a message in front of the machine; false says it is too busy.
 //
-//	router.Handle("/trunk", cable.Handler(control.Deliver))
-func (p *Loop) Deliver(message transport.Arrived) bool {
+//	router.Handle("/trunk", messages.Handler(control.Deliver))
+func (l *Loop) Deliver(message transport.Arrived) bool {
 	select {
-	case p.inbox <- message:
+	case l.inbox <- message:
 		return true
 	default:
 		return false
@@ -116,117 +116,117 @@
 // Now is the monotonic time of this process in milliseconds.
 //
 //	nowMs := control.Now()
-func (p *Loop) Now() int64 { return time.Since(p.epoch).Milliseconds() + 1 }
+func (l *Loop) Now() int64 { return time.Since(l.epoch).Milliseconds() + 1 }
 
 // Run is the thread that owns the machine.
 //
 //	err := control.Run(ctx)
-func (p *Loop) Run(ctx context.Context) error {
-	timer := time.NewTimer(p.tick)
+func (l *Loop) Run(ctx context.Context) error {
+	timer := time.NewTimer(l.tick)
 	defer timer.Stop()
-	p.tickAt = p.Now() + p.tick.Milliseconds()
+	l.tickAt = l.Now() + l.tick.Milliseconds()
 	var done chan Written
-	if p.writer != nil {
-		done = p.writer.done
+	if l.writer != nil {
+		done = l.writer.done
 	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case message := <-p.inbox:
-			p.hearAll(message)
+		case message := <-l.inbox:
+			l.hearAll(message)
 		case <-timer.C:
-			now := p.Now()
-			p.ticked, p.tickAt = now, never
-			p.perform(now, p.machine.Tick(now, p.wall()))
-			p.watchDisk(now)
-			p.watchMachine(now)
-			p.watchProgress(now)
-		case made := <-p.Page.asks:
-			p.Page.Store(p.machine.Page(p.Now()))
+			now := l.Now()
+			l.ticked, l.tickAt = now, never
+			l.perform(now, l.machine.Tick(now, l.wall()))
+			l.watchDisk(now)
+			l.watchMachine(now)
+			l.watchProgress(now)
+		case made := <-l.Page.asks:
+			l.Page.Store(l.machine.Page(l.Now()))
 			close(made)
-		case call := <-p.calls:
-			now := p.Now()
-			p.perform(now, call(now))
+		case call := <-l.calls:
+			now := l.Now()
+			l.perform(now, call(now))
 		case wrote := <-done:
 			if wrote.Err != nil {
 				return wrote.Err
 			}
-			p.busy, p.durable = false, wrote.Count
-			p.release(p.Now(), p.gate.Durable(wrote.Count))
+			l.busy, l.durable = false, wrote.Count
+			l.release(l.Now(), l.gate.Durable(wrote.Count))
 		}
-		p.drain()
-		p.flush()
-		p.arm(timer)
-		p.tellHeard(p.durable)
+		l.drain()
+		l.flush()
+		l.arm(timer)
+		l.tellHeard(l.durable)
 	}
 }
 
-func (p *Loop) hear(message transport.Arrived) {
+func (l *Loop) hear(message transport.Arrived) {
 	if message.Addr != "" {
-		p.addrs[message.From] = message.Addr
+		l.addrs[message.From] = message.Addr
 	}
-	now := p.Now()
-	p.perform(now, p.machine.Hear(now, message.From, message.Body))
+	now := l.Now()
+	l.perform(now, l.machine.Hear(now, message.From, message.Body))
 }
 
 // drain gives the machine what it sent to itself.
-func (p *Loop) drain() {
-	for len(p.local) > 0 {
-		message := p.local[0]
-		p.local = p.local[1:]
-		p.hear(message)
+func (l *Loop) drain() {
+	for len(l.local) > 0 {
+		message := l.local[0]
+		l.local = l.local[1:]
+		l.hear(message)
 	}
 }
 
-func (p *Loop) perform(now int64, out wire.Outputs) {
-	ready := p.gate.Step(out)
-	p.pending = append(p.pending, ready.Writes...)
-	p.release(now, ready)
+func (l *Loop) perform(now int64, out wire.Outputs) {
+	ready := l.gate.Step(out)
+	l.pending = append(l.pending, ready.Writes...)
+	l.release(now, ready)
 }
 
-func (p *Loop) release(now int64, ready wire.Outputs) {
+func (l *Loop) release(now int64, ready wire.Outputs) {
 	for _, send := range ready.Sends {
-		if p.Leaves == nil || p.Leaves(now, send) {
-			p.send(now, send)
+		if l.Leaves == nil || l.Leaves(now, send) {
+			l.send(now, send)
 		}
 	}
 	for _, answer := range ready.Answers {
-		if waiter, ok := p.answers[answer.Call]; ok {
-			delete(p.answers, answer.Call)
+		if waiter, ok := l.answers[answer.Call]; ok {
+			delete(l.answers, answer.Call)
 			waiter <- answer.Body.(register.Outcome)
 		}
 	}
 }
 
-func (p *Loop) send(now int64, send wire.Send) {
+func (l *Loop) send(now int64, send wire.Send) {
 	switch {
-	case send.To == p.self:
-		p.local = append(p.local, transport.Arrived{From: p.self, Kind: send.Kind, Body: send.Body})
+	case send.To == l.self:
+		l.local = append(l.local, transport.Arrived{From: l.self, Kind: send.Kind, Body: send.Body})
 	case send.To == "worker" || send.To == "platform":
-		p.Special(now, send)
+		l.Special(now, send)
 	case strings.Contains(send.To, ":"):
-		p.cable.Send(send.To, send.Kind, send.Body)
+		l.messages.Send(send.To, send.Kind, send.Body)
 	default:
-		addr, ok := p.machine.Addr(send.To)
+		addr, ok := l.machine.Addr(send.To)
 		if !ok {
-			addr, ok = p.addrs[send.To]
+			addr, ok = l.addrs[send.To]
 		}
 		if ok {
-			p.cable.Send(addr, send.Kind, send.Body)
+			l.messages.Send(addr, send.Kind, send.Body)
 		}
 	}
 }
 
 // flush hands the journal one batch of all that waits, once it is free.
-func (p *Loop) flush() {
-	if p.writer == nil || p.busy || len(p.pending) == 0 {
+func (l *Loop) flush() {
+	if l.writer == nil || l.busy || len(l.pending) == 0 {
 		return
 	}
-	batch := batch{writes: p.pending, count: p.gate.Written()}
-	if p.writer.Due() {
-		batch.snapshot = p.writer.snapshot()
+	batch := batch{writes: l.pending, count: l.gate.Written()}
+	if l.writer.Due() {
+		batch.snapshot = l.writer.snapshot()
 	}
-	p.pending, p.busy, p.busyAt = nil, true, p.Now()
-	p.writer.batches <- batch
+	l.pending, l.busy, l.busyAt = nil, true, l.Now()
+	l.writer.batches <- batch
 }
--- a/internal/controlplane/eventloop/progress.go
+++ b/internal/controlplane/eventloop/progress.go
@@ -26,24 +26,24 @@
 
 // watchProgress logs each core set that the machine takes up, its first
 // configuration, and that it has no core set some time after its start.
-func (p *Loop) watchProgress(now int64) {
-	reports, is := p.machine.(interface{ Progress() controller.Progress })
-	if !is || now-p.progress.lookedMs < progressEveryMs {
+func (l *Loop) watchProgress(now int64) {
+	reports, is := l.machine.(interface{ Progress() controller.Progress })
+	if !is || now-l.progress.lookedMs < progressEveryMs {
 		return
 	}
-	p.progress.lookedMs = now
+	l.progress.lookedMs = now
 	seen := reports.Progress()
-	if seen.Core.Epoch != p.progress.epoch {
-		p.progress.epoch = seen.Core.Epoch
-		p.log.Info("core set", zap.Int64("epoch", seen.Core.Epoch), zap.Strings("voters", votersOf(seen.Core.Voters)), zap.Strings("joining", votersOf(seen.Core.Joining)))
+	if seen.Core.Epoch != l.progress.epoch {
+		l.progress.epoch = seen.Core.Epoch
+		l.log.Info("core set", zap.Int64("epoch", seen.Core.Epoch), zap.Strings("voters", votersOf(seen.Core.Voters)), zap.Strings("joining", votersOf(seen.Core.Joining)))
 	}
-	if seen.Configuration > 0 && !p.progress.configured {
-		p.progress.configured = true
-		p.log.Info("first configuration", zap.Int64("version", seen.Configuration))
+	if seen.Configuration > 0 && !l.progress.configured {
+		l.progress.configured = true
+		l.log.Info("first configuration", zap.Int64("version", seen.Configuration))
 	}
-	if seen.Core.Epoch == 0 && now-p.progress.lateMs >= p.progress.patienceMs() {
-		p.progress.lateMs = now
-		p.log.Warn("no core set is known", zap.String("seeds", strings.Join(seen.Seeds, ",")), zap.Int("members", seen.Members), zap.Int("controllers", seen.Controllers))
+	if seen.Core.Epoch == 0 && now-l.progress.lateMs >= l.progress.patienceMs() {
+		l.progress.lateMs = now
+		l.log.Warn("no core set is known", zap.String("seeds", strings.Join(seen.Seeds, ",")), zap.Int("members", seen.Members), zap.Int("controllers", seen.Controllers))
 	}
 }
 
--- a/internal/controlplane/eventloop/seeds.go
+++ b/internal/controlplane/eventloop/seeds.go
@@ -12,12 +12,12 @@
 // Seeds gives the machine other seeds, if it takes any.
 //
 //	control.Seeds(ctx, []string{"127.0.0.1:7100"})
-func (p *Loop) Seeds(ctx context.Context, seeds []string) {
-	machine, ok := p.machine.(seeded)
+func (l *Loop) Seeds(ctx context.Context, seeds []string) {
+	machine, ok := l.machine.(seeded)
 	if !ok {
 		return
 	}
-	p.Do(ctx, func(int64) wire.Outputs {
+	l.Do(ctx, func(int64) wire.Outputs {
 		machine.SetSeeds(seeds)
 		return wire.Outputs{}
 	})
--- a/internal/controlplane/eventloop/writer.go
+++ b/internal/controlplane/eventloop/writer.go
@@ -97,21 +97,21 @@
 // Do runs something on the machine's thread.
 //
 //	control.Do(ctx, func(now int64) wire.Outputs { return core.Leave(now) })
-func (p *Loop) Do(ctx context.Context, step func(now int64) wire.Outputs) bool {
+func (l *Loop) Do(ctx context.Context, step func(now int64) wire.Outputs) bool {
 	select {
-	case p.calls <- step:
+	case l.calls <- step:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
-func (p *Loop) ask(ctx context.Context, start func(now, call int64) wire.Outputs) register.Outcome {
+func (l *Loop) ask(ctx context.Context, start func(now, call int64) wire.Outputs) register.Outcome {
 	waiter := make(chan register.Outcome, 1)
-	asked := p.Do(ctx, func(now int64) wire.Outputs {
-		p.next++
-		p.answers[p.next] = waiter
-		return start(now, p.next)
+	asked := l.Do(ctx, func(now int64) wire.Outputs {
+		l.next++
+		l.answers[l.next] = waiter
+		return start(now, l.next)
 	})
 	if !asked {
 		return register.Outcome{Fate: register.FateNone}
@@ -131,23 +131,23 @@
 // Change runs a compare-and-set and waits for its outcome.
 //
 //	outcome := control.Change(ctx, eventloop.Write{Key: controller.PolicyKey, Expected: 7, Body: body})
-func (p *Loop) Change(ctx context.Context, asked Write) register.Outcome {
-	outcome := p.ask(ctx, func(now, call int64) wire.Outputs { return p.machine.Change(now, call, asked) })
-	p.learnt(ctx, asked.Key, outcome)
+func (l *Loop) Change(ctx context.Context, asked Write) register.Outcome {
+	outcome := l.ask(ctx, func(now, call int64) wire.Outputs { return l.machine.Change(now, call, asked) })
+	l.learnt(ctx, asked.Key, outcome)
 	return outcome
 }
 
 // Read reads a register at a majority and waits for its outcome.
 //
 //	outcome := control.Read(ctx, controller.PolicyKey)
-func (p *Loop) Read(ctx context.Context, key string) register.Outcome {
-	outcome := p.ask(ctx, func(now, call int64) wire.Outputs { return p.machine.Read(now, call, key) })
-	p.learnt(ctx, key, outcome)
+func (l *Loop) Read(ctx context.Context, key string) register.Outcome {
+	outcome := l.ask(ctx, func(now, call int64) wire.Outputs { return l.machine.Read(now, call, key) })
+	l.learnt(ctx, key, outcome)
 	return outcome
 }
 
-func (p *Loop) learnt(ctx context.Context, key string, outcome register.Outcome) {
+func (l *Loop) learnt(ctx context.Context, key string, outcome register.Outcome) {
 	if outcome.Fate == register.FateDone && outcome.Has {
-		p.Do(ctx, func(now int64) wire.Outputs { return p.machine.Learnt(now, key, outcome.Value) })
+		l.Do(ctx, func(now int64) wire.Outputs { return l.machine.Learnt(now, key, outcome.Value) })
 	}
 }
--- a/internal/controlplane/health/health.go
+++ b/internal/controlplane/health/health.go
@@ -90,7 +90,7 @@
 
 // Transport shows what a transport carried.
 //
-//	health.Transport(gauges, cable.Counts)
+//	health.Transport(gauges, messages.Counts)
 func Transport(g *Gauges, counts *transport.Counts) {
 	g.Count("trunk_letters_sent_total", "letters sent to other processes", func() float64 { return float64(counts.SentMessages.Load()) })
 	g.Count("trunk_batches_sent_total", "batches of letters sent", func() float64 { return float64(counts.SentBatches.Load()) })
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -39,7 +39,7 @@
 		LeaseMs: given.LeaseMs, ProbeMs: given.ProbeMs, CallMs: given.CallMs, KeyMs: given.KeyMs, LinkMbps: given.LinkMbps, Form: start.Form,
 	}, rand.New(rand.NewSource(epoch.UnixNano())))
 	messages := transport.New(work, id, given.Advertise, given.Listen, settings.Ms(given.LeaseMs)/4, transport.FrontDepth)
-	control := eventloop.New(eventloop.Options{Machine: line, Self: id, Cable: messages, Log: log, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
+	control := eventloop.New(eventloop.Options{Machine: line, Self: id, Messages: messages, Log: log, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
 	return &Agent{start: start, given: given, log: log, line: line, messages: messages, control: control}
 }
 
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -61,41 +61,41 @@
 // ctx.
 //
 //	err := controller.Run(ctx, stop)
-func (n *Controller) Run(ctx context.Context, stop context.CancelFunc) error {
+func (c *Controller) Run(ctx context.Context, stop context.CancelFunc) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	if err := n.open(ctx, work); err != nil {
+	if err := c.open(ctx, work); err != nil {
 		return err
 	}
-	close(n.opened)
-	if seeds := n.seeds.Load(); seeds != nil {
-		go n.control.Seeds(work, *seeds)
+	close(c.opened)
+	if seeds := c.seeds.Load(); seeds != nil {
+		go c.control.Seeds(work, *seeds)
 	}
-	go n.tellPlacement(work)
+	go c.tellPlacement(work)
 	go func() {
 		<-ctx.Done()
-		n.leave(work)
+		c.leave(work)
 		cancel()
 	}()
-	return supervisor.Run(work, n.log, settings.Patience, n.children(stop)...)
+	return supervisor.Run(work, c.log, settings.Patience, c.children(stop)...)
 }
 
 // Seeds gives the controller other seeds; while its journal cannot be opened they wait.
 //
 //	controller.Seeds(ctx, []string{"10.0.0.7:7100"})
-func (n *Controller) Seeds(ctx context.Context, seeds []string) {
-	n.seeds.Store(&seeds)
+func (c *Controller) Seeds(ctx context.Context, seeds []string) {
+	c.seeds.Store(&seeds)
 	select {
-	case <-n.opened:
-		n.control.Seeds(ctx, seeds)
+	case <-c.opened:
+		c.control.Seeds(ctx, seeds)
 	default:
 	}
 }
 
 // open reads the journal, for as long as ctx lets it try, and makes the state
 // machine and what carries for it while work lasts.
-func (n *Controller) open(ctx, work context.Context) error {
-	given := n.given
+func (c *Controller) open(ctx, work context.Context) error {
+	given := c.given
 	folder, err := journal.OpenFolder(given.Data, settings.Ms(given.SyncFloorMs))
 	if err != nil {
 		return err
@@ -105,55 +105,55 @@
 	if err != nil {
 		return err
 	}
-	n.log.Info("journal read", zap.String("identity", found.Identity), zap.Bool("fresh", found.Fresh), zap.Int("records", len(found.Writes)), zap.Int64("cut_bytes", found.CutBytes))
+	c.log.Info("journal read", zap.String("identity", found.Identity), zap.Bool("fresh", found.Fresh), zap.Int("records", len(found.Writes)), zap.Int64("cut_bytes", found.CutBytes))
 	var snapshot wire.Snapshot
 	if err = snapshot.Unmarshal(found.Snapshot); err != nil {
 		return oops.Code(journal.ErrCorrupt).Wrapf(err, "reading the checkpoint")
 	}
 	epoch := time.Now()
-	n.core = controller.New(1, controller.Boot{
-		ID: found.Identity, Name: given.Name, Addr: n.advertise, Zone: given.Zone, Born: epoch.UnixMilli(), Outward: n.listen,
+	c.core = controller.New(1, controller.Boot{
+		ID: found.Identity, Name: given.Name, Addr: c.advertise, Zone: given.Zone, Born: epoch.UnixMilli(), Outward: c.listen,
 		Core: given.Core, Bootstrap: given.Bootstrap, CatchUpMs: given.CatchUpMs, Seeds: given.Seeds, Partitions: given.Partitions,
-		LeaseMs: given.LeaseMs, PollMs: given.PollMs, ProbeMs: given.ProbeMs, CallMs: given.CallMs, ListPerS: given.ListPerS, Form: n.start.Form,
+		LeaseMs: given.LeaseMs, PollMs: given.PollMs, ProbeMs: given.ProbeMs, CallMs: given.CallMs, ListPerS: given.ListPerS, Form: c.start.Form,
 	}, rand.New(rand.NewSource(epoch.UnixNano())), &snapshot, found.Writes)
-	n.folder = folder
-	n.messages = transport.New(work, found.Identity, n.advertise, n.listen, settings.Ms(given.LeaseMs)/4, transport.ControllerDepth)
-	n.writer = eventloop.NewWriter(kept, given.LogKb<<10, func() []byte { return wire.Encode(n.core.Snapshot()) })
-	n.control = eventloop.New(eventloop.Options{Machine: n.core, Self: found.Identity, Cable: n.messages, Log: n.log, Writer: n.writer, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
-	n.control.FreePct = folder.FreePct
-	n.giveOrders(work, orders.New(work, n.start.Workers(found.Identity), settings.Ms(given.PollMs)*2))
+	c.folder = folder
+	c.messages = transport.New(work, found.Identity, c.advertise, c.listen, settings.Ms(given.LeaseMs)/4, transport.ControllerDepth)
+	c.writer = eventloop.NewWriter(kept, given.LogKb<<10, func() []byte { return wire.Encode(c.core.Snapshot()) })
+	c.control = eventloop.New(eventloop.Options{Machine: c.core, Self: found.Identity, Messages: c.messages, Log: c.log, Writer: c.writer, Epoch: epoch, Tick: settings.Ms(given.TickMs), Wall: settings.Wall(given.ClockTrial)})
+	c.control.FreePct = folder.FreePct
+	c.giveOrders(work, orders.New(work, c.start.Workers(found.Identity), settings.Ms(given.PollMs)*2))
 	return nil
 }
 
 // giveOrders ties the clerk, who speaks to workers and reads their list, to the
 // state machine.
-func (n *Controller) giveOrders(work context.Context, clerk *orders.Dispatcher) {
+func (c *Controller) giveOrders(work context.Context, clerk *orders.Dispatcher) {
 	clerk.Saw = func(seen *wire.Seen) {
-		n.control.Deliver(transport.Arrived{From: "worker", Kind: wire.KindSeen, Body: seen})
+		c.control.Deliver(transport.Arrived{From: "worker", Kind: wire.KindSeen, Body: seen})
 	}
 	clerk.List = func(version int64, list orders.Listing) {
-		n.control.Do(work, func(now int64) wire.Outputs {
-			n.core.ListCalls(list.Calls)
-			out := n.core.Platform(now, version, list.Workers)
-			n.listFault(n.core.Unbelieved())
+		c.control.Do(work, func(now int64) wire.Outputs {
+			c.core.ListCalls(list.Calls)
+			out := c.core.Platform(now, version, list.Workers)
+			c.listFault(c.core.Unbelieved())
 			return out
 		})
 	}
 	clerk.Failed = func(err error) {
-		n.control.Do(work, func(int64) wire.Outputs {
-			n.listFault(err.Error())
+		c.control.Do(work, func(int64) wire.Outputs {
+			c.listFault(err.Error())
 			return wire.Outputs{}
 		})
 	}
-	n.control.Leaves = n.core.Leaves
-	n.control.Special = func(now int64, send wire.Send) {
+	c.control.Leaves = c.core.Leaves
+	c.control.Special = func(now int64, send wire.Send) {
 		order, ok := send.Body.(*wire.Order)
 		if !ok {
 			return
 		}
 		job := orders.Job{Order: *order, Until: time.Now().Add(time.Minute)}
 		if send.To == "worker" {
-			until, may := n.core.May(now, order)
+			until, may := c.core.May(now, order)
 			if !may {
 				return
 			}
@@ -165,37 +165,37 @@
 
 // listFault tells of a fault of the list, and logs it once when it comes and
 // once when it ends.
-func (n *Controller) listFault(why string) {
-	if why != n.unread {
-		n.log.Warn("the platform's worker list", zap.String("fault", why), zap.Bool("well", why == ""))
+func (c *Controller) listFault(why string) {
+	if why != c.unread {
+		c.log.Warn("the platform's worker list", zap.String("fault", why), zap.Bool("well", why == ""))
 	}
-	n.unread = why
-	n.core.Fact("list_fault", why)
+	c.unread = why
+	c.core.Fact("list_fault", why)
 }
 
 // children are the parts that the supervisor keeps running.
-func (n *Controller) children(stop context.CancelFunc) []supervisor.Child {
-	served := &pages{start: n.start, listen: n.listen, messages: n.messages, control: n.control, stop: stop}
+func (c *Controller) children(stop context.CancelFunc) []supervisor.Child {
+	served := &pages{start: c.start, listen: c.listen, messages: c.messages, control: c.control, stop: stop}
 	gauges := served.gauges("controller")
-	health.Placement(gauges, n.control.Page)
-	health.Journal(gauges, n.writer)
+	health.Placement(gauges, c.control.Page)
+	health.Journal(gauges, c.writer)
 	return append(served.operators(gauges),
-		supervisor.Child{Name: "control", Run: n.control.Run, Vital: true},
-		supervisor.Child{Name: "journal", Run: n.writer.Run, Vital: true},
+		supervisor.Child{Name: "control", Run: c.control.Run, Vital: true},
+		supervisor.Child{Name: "journal", Run: c.writer.Run, Vital: true},
 		served.nodes(gauges),
 	)
 }
 
 // leave ends in order: the members are told, partitions are handed over and what
 // is left is given back; once the core set does without this node, the rest stops.
-func (n *Controller) leave(work context.Context) {
-	n.control.Do(work, n.core.Leave)
-	drain, look := settings.Ms(n.given.DrainMs), settings.Ms(n.given.TickMs)
+func (c *Controller) leave(work context.Context) {
+	c.control.Do(work, c.core.Leave)
+	drain, look := settings.Ms(c.given.DrainMs), settings.Ms(c.given.TickMs)
 	began := time.Now()
-	await(min(settings.Ms(n.given.LeaseMs), drain/2), look, func() bool { return moved(n.control) })
-	n.control.Do(work, n.core.Gone)
-	await(drain*3/4-time.Since(began), look, func() bool { return !needed(n.control) })
-	<-time.After(settings.Ms(n.given.ProbeMs))
+	await(min(settings.Ms(c.given.LeaseMs), drain/2), look, func() bool { return moved(c.control) })
+	c.control.Do(work, c.core.Gone)
+	await(drain*3/4-time.Since(began), look, func() bool { return !needed(c.control) })
+	<-time.After(settings.Ms(c.given.ProbeMs))
 }
 
 // openJournal reads the data folder; a disk that refuses to write is tried again.
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -11,7 +11,7 @@
 const placementEvery = 5 * time.Second
 
 // tellPlacement logs how the workers' room is used, while this node owns any of it.
-func (n *Controller) tellPlacement(work context.Context) {
+func (c *Controller) tellPlacement(work context.Context) {
 	ticker := time.NewTicker(placementEvery)
 	defer ticker.Stop()
 	for {
@@ -19,8 +19,8 @@
 		case <-work.Done():
 			return
 		case <-ticker.C:
-			if page := n.control.Page.Load(); page != nil && len(page.Owned) > 0 {
-				n.log.Info("placement", zap.Any("places", page.Placement))
+			if page := c.control.Page.Load(); page != nil && len(page.Owned) > 0 {
+				c.log.Info("placement", zap.Any("places", page.Placement))
 			}
 		}
 	}
--- a/internal/dataplane/feed/demand.go
+++ b/internal/dataplane/feed/demand.go
@@ -82,6 +82,6 @@
 		told.Demands = append(told.Demands, one)
 	}
 	if len(told.Demands) > 0 {
-		p.cable.Send(p.agent, wire.KindTally, told)
+		p.messages.Send(p.agent, wire.KindTally, told)
 	}
 }
--- a/internal/dataplane/feed/feed.go
+++ b/internal/dataplane/feed/feed.go
@@ -19,31 +19,31 @@
 
 // Feed owns all that changes beside the traffic; it has one thread.
 type Feed struct {
-	agent   string
-	cable   *transport.Transport
-	board   *distribution.Board
-	inbox   chan transport.Arrived
-	holds   chan held
-	works   chan work
-	comes   chan coming
-	takes   chan taken
-	told    routing.News
-	holding map[string]*wire.Want
-	coming  map[string]coming
-	demand  map[string]*demand
-	toldTo  map[string]bool
-	book    *idempotency.Book
-	waiting map[int64]chan idempotency.Decision
-	nextID  int64
-	epoch   time.Time
-	policy  *configuration.Table
-	form    configuration.Form
-	zone    string
-	counts  *pipeline.Counts
-	now     func() int64
-	put     func(*routing.Table)
-	chain   *pipeline.Proxy
-	current func() *routing.Table
+	agent    string
+	messages *transport.Transport
+	board    *distribution.Board
+	inbox    chan transport.Arrived
+	holds    chan held
+	works    chan work
+	comes    chan coming
+	takes    chan taken
+	told     routing.News
+	holding  map[string]*wire.Want
+	coming   map[string]coming
+	demand   map[string]*demand
+	toldTo   map[string]bool
+	book     *idempotency.Book
+	waiting  map[int64]chan idempotency.Decision
+	nextID   int64
+	epoch    time.Time
+	policy   *configuration.Table
+	form     configuration.Form
+	zone     string
+	counts   *pipeline.Counts
+	now      func() int64
+	put      func(*routing.Table)
+	chain    *pipeline.Proxy
+	current  func() *routing.Table
 	// aliveAt is when the agent heard of this process last, talliedAt of its demand,
 	// wantedAt of all that waits.
 	aliveAt, talliedAt, wantedAt time.Time
@@ -51,11 +51,11 @@
 
 // New makes a feed for the agent at an address.
 //
-//	plugs := feed.New("127.0.0.1:7201", cable, configuration.Native)
-func New(agent string, cable *transport.Transport, form configuration.Form) *Feed {
+//	plugs := feed.New("127.0.0.1:7201", messages, configuration.Native)
+func New(agent string, messages *transport.Transport, form configuration.Form) *Feed {
 	return &Feed{
 		form:  form,
-		agent: agent, cable: cable, board: distribution.NewBoard(),
+		agent: agent, messages: messages, board: distribution.NewBoard(),
 		inbox: make(chan transport.Arrived, 1024), holds: make(chan held, 4096), works: make(chan work, 4096), demand: map[string]*demand{}, toldTo: map[string]bool{}, comes: make(chan coming, 4096), coming: map[string]coming{}, takes: make(chan taken, 256),
 		told:    routing.News{Policy: configuration.Empty(), Rooms: map[string]wire.WorkerNews{}, Refused: map[string]int64{}},
 		holding: map[string]*wire.Want{},
@@ -73,7 +73,7 @@
 
 // Deliver puts a message from the agent in front of the thread.
 //
-//	router.Handle("/trunk", cable.Handler(plugs.Deliver))
+//	router.Handle("/trunk", messages.Handler(plugs.Deliver))
 func (p *Feed) Deliver(message transport.Arrived) bool {
 	select {
 	case p.inbox <- message:
@@ -156,7 +156,7 @@
 		}
 	case *wire.Subscribe:
 		if kind, body := p.board.Answers(told); told.Tell {
-			p.cable.Send(p.agent, kind, body)
+			p.messages.Send(p.agent, kind, body)
 		}
 	case *wire.Waits:
 		p.told.Waits, p.told.WaitsTo = map[string]int64{}, p.now()+told.ValidMs
--- a/internal/dataplane/feed/holds.go
+++ b/internal/dataplane/feed/holds.go
@@ -41,6 +41,6 @@
 		delete(p.holding, hold.item)
 	} else if fresh {
 		// A model that stands nowhere is wanted at once.
-		p.cable.Send(p.agent, wire.KindReport, &wire.Report{Wants: []wire.Want{*want}, Came: p.counts.Came.Load(), Bad: p.counts.Bad.Load()})
+		p.messages.Send(p.agent, wire.KindReport, &wire.Report{Wants: []wire.Want{*want}, Came: p.counts.Came.Load(), Bad: p.counts.Bad.Load()})
 	}
 }
--- a/internal/dataplane/feed/report.go
+++ b/internal/dataplane/feed/report.go
@@ -37,7 +37,7 @@
 func (p *Feed) report() {
 	_, alive := due(&p.aliveAt, aliveEvery)
 	if alive {
-		p.cable.Send(p.agent, wire.KindSubscribe, p.board.Asks(""))
+		p.messages.Send(p.agent, wire.KindSubscribe, p.board.Asks(""))
 	}
 	told := &wire.Report{}
 	for _, want := range p.holding {
@@ -56,6 +56,6 @@
 	told.Came, told.Bad = p.counts.Came.Load(), p.counts.Bad.Load()
 	_, wanted := due(&p.wantedAt, wantEvery)
 	if (wanted && len(told.Wants) > 0) || alive {
-		p.cable.Send(p.agent, wire.KindReport, told)
+		p.messages.Send(p.agent, wire.KindReport, told)
 	}
 }
--- a/internal/dataplane/feed/tickets.go
+++ b/internal/dataplane/feed/tickets.go
@@ -37,7 +37,7 @@
 
 func (p *Feed) perform(out wire.Outputs) {
 	for _, send := range out.Sends {
-		p.cable.Send(send.To, send.Kind, send.Body)
+		p.messages.Send(send.To, send.Kind, send.Body)
 	}
 	for _, answer := range out.Answers {
 		if back, waits := p.waiting[answer.Call]; waits {
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -37,7 +37,7 @@
 // for long; messages it turns away are lost. What the receiver sends back while it
 // handles them goes with the answer.
 //
-//	router.Handle("/trunk", cable.Handler(deliver)).Methods("POST")
+//	router.Handle("/trunk", messages.Handler(deliver)).Methods("POST")
 func (t *Transport) Handler(deliver func(Arrived) bool) http.Handler {
 	t.deliver = deliver
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -48,7 +48,7 @@
 // KindBytes tells how many bytes of bodies were sent, by kind of message; kinds of
 // which none was sent are left out.
 //
-//	bytes := cable.Counts.KindBytes()[wire.KindNews]
+//	bytes := messages.Counts.KindBytes()[wire.KindNews]
 func (c *Counts) KindBytes() map[wire.Kind]int64 {
 	out := map[wire.Kind]int64{}
 	for kind := range c.kindBytes {
@@ -108,7 +108,7 @@
 // listen; wait is how long a small batch may take, depth how many messages may
 // wait for one address.
 //
-//	cable := transport.New(ctx, "c1~7f", settings.Advertise, settings.Listen, time.Second, transport.FrontDepth)
+//	messages := transport.New(ctx, "c1~7f", settings.Advertise, settings.Listen, time.Second, transport.FrontDepth)
 func New(ctx context.Context, self, addr, listen string, wait time.Duration, depth int) *Transport {
 	dialer := socket.Dialer(wait, silentWaits*wait)
 	if host, _, err := net.SplitHostPort(listen); err == nil {
@@ -124,7 +124,7 @@
 // Send puts a message into the answer to a batch from an address, if one waits for
 // it, or else on the line to there; a full line loses it.
 //
-//	cable.Send("127.0.0.1:7101", wire.KindQuery, body)
+//	messages.Send("127.0.0.1:7101", wire.KindQuery, body)
 func (t *Transport) Send(addr string, kind wire.Kind, body wire.Record) {
 	message := wire.Message{Kind: int64(kind), Body: wire.Encode(body)}
 	line, ok := t.lines[addr]
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -74,7 +74,7 @@
 	}
 	for at, one := range cases {
 		c.Run(one.name, func(c *qt.C) {
-			cable := newTransport(c)
+			messages := newTransport(c)
 			var bad atomic.Bool
 			o := newOther(c, func(w http.ResponseWriter, r *http.Request) {
 				if bad.Load() {
@@ -84,9 +84,9 @@
 				taken(w, r)
 			})
 			batch := &wire.Messages{From: "n1~7f", Messages: []wire.Message{{Kind: int64(wire.KindQuery), Body: wire.Encode(&wire.Query{Op: 1})}}}
-			c.Assert(cable.post(o.addr, batch), qt.IsNil)
+			c.Assert(messages.post(o.addr, batch), qt.IsNil)
 			bad.Store(true)
-			err := cable.post(o.addr, batch)
+			err := messages.post(o.addr, batch)
 			c.Check(err == nil, qt.Equals, at == 0, qt.Commentf("%v", err))
 			c.Check(o.batches.Load(), qt.Equals, int64(2))
 			c.Check(o.conns.Load(), qt.Equals, int64(1), qt.Commentf("the second went on the kept connection"))
@@ -101,8 +101,8 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
-	cable := New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 100*time.Millisecond, FrontDepth)
-	server := httptest.NewServer(cable.Handler(func(Arrived) bool { return true }))
+	messages := New(ctx, "n1~7f", "127.0.0.1:1", "127.0.0.1:0", 100*time.Millisecond, FrontDepth)
+	server := httptest.NewServer(messages.Handler(func(Arrived) bool { return true }))
 	c.Cleanup(server.Close)
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	c.Assert(err, qt.IsNil)
