--- a/test.sh
+++ b/test.sh
@@ -42,4 +42,4 @@
 "$kept/bin/testbed" day -bin "$kept/bin" -seconds 8 -net -1
 # A short soak: series of restarts, signals, turnovers of seeds and changes that overlap,
 # and then a loss of all processes or of a disk.
-"$kept/bin/testbed" soak -bin "$kept/bin" -first 1 -seeds 6 -jobs 3 -seconds 8
+"$kept/bin/testbed" soak -bin "$kept/bin" -first 1 -seeds 6 -jobs 6 -seconds 8
