Founding goes by the seeds of the first start alone: seeds that come later found nothing

Found when reading the change again, before its landing: a controller asked the seeds of its settings of that moment for a nomination. A part of the system that was cut off at its very first start, and whose settings then named other agents, had these nominate a second controller, and two core sets stood. The same place noted founders by seeds of later settings.

Now founding keeps the seeds of the start. TestAgentSeedsFoundOnce plays 80 seeds instead of 40, half with a turnover in the first moments: once all are started, since all are told the same seeds at the first start.

--- a/internal/controlplane/controller/candidate.go
+++ b/internal/controlplane/controller/candidate.go
@@ -10,13 +10,13 @@
 // seed: at the very first start, where all seeds answered that they have no vote. The
 // lowest of the seeds then nominates one: the first that proposes itself, once only, and
 // only in the life in which the system starts for the very first time. Nobody is
-// nominated twice, so that at most one set is founded, by that machine alone; the others
-// join.
+// nominated twice, and the seeds are those that all were told at that start, so that at
+// most one set is founded, by that machine alone; the others join.
 func (c *Controller) candidate() bool {
-	if !c.boot.Bootstrap || len(c.boot.Core) > 0 || len(c.boot.Seeds) == 0 || slices.Contains(c.boot.Seeds, c.boot.Addr) || len(c.founders()) > 0 {
+	if !c.boot.Bootstrap || len(c.boot.Core) > 0 || len(c.founding.seeds) == 0 || slices.Contains(c.founding.seeds, c.boot.Addr) || len(c.founders()) > 0 {
 		return false
 	}
-	return !slices.ContainsFunc(c.boot.Seeds, func(seed string) bool {
+	return !slices.ContainsFunc(c.founding.seeds, func(seed string) bool {
 		told, answered := c.founding.told[seed]
 		return !votelessSeed(told, answered)
 	})
@@ -28,7 +28,7 @@
 	if !c.candidate() || c.founded() {
 		return
 	}
-	if c.founding.told[slices.Min(c.boot.Seeds)].Bound == c.boot.ID {
+	if c.founding.told[slices.Min(c.founding.seeds)].Bound == c.boot.ID {
 		out.Add(c.acceptor.Found([]string{c.boot.Addr}))
 	}
 }
--- a/internal/controlplane/controller/controller.go
+++ b/internal/controlplane/controller/controller.go
@@ -118,7 +118,7 @@
 		kept:     map[int64]*wire.PartitionState{}, owned: map[int64]*partition.Partition{}, versions: map[string]int64{},
 		calls: map[int64]func(int64, register.Outcome) wire.Outputs{}, timers: map[string]int64{}, unheld: map[int64]int64{}, took: map[int64]bool{},
 		tallies: map[string]wire.Tally{}, handed: map[int64]*wire.PartitionState{}, moving: map[int64]*handing{}, promised: map[int64]promise{},
-		founding: newFounding(), coordinator: coordinator{failed: map[string]int64{}, heard: map[string]int64{}},
+		founding: newFounding(boot.Seeds), coordinator: coordinator{failed: map[string]int64{}, heard: map[string]int64{}},
 	}
 	f.holder.NumberFrom(random.Int63n(numbers))
 	f.replay(snapshot, writes)
--- a/internal/controlplane/controller/founding.go
+++ b/internal/controlplane/controller/founding.go
@@ -20,6 +20,8 @@
 // and takes up no other's set.
 type founding struct {
 	told map[string]wire.FoundTold
+	// seeds are those of this start: seeds that come later found nothing.
+	seeds []string
 }
 
 // founders are the addresses of those who found the first set; none if it has
@@ -39,8 +41,8 @@
 // noteFounders keeps the seeds of the very first start. Who is bound to a founder
 // by then may have said that it is none, and stays so.
 func (c *Controller) noteFounders(out *wire.Outputs) {
-	if c.acceptor.Bound() == "" && c.boot.Bootstrap && len(c.boot.Core) == 0 && slices.Contains(c.boot.Seeds, c.boot.Addr) && len(c.acceptor.Founders()) == 0 {
-		out.Add(c.acceptor.Found(c.boot.Seeds))
+	if c.acceptor.Bound() == "" && c.boot.Bootstrap && len(c.boot.Core) == 0 && slices.Contains(c.founding.seeds, c.boot.Addr) && len(c.acceptor.Founders()) == 0 {
+		out.Add(c.acceptor.Found(c.founding.seeds))
 	}
 }
 
@@ -48,7 +50,9 @@
 // it stays for good: an agent on a machine without a disk.
 func votelessSeed(told wire.FoundTold, answered bool) bool { return answered && told.Voter.ID == "" }
 
-func newFounding() founding { return founding{told: map[string]wire.FoundTold{}} }
+func newFounding(seeds []string) founding {
+	return founding{told: map[string]wire.FoundTold{}, seeds: slices.Clone(seeds)}
+}
 
 func (c *Controller) founded() bool { return len(c.accepted(register.CoreKey)) > 0 }
 
@@ -67,7 +71,7 @@
 		out.Add(c.acceptor.Bind(c.voter()))
 	}
 	proposes := c.acceptor.Bound() == c.boot.ID
-	addrs := append(slices.Clone(c.founders()), c.boot.Seeds...)
+	addrs := slices.Concat(c.founders(), c.founding.seeds, c.boot.Seeds)
 	for _, member := range c.members.Alive("") {
 		addrs = append(addrs, member.Addr)
 	}
@@ -75,7 +79,7 @@
 	for _, addr := range slices.Compact(addrs) {
 		switch {
 		case addr == c.boot.Addr:
-		case proposes && (!candidate || slices.Contains(c.boot.Seeds, addr)):
+		case proposes && (!candidate || slices.Contains(c.founding.seeds, addr)):
 			// Nobody is bound to a founder that may forget that it is one.
 			out.After(addr, wire.KindFoundAsk, &wire.FoundAsk{Voter: c.voter(), Propose: true})
 		default:
--- a/internal/simulation/agentseeds_test.go
+++ b/internal/simulation/agentseeds_test.go
@@ -30,13 +30,14 @@
 	}
 }
 
-// Whatever ends in the first moments of a system whose seeds are agents, no two sets are
-// founded: all who know a set of an epoch know the same.
+// Whatever ends in the first moments of a system whose seeds are agents, and whichever
+// seeds come after the first, no two sets are founded: all who know a set of an epoch know
+// the same.
 func TestAgentSeedsFoundOnce(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	founded := 0
-	for seed := int64(1); seed <= 40; seed++ {
+	for seed := int64(1); seed <= 80; seed++ {
 		shape := bySeeds(Krizanka(), 3, 4)
 		shape.AgentSeeds = true
 		w := New(shape, seed)
@@ -51,13 +52,17 @@
 			w.At(at, func() { w.Crash(core, true) })
 			w.At(at+200, func() { w.Restart(core, wiped) })
 		}
+		if seed%2 == 0 {
+			// All are started within 0.3 s, with the same seeds.
+			w.At(300+w.Random.Int63n(1000), func() { w.SetSeeds([]string{"10.0.1.4:1", "10.0.1.5:1", "10.0.1.6:1"}) })
+		}
 		w.Run(12000)
 		if len(sets) > 0 {
 			founded++
 		}
 	}
-	c.Logf("founded on %d seeds of 40", founded)
-	c.Check(founded > 20, qt.IsTrue, qt.Commentf("%d", founded))
+	c.Logf("founded on %d seeds of 80", founded)
+	c.Check(founded > 40, qt.IsTrue, qt.Commentf("%d", founded))
 }
 
 // checkSets checks that all who know a core set of an epoch know the same.
@@ -77,3 +82,35 @@
 		sets[core.Epoch] = voters
 	}
 }
+
+// Guards against two core sets: a part of the system that was cut off at its very first
+// start and is given other seeds founds no second one.
+func TestLaterSeedsFoundNothing(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for seed := int64(1); seed <= 5; seed++ {
+		shape := bySeeds(Krizanka(), 3, 4)
+		shape.AgentSeeds = true
+		w := New(shape, seed)
+		later := []string{"10.0.1.4:1", "10.0.1.5:1", "10.0.1.6:1"}
+		apart := map[string]bool{"10.0.0.3:1": true, "10.0.0.4:1": true}
+		for _, addr := range later {
+			apart[addr] = true
+		}
+		for one := range w.Nodes {
+			for other := range w.Nodes {
+				if apart[one] != apart[other] {
+					w.Cut(one, other, true)
+				}
+			}
+		}
+		sets := map[int64]string{}
+		for at := int64(50); at < 20000; at += 50 {
+			w.At(at, func() { w.checkSets(c, sets) })
+		}
+		w.At(1500, func() { w.SetSeeds(later) })
+		w.At(8000, func() { w.Cuts = map[[2]string]bool{} })
+		w.Run(20000)
+		c.Check(w.allIn(), qt.IsTrue, qt.Commentf("seed %d: %v", seed, w.coreAt(0)))
+	}
+}
